Build the path of a call from caller to target

Cause: nothing existed; the design needs a thin path end to end before its parts are deepened. Before: no code. Ruled out: the client of nbhttp as it is for responses of unknown length; it reports them as complete and empty (tried against a raw socket), so such responses count as cut. Conclusion: the shape holds for the whole path; policies are placeholders but for the ledger.

--- /dev/null
+++ b/internal/base/call/call.go
@@ -0,0 +1,93 @@
+// Package call holds the call, its outcome and the load that travels with it.
+package call
+
+import (
+	"crypto/sha256"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"net/netip"
+	"time"
+)
+
+// A Field is one header field.
+type Field struct {
+	Name  string
+	Value string
+}
+
+// A Request is one call of a caller.
+type Request struct {
+	Service    ident.Service
+	Method     string
+	URI        string
+	Header     []Field
+	Body       []byte
+	Caller     netip.Addr
+	Deadline   time.Time
+	Rank       ident.Rank
+	Depth      int
+	Allowance  int
+	Key        string
+	Idempotent bool
+}
+
+// Digest identifies the request by method, URI and body.
+func (r *Request) Digest() ident.Digest {
+	h := sha256.New()
+	h.Write([]byte(r.Method))
+	h.Write([]byte{0})
+	h.Write([]byte(r.URI))
+	h.Write([]byte{0})
+	h.Write(r.Body)
+	return ident.Digest(h.Sum(nil))
+}
+
+// An Outcome is the result of a call: Answered, Refused or Unknown.
+type Outcome interface{ outcome() }
+
+// An Answered is the whole answer of the target.
+type Answered struct {
+	Status int
+	Header []Field
+	Body   []byte
+	// Remembered is true when the answer comes from the ledger and not from a run.
+	Remembered bool
+}
+
+// A Refused says that this send was not run.
+type Refused struct {
+	Kind       errs.Kind
+	RetryAfter time.Duration
+	Detail     string
+}
+
+// An Unknown says that the call may have been run.
+type Unknown struct {
+	Kind   errs.Kind
+	Detail string
+}
+
+func (Answered) outcome() {}
+func (Refused) outcome()  {}
+func (Unknown) outcome()  {}
+
+// A Load is what the daemon beside a target tells of it.
+type Load struct {
+	InFlight    int
+	Queued      int
+	Limit       int
+	QueueDelay  time.Duration
+	Latency     time.Duration
+	Incarnation ident.Incarnation
+	Epoch       ident.Epoch
+	Head        ident.Head
+	Draining    bool
+}
+
+// A Result is the outcome of one attempt.
+type Result struct {
+	Attempt     ID
+	Outcome     Outcome
+	Load        Load
+	RetriesUsed int
+}
--- /dev/null
+++ b/internal/base/call/id.go
@@ -0,0 +1,11 @@
+package call
+
+import "sync/atomic"
+
+// An ID is the number of a call or of an attempt, unique in one process.
+type ID uint64
+
+var lastID atomic.Uint64
+
+// NextID returns an ID that was not used before in this process.
+func NextID() ID { return ID(lastID.Add(1)) }
--- /dev/null
+++ b/internal/base/errs/errs.go
@@ -0,0 +1,98 @@
+// Package errs holds the closed list of error kinds and the table from kind to answer.
+package errs
+
+import (
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// A Kind is one of the errors that a caller can see.
+type Kind string
+
+// The error kinds. Table has the answer to each.
+const (
+	BadRequest       Kind = "BadRequest"
+	HeaderTooLarge   Kind = "HeaderTooLarge"
+	BodyTooLarge     Kind = "BodyTooLarge"
+	UnknownService   Kind = "UnknownService"
+	KeyInvalid       Kind = "KeyInvalid"
+	KeyRequired      Kind = "KeyRequired"
+	KeyMismatch      Kind = "KeyMismatch"
+	KeyExpired       Kind = "KeyExpired"
+	OwnerGone        Kind = "OwnerGone"
+	OwnerUnreachable Kind = "OwnerUnreachable"
+	LedgerFull       Kind = "LedgerFull"
+	AnswerForgotten  Kind = "AnswerForgotten"
+	Busy             Kind = "Busy"
+	Overloaded       Kind = "Overloaded"
+	QueueTimeout     Kind = "QueueTimeout"
+	TargetShed       Kind = "TargetShed"
+	TargetDown       Kind = "TargetDown"
+	NoTarget         Kind = "NoTarget"
+	PeerUnreachable  Kind = "PeerUnreachable"
+	Draining         Kind = "Draining"
+	Withdrawn        Kind = "Withdrawn"
+	Quarantined      Kind = "Quarantined"
+	Unconfirmed      Kind = "Unconfirmed"
+	DepthExceeded    Kind = "DepthExceeded"
+	DeadlineExceeded Kind = "DeadlineExceeded"
+	DeadlineInFlight Kind = "DeadlineInFlight"
+	TargetFailed     Kind = "TargetFailed"
+	AnswerCut        Kind = "AnswerCut"
+	AnswerTooLarge   Kind = "AnswerTooLarge"
+	PeerLost         Kind = "PeerLost"
+	CallerGone       Kind = "CallerGone"
+	Internal         Kind = "Internal"
+)
+
+// An Outcome tells a caller whether its call was run.
+type Outcome string
+
+// The outcomes.
+const (
+	// Answered means that the target answered.
+	Answered Outcome = "Answered"
+	// NotRun means that the call was proved not to have been run.
+	NotRun Outcome = "NotRun"
+	// NotRunEarlierUnknown means that this send was not run and that nothing is known of earlier sends.
+	NotRunEarlierUnknown Outcome = "NotRunEarlierUnknown"
+	// Unknown means that the call may have been run.
+	Unknown Outcome = "Unknown"
+)
+
+// An Answer is what a caller sees of an error kind.
+type Answer struct {
+	Status     int
+	Outcome    Outcome
+	RetryAfter time.Duration
+	Advice     string
+}
+
+// An Error is an error with a kind.
+type Error struct {
+	Kind   Kind
+	Detail string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	if e.Detail == "" {
+		return string(e.Kind)
+	}
+	return string(e.Kind) + ": " + e.Detail
+}
+
+// New returns an error of the kind.
+func New(kind Kind, detail string) error {
+	return errors.Trace(&Error{Kind: kind, Detail: detail})
+}
+
+// KindOf returns the kind of err, or Internal when it has none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
--- /dev/null
+++ b/internal/base/errs/table.go
@@ -0,0 +1,62 @@
+package errs
+
+import "time"
+
+// Retry-After values of the table. Overload clears within a queue's time bound;
+// a restart or a new link takes about a second.
+const (
+	soon  = 1 * time.Second
+	later = 5 * time.Second
+)
+
+var table = map[Kind]Answer{
+	BadRequest:       {400, NotRun, 0, "correct the request"},
+	HeaderTooLarge:   {431, NotRun, 0, "send fewer or shorter headers"},
+	BodyTooLarge:     {413, NotRun, 0, "send a smaller body"},
+	UnknownService:   {404, NotRun, 0, "name a service of the release in force"},
+	KeyInvalid:       {400, NotRun, 0, "get a key from /.well-known/jacinthcross/key"},
+	KeyRequired:      {428, NotRun, 0, "get a key from /.well-known/jacinthcross/key"},
+	KeyMismatch:      {422, NotRun, 0, "use one key for one request only"},
+	KeyExpired:       {409, NotRunEarlierUnknown, 0, "check the earlier outcome, then use a new key"},
+	OwnerGone:        {409, NotRunEarlierUnknown, 0, "check the earlier outcome, then use a new key"},
+	OwnerUnreachable: {503, NotRunEarlierUnknown, soon, "send again with the same key"},
+	LedgerFull:       {503, NotRun, later, "send again later"},
+	AnswerForgotten:  {502, Unknown, 0, "check the outcome, do not send again with a new key"},
+	Busy:             {503, NotRun, soon, "send again later"},
+	Overloaded:       {503, NotRun, soon, "send again later"},
+	QueueTimeout:     {503, NotRun, soon, "send again later"},
+	TargetShed:       {503, NotRun, soon, "send again later"},
+	TargetDown:       {503, NotRun, soon, "send again later"},
+	NoTarget:         {503, NotRun, later, "send again later; the service has no usable target"},
+	PeerUnreachable:  {503, NotRun, soon, "send again later"},
+	Draining:         {503, NotRun, soon, "send again through another daemon"},
+	Withdrawn:        {503, NotRun, soon, "send again; the target was withdrawn"},
+	Quarantined:      {503, NotRun, later, "do not resend; this request crashed targets"},
+	Unconfirmed:      {503, NotRun, soon, "send again; the daemon is checking its release"},
+	DepthExceeded:    {508, NotRun, 0, "shorten the chain of calls"},
+	DeadlineExceeded: {504, NotRun, 0, "send again with a later deadline"},
+	DeadlineInFlight: {504, Unknown, 0, "send again with the same key"},
+	TargetFailed:     {502, Unknown, 0, "send again with the same key"},
+	AnswerCut:        {502, Unknown, 0, "send again with the same key"},
+	AnswerTooLarge:   {502, Unknown, 0, "ask for a smaller answer"},
+	PeerLost:         {502, Unknown, 0, "send again with the same key"},
+	CallerGone:       {499, Unknown, 0, "send again with the same key"},
+	Internal:         {500, Unknown, 0, "report the event of the same time in the daemon's log"},
+}
+
+// AnswerTo returns the answer to a kind. A kind outside the closed list is answered as Internal.
+func AnswerTo(kind Kind) Answer {
+	if a, ok := table[kind]; ok {
+		return a
+	}
+	return table[Internal]
+}
+
+// Kinds returns all kinds in no fixed order.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := range table {
+		kinds = append(kinds, k)
+	}
+	return kinds
+}
--- /dev/null
+++ b/internal/base/event/event.go
@@ -0,0 +1,38 @@
+// Package event writes the numbered log events. docs/reference/events.md is their catalogue.
+package event
+
+import (
+	"fmt"
+
+	"k8s.io/klog/v2"
+)
+
+// A Level is the severity of an event.
+type Level string
+
+// The levels.
+const (
+	Info    Level = "Info"
+	Warning Level = "Warning"
+	Error   Level = "Error"
+)
+
+// An Event is one numbered kind of log line.
+type Event struct {
+	Number int
+	Name   string
+	Level  Level
+}
+
+// Log writes the event with alternating keys and values.
+func (e Event) Log(pairs ...any) {
+	message := fmt.Sprintf("J%04d %s", e.Number, e.Name)
+	switch e.Level {
+	case Error:
+		klog.ErrorSDepth(1, nil, message, pairs...)
+	case Warning:
+		klog.InfoSDepth(1, message, append([]any{"level", "warning"}, pairs...)...)
+	case Info:
+		klog.InfoSDepth(1, message, pairs...)
+	}
+}
--- /dev/null
+++ b/internal/base/event/list.go
@@ -0,0 +1,29 @@
+package event
+
+// The events. Numbers are never used again for another meaning:
+// 1xxx process, 2xxx releases, 3xxx peers, 4xxx calls and targets.
+var (
+	DaemonStarted    = Event{1001, "DaemonStarted", Info}
+	DrainStarted     = Event{1002, "DrainStarted", Info}
+	DaemonStopped    = Event{1003, "DaemonStopped", Info}
+	TaskFailed       = Event{1004, "TaskFailed", Error}
+	ReleaseInForce   = Event{2001, "ReleaseInForce", Info}
+	NoteRefused      = Event{2002, "NoteRefused", Error}
+	ServiceUnread    = Event{2003, "ConfigurationServiceUnreadable", Warning}
+	LinkOpened       = Event{3001, "LinkOpened", Info}
+	LinkFailed       = Event{3002, "LinkFailed", Warning}
+	PeerRefused      = Event{3003, "PeerMessageRefused", Warning}
+	TargetAdded      = Event{4001, "TargetAdded", Info}
+	TargetWithdrawn  = Event{4002, "TargetWithdrawn", Info}
+	TargetConnFailed = Event{4003, "TargetConnectionFailed", Warning}
+)
+
+// All lists every event.
+func All() []Event {
+	return []Event{
+		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
+		ReleaseInForce, NoteRefused, ServiceUnread,
+		LinkOpened, LinkFailed, PeerRefused,
+		TargetAdded, TargetWithdrawn, TargetConnFailed,
+	}
+}
--- /dev/null
+++ b/internal/base/ident/ident.go
@@ -0,0 +1,73 @@
+// Package ident holds the names and identifiers that all parts of the daemon share.
+package ident
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+
+	"github.com/juju/errors"
+)
+
+// A VM is the name of a virtual machine.
+type VM string
+
+// A DataCentre is the name of a data centre.
+type DataCentre string
+
+// A Region is the name of a group of data centres.
+type Region string
+
+// A Service is the name of a service.
+type Service string
+
+// A Target is the name of a server process of a service.
+type Target string
+
+// An Incarnation identifies one run of a daemon process.
+type Incarnation [16]byte
+
+// NewIncarnation returns a random Incarnation.
+func NewIncarnation() Incarnation {
+	var i Incarnation
+	// rand.Read never fails on Linux: it ends the process when no entropy is available.
+	_, _ = rand.Read(i[:])
+	return i
+}
+
+// String returns the Incarnation in hexadecimal.
+func (i Incarnation) String() string { return hex.EncodeToString(i[:]) }
+
+// IsZero reports whether the Incarnation is unset.
+func (i Incarnation) IsZero() bool { return i == Incarnation{} }
+
+// An Epoch counts the key periods of one incarnation.
+type Epoch uint32
+
+// A Serial is the number of a release note.
+type Serial uint64
+
+// A Digest is the SHA-256 of a release note or of a request.
+type Digest [32]byte
+
+// String returns the Digest in hexadecimal.
+func (d Digest) String() string { return hex.EncodeToString(d[:]) }
+
+// ParseDigest reads a Digest from its hexadecimal form.
+func ParseDigest(text string) (Digest, error) {
+	var d Digest
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(d) {
+		return d, errors.NotValidf("digest %q (want %d hexadecimal digits)", text, 2*len(d))
+	}
+	copy(d[:], b)
+	return d, nil
+}
+
+// A Head identifies the newest release that a daemon holds.
+type Head struct {
+	Serial Serial
+	Digest Digest
+}
+
+// IsZero reports whether no release is held.
+func (h Head) IsZero() bool { return h == Head{} }
--- /dev/null
+++ b/internal/cli/cmds/serve.go
@@ -0,0 +1,31 @@
+package cmds
+
+import (
+	"fmt"
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/super/daemon"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+type serveCommand struct {
+	Config string `arg:"--config,required" help:"file with the settings" placeholder:"FILE"`
+}
+
+func (c *serveCommand) run(env Env) int {
+	settings, err := conf.Load(c.Config)
+	if err != nil {
+		fmt.Fprintln(env.Err, "jacinthcross:", err)
+		return exitInvalid
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	d := daemon.New(settings, Version)
+	select {
+	case <-signals:
+		d.Drain()
+	case <-d.Done():
+	}
+	return exit(env, d.Err())
+}
--- /dev/null
+++ b/internal/fleet/relay/message.go
@@ -0,0 +1,81 @@
+// Package relay decides how release notes and the VM list travel between daemons.
+package relay
+
+import (
+	"jacinthcross/internal/base/ident"
+	"net/netip"
+	"time"
+)
+
+// A Message is what daemons tell each other of releases: Digest, Offer, Pull, Notes, Snapshot, Ack or Listing.
+type Message interface{ message() }
+
+// A Digest tells which release a daemon holds.
+type Digest struct {
+	Head           ident.Head
+	ServiceKnown   bool
+	ServiceAge     time.Duration
+	ListingVersion uint64
+}
+
+// An Offer carries one release note.
+type Offer struct {
+	Serial   ident.Serial
+	Text     []byte
+	Version  uint64
+	Accepted bool
+}
+
+// A Pull asks for the notes after a head.
+type Pull struct{ After ident.Head }
+
+// Notes answers a Pull.
+type Notes struct{ Notes []Offer }
+
+// A Snapshot carries a whole release.
+type Snapshot struct {
+	Head     ident.Head
+	Text     []byte
+	Version  uint64
+	Accepted bool
+}
+
+// An Ack confirms that a daemon holds a release.
+type Ack struct {
+	Head       ident.Head
+	VM         ident.VM
+	DataCentre ident.DataCentre
+}
+
+// A Listing carries the changes of the VM list since a version, or the whole list when Since is 0.
+type Listing struct {
+	Version uint64
+	Since   uint64
+	VMs     []ListedVM
+	Removed []ident.VM
+}
+
+// A ListedVM is one entry of the VM list.
+type ListedVM struct {
+	VM         ident.VM
+	DataCentre ident.DataCentre
+	State      ListedState
+	Daemon     netip.AddrPort
+}
+
+// A ListedState is the state of a VM in the platform's list.
+type ListedState string
+
+// The states of the list.
+const (
+	Live    ListedState = "Live"
+	Leaving ListedState = "Leaving"
+)
+
+func (Digest) message()   {}
+func (Offer) message()    {}
+func (Pull) message()     {}
+func (Notes) message()    {}
+func (Snapshot) message() {}
+func (Ack) message()      {}
+func (Listing) message()  {}
--- /dev/null
+++ b/internal/task/listen/serve.go
@@ -0,0 +1,130 @@
+// Package listen is the task that accepts peer daemons and serves their streams.
+package listen
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/wire/codec"
+	"time"
+
+	"github.com/hashicorp/yamux"
+)
+
+// A Server serves the streams that a peer opens, whichever end dialled the connection.
+type Server struct {
+	local   *mail.Box[local.Message]
+	keeper  *mail.Box[keeper.Message]
+	maxSize int
+}
+
+// NewServer returns a Server that passes messages to the tasks that own the answers.
+func NewServer(local *mail.Box[local.Message], keeper *mail.Box[keeper.Message], maxSize int) *Server {
+	return &Server{local: local, keeper: keeper, maxSize: maxSize}
+}
+
+// firstReadTimeout bounds the wait for the message of a new stream.
+const firstReadTimeout = time.Second
+
+// Session serves all streams of a session until it ends.
+func (s *Server) Session(session *yamux.Session) {
+	for {
+		stream, err := session.AcceptStream()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer stream.Close()
+			s.stream(stream)
+		}()
+	}
+}
+
+func (s *Server) stream(stream *yamux.Stream) {
+	if err := stream.SetReadDeadline(time.Now().Add(firstReadTimeout)); err != nil {
+		return
+	}
+	m, _, err := codec.Read(stream, s.maxSize, time.Now)
+	if err != nil {
+		event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
+		return
+	}
+	if answer := s.answer(stream, m); answer != nil {
+		if _, err := codec.Write(stream, answer, time.Now()); err != nil {
+			event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
+		}
+	}
+}
+
+// answer returns the answer to a message, or nil when there is none to give.
+func (s *Server) answer(stream *yamux.Stream, m codec.Message) codec.Message {
+	switch m := m.(type) {
+	case codec.Call:
+		return s.call(stream, m)
+	case codec.LoadRequest:
+		return s.load()
+	case codec.Control:
+		return s.control(m.Message)
+	case codec.Drain, codec.Blame, codec.Hello, codec.Done, codec.Reply, codec.LoadReply:
+		return codec.Done{}
+	}
+	return nil
+}
+
+// call runs a call on the target. The peer cancels it by closing the stream.
+func (s *Server) call(stream *yamux.Stream, m codec.Call) codec.Message {
+	id := call.NextID()
+	reply := mail.NewBox[call.Result](1)
+	if !s.local.TryPut(local.Run{ID: id, Target: m.Target, Request: m.Request, Reply: reply}) {
+		return codec.Reply{Result: call.Result{Outcome: call.Refused{
+			Kind: errs.Busy, RetryAfter: errs.AnswerTo(errs.Busy).RetryAfter,
+		}}}
+	}
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		// The peer sends nothing more on this stream, so the read ends only when the stream does.
+		_ = stream.SetReadDeadline(time.Time{})
+		_, _ = stream.Read(make([]byte, 1))
+	}()
+	select {
+	case r := <-reply.C():
+		return codec.Reply{Result: r}
+	case <-closed:
+		s.local.TryPut(local.Cancel{ID: id})
+		return nil
+	}
+}
+
+func (s *Server) load() codec.Message {
+	reply := mail.NewBox[call.Load](1)
+	if !s.local.TryPut(local.LoadAsk{Reply: reply}) {
+		return nil
+	}
+	select {
+	case l := <-reply.C():
+		return codec.LoadReply{Load: l}
+	case <-time.After(firstReadTimeout):
+		return nil
+	}
+}
+
+func (s *Server) control(m relay.Message) codec.Message {
+	reply := mail.NewBox[relay.Message](1)
+	if !s.keeper.TryPut(keeper.FromPeer{Message: m, Reply: reply}) {
+		return nil
+	}
+	select {
+	case answer := <-reply.C():
+		if answer == nil {
+			return codec.Done{}
+		}
+		return codec.Control{Message: answer}
+	case <-time.After(firstReadTimeout):
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/task/local/message.go
@@ -0,0 +1,64 @@
+// Package local is the task beside the target: it admits calls and runs them on the target.
+package local
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/note"
+	"time"
+)
+
+// A Message is what the task receives.
+type Message interface{ message() }
+
+// A Run asks to run a call on the target. The result goes to Reply.
+type Run struct {
+	ID      call.ID
+	Target  ident.Target
+	Request call.Request
+	Reply   *mail.Box[call.Result]
+}
+
+// A Cancel says that nobody waits for the call any more.
+type Cancel struct{ ID call.ID }
+
+// A LoadAsk asks for the load of the target.
+type LoadAsk struct{ Reply *mail.Box[call.Load] }
+
+// A ReleaseChanged tells which release is in force.
+type ReleaseChanged struct{ Release *note.Release }
+
+// A RetrySpent says that a retry was made on behalf of the inbound call with the token.
+type RetrySpent struct{ Token string }
+
+// A Drain says that the daemon stops: no new call is taken, and Empty is closed when none is left.
+type Drain struct{ Empty chan<- struct{} }
+
+// A completed is the outcome of a call that a target connection carried.
+type completed struct {
+	id      call.ID
+	conn    *conn
+	outcome call.Outcome
+	// reusable is false when the connection must not carry another call.
+	reusable bool
+}
+
+func (Run) message()            {}
+func (Cancel) message()         {}
+func (LoadAsk) message()        {}
+func (ReleaseChanged) message() {}
+func (RetrySpent) message()     {}
+func (Drain) message()          {}
+func (completed) message()      {}
+
+// A Context is what the target's own calls inherit from the inbound call that they serve.
+type Context struct {
+	Token     string
+	Deadline  time.Time
+	Rank      ident.Rank
+	Depth     int
+	Allowance int
+	// Closed is true when the inbound call has ended.
+	Closed bool
+}
--- /dev/null
+++ b/internal/task/router/message.go
@@ -0,0 +1,75 @@
+// Package router is the task that chooses targets and owns the calls that entered at this daemon.
+package router
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/local"
+)
+
+// A Message is what the task receives.
+type Message interface{ message() }
+
+// A Submit asks for the outcome of a call. Host selects the service when the request names none.
+type Submit struct {
+	ID      call.ID
+	Request call.Request
+	Host    string
+	Context string
+	Reply   *mail.Box[call.Outcome]
+}
+
+// A Cancel says that the caller has gone.
+type Cancel struct{ ID call.ID }
+
+// An IssueKey asks for a new key of a service.
+type IssueKey struct {
+	Service ident.Service
+	Reply   *mail.Box[Issued]
+}
+
+// An Issued is a new key, or the kind of error when there is none.
+type Issued struct {
+	Key  string
+	Kind errs.Kind
+}
+
+// A ReleaseChanged tells which release is in force.
+type ReleaseChanged struct{ Release *note.Release }
+
+// A ContextChanged tells that an inbound call on the own target begins or ends.
+type ContextChanged struct{ Context local.Context }
+
+// A StatusAsk asks for the state of the task.
+type StatusAsk struct{ Reply *mail.Box[Status] }
+
+// A Status is the state of the task.
+type Status struct {
+	Calls    int
+	Services int
+}
+
+// A loadKnown is the answer to a request for the load of a target.
+type loadKnown struct {
+	target ident.Target
+	load   call.Load
+}
+
+// A loadUnknown says that a request for the load of a target failed.
+type loadUnknown struct {
+	target ident.Target
+	answer link.Answer
+}
+
+func (Submit) message()         {}
+func (Cancel) message()         {}
+func (IssueKey) message()       {}
+func (ReleaseChanged) message() {}
+func (ContextChanged) message() {}
+func (StatusAsk) message()      {}
+func (loadKnown) message()      {}
+func (loadUnknown) message()    {}
--- /dev/null
+++ b/internal/task/watch/reader.go
@@ -0,0 +1,83 @@
+// Package watch is the task that reads the configuration service.
+package watch
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// A Value is a value of the configuration service.
+type Value struct {
+	Text    []byte
+	Version uint64
+}
+
+// A Reader reads the configuration service.
+type Reader interface {
+	// Read returns the value of key, once its version is higher than after or wait has passed.
+	Read(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error)
+}
+
+// ErrUnchanged is returned when a value did not change while a Reader waited.
+var ErrUnchanged = errors.New("value unchanged")
+
+// maxValue is the largest value that the configuration service holds, in bytes.
+const maxValue = 1 << 20
+
+// readTimeout bounds a read beyond the time that it waits for a change.
+const readTimeout = time.Second
+
+// An HTTPReader reads the configuration service over HTTP. The client is that of
+// the standard library: the one of nbhttp takes a cut response for an empty one.
+type HTTPReader struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTPReader returns an HTTPReader of the service at base, such as "http://10.0.0.9:8500".
+func NewHTTPReader(base string) *HTTPReader {
+	return &HTTPReader{base: base, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+}
+
+// Read implements Reader.
+func (h *HTTPReader) Read(ctx context.Context, key string, after uint64, wait time.Duration) (Value, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	defer cancel()
+	url := fmt.Sprintf("%s/v1/values/%s?after=%d&wait=%d", h.base, key, after, wait.Milliseconds())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return Value{}, errors.Annotatef(err, "read %s", key)
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return Value{}, errors.Annotatef(err, "read %s", key)
+	}
+	defer response.Body.Close()
+	switch response.StatusCode {
+	case http.StatusOK:
+	case http.StatusNotModified:
+		return Value{}, ErrUnchanged
+	case http.StatusNotFound:
+		return Value{}, errors.NotFoundf("value %q", key)
+	default:
+		return Value{}, errors.Errorf("read %s: status %d", key, response.StatusCode)
+	}
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxValue+1))
+	if err != nil {
+		return Value{}, errors.Annotatef(err, "read %s", key)
+	}
+	if len(text) > maxValue {
+		return Value{}, errors.NotValidf("value %q of more than %d bytes", key, maxValue)
+	}
+	version, err := strconv.ParseUint(response.Header.Get("Value-Version"), 10, 64)
+	if err != nil {
+		return Value{}, errors.Annotatef(err, "read %s: header Value-Version", key)
+	}
+	return Value{Text: text, Version: version}, nil
+}
--- /dev/null
+++ b/internal/wire/codec/message.go
@@ -0,0 +1,65 @@
+// Package codec converts the messages between daemons to and from protobuf.
+package codec
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/policy/crash"
+)
+
+// Protocol is the version of the protocol between daemons.
+const Protocol = 1
+
+// A Message is one message between daemons.
+type Message interface{ message() }
+
+// A Hello tells who is at the other end.
+type Hello struct {
+	Protocol    int
+	VM          ident.VM
+	DataCentre  ident.DataCentre
+	Incarnation ident.Incarnation
+	Head        ident.Head
+	Draining    bool
+}
+
+// A Call asks the daemon beside a target to run a request.
+type Call struct {
+	Target  ident.Target
+	Request call.Request
+}
+
+// A Reply answers a Call.
+type Reply struct{ Result call.Result }
+
+// A LoadRequest probes the load of a target.
+type LoadRequest struct{ Target ident.Target }
+
+// A LoadReply answers a LoadRequest.
+type LoadReply struct{ Load call.Load }
+
+// A Control carries a message on releases or on the VM list.
+type Control struct{ Message relay.Message }
+
+// A Blame tells of requests that were in flight when a target crashed.
+type Blame struct {
+	Service ident.Service
+	Entries []crash.Blame
+}
+
+// A Drain announces the planned stop of the daemon on a VM.
+type Drain struct{ VM ident.VM }
+
+// A Done answers a message that needs no other answer.
+type Done struct{}
+
+func (Hello) message()       {}
+func (Call) message()        {}
+func (Reply) message()       {}
+func (LoadRequest) message() {}
+func (LoadReply) message()   {}
+func (Control) message()     {}
+func (Blame) message()       {}
+func (Drain) message()       {}
+func (Done) message()        {}
--- /dev/null
+++ b/internal/wire/header/header.go
@@ -0,0 +1,51 @@
+// Package header names the HTTP header fields of the system and removes those of one connection.
+package header
+
+import (
+	"jacinthcross/internal/base/call"
+	"net/http"
+	"strings"
+)
+
+// The header fields that callers and targets see.
+const (
+	Service   = "Jacinth-Service"
+	Deadline  = "Jacinth-Deadline"
+	Rank      = "Jacinth-Rank"
+	Context   = "Jacinth-Context"
+	Outcome   = "Jacinth-Outcome"
+	Error     = "Jacinth-Error"
+	Advice    = "Jacinth-Advice"
+	Target    = "Jacinth-Target"
+	NotRun    = "Jacinth-Not-Run"
+	Key       = "Idempotency-Key"
+	KeyPath   = "/.well-known/jacinthcross/key"
+	ownPrefix = "Jacinth-"
+)
+
+var perConnection = map[string]bool{
+	"Connection": true, "Proxy-Connection": true, "Keep-Alive": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Expect": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true,
+}
+
+// EndToEnd returns the fields that are passed on: without those of one
+// connection and without those that only the daemon may set.
+func EndToEnd(h http.Header) []call.Field {
+	named := map[string]bool{}
+	for _, v := range h.Values("Connection") {
+		for name := range strings.SplitSeq(v, ",") {
+			named[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	var fields []call.Field
+	for name, values := range h {
+		if perConnection[name] || named[name] || strings.HasPrefix(name, ownPrefix) {
+			continue
+		}
+		for _, v := range values {
+			fields = append(fields, call.Field{Name: name, Value: v})
+		}
+	}
+	return fields
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,11 @@
+// Command jacinthcross is the daemon beside each target VM and the operators' commands.
+package main
+
+import (
+	"jacinthcross/internal/cli/cmds"
+	"os"
+)
+
+func main() {
+	os.Exit(cmds.Main(os.Args[1:], cmds.Env{Out: os.Stdout, Err: os.Stderr}))
+}
