Add the metrics of a daemon

Cause: each refusal and retry reason needs a counter that all tasks can use. Change: package meter with OpenTelemetry instruments and a Prometheus handler at /metrics. Before: no metrics.

--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -107,7 +107,11 @@
 				return nil, err
 			}
 		}
-		members = append(members, &member{service: name, settings: s, target: t, daemon: daemon.New(s, "demo")})
+		d, err := daemon.New(s, "demo")
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, &member{service: name, settings: s, target: t, daemon: d})
 	}
 	return members, nil
 }
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -21,7 +21,10 @@
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	d := daemon.New(settings, Version)
+	d, err := daemon.New(settings, Version)
+	if err != nil {
+		return exit(env, err)
+	}
 	select {
 	case <-signals:
 		d.Drain()
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -4,10 +4,13 @@
 import (
 	"context"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/local"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // drainTimeout bounds how long the calls in flight may take at a planned stop.
@@ -21,11 +24,15 @@
 }
 
 // New starts a daemon.
-func New(settings *conf.Settings, version string) *Daemon {
+func New(settings *conf.Settings, version string) (*Daemon, error) {
+	m, err := meter.New()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	event.RouteLibraryLogs()
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{Loop: tree.NewLoop(), boxes: newBoxes(), cancel: cancel}
-	root := newTree(settings, version, d.boxes)
+	root := newTree(settings, version, d.boxes, m)
 	event.DaemonStarted.Log("vm", settings.VM, "dataCentre", settings.DataCentre, "callers", settings.Callers)
 	go func() {
 		d.Run(func() error {
@@ -37,7 +44,7 @@
 			return err
 		})
 	}()
-	return d
+	return d, nil
 }
 
 // Drain takes no new calls for the own target, waits for those in flight and stops the daemon.
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -3,6 +3,7 @@
 import (
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/ledger"
@@ -42,7 +43,7 @@
 }
 
 // newTree names the children of each supervisor.
-func newTree(s *conf.Settings, version string, b *boxes) *tree.Supervisor {
+func newTree(s *conf.Settings, version string, b *boxes, m *meter.Meter) *tree.Supervisor {
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
 	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead)
 	control := tree.NewSupervisor("control", []tree.Child{
@@ -66,6 +67,7 @@
 		{Name: "admin", Start: func() (tree.Task, error) {
 			return admin.New(s.Admin, admin.Config{
 				VM: s.VM, DataCentre: s.DataCentre, Version: version, Keeper: b.keeper, Router: b.router, Local: b.local,
+				Metrics: m.Handler(),
 			})
 		}},
 	}, hook)
