Route by load, latency and distance

Cause: targets were chosen by the own calls in flight alone, so the load of other daemons, slow targets, restarts and distance had no effect.

Change: a score of load and smoothed latency plus network distance, two or three samples by profile, decay of reports, straggler detection, capped ejection, slow start and a probe budget that starts empty. The network distance of a data centre is the difference of the shortest round trips, since the fastest calls of a service take about as long on every target.

A rapid run found that fewer candidates left more ejections than the cap allows; SetCandidates now ends those that are next to end.

The tests were run once against broken code and failed as they should: a budget that starts full, a budget without the byte limit, no ejection cap, the cap not applied to fewer candidates, draining targets picked, no detection by age, others' load ignored, no slow start, no decay, ejected targets picked.

--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -48,15 +48,14 @@
 type Table struct {
 	vm         ident.VM
 	dataCentre ident.DataCentre
+	profile    Profile
 	random     *rand.Rand
+	budget     *Budget
 	states     []*state
-}
-
-type state struct {
-	Candidate
-	inFlight map[call.ID]time.Time
-	load     call.Load
-	heard    time.Time
+	floors     map[ident.DataCentre]*floor
+	filled     bool
+	// scratch is the memory of the latencies of a view.
+	scratch []float64
 }
 
 // An Option sets a property of a Table.
@@ -65,20 +64,31 @@
 // WithRandom sets the source of random choices.
 func WithRandom(r *rand.Rand) Option { return func(t *Table) { t.random = r } }
 
+// WithProfile sets the settings profile.
+func WithProfile(p Profile) Option { return func(t *Table) { t.profile = p } }
+
+// WithBudget sets the probe budget, which the tables of a daemon share.
+func WithBudget(b *Budget) Option { return func(t *Table) { t.budget = b } }
+
 // NewTable returns a Table for the daemon on a VM.
 func NewTable(vm ident.VM, dataCentre ident.DataCentre, options ...Option) *Table {
-	t := &Table{vm: vm, dataCentre: dataCentre}
+	t := &Table{vm: vm, dataCentre: dataCentre, profile: Tail, floors: map[ident.DataCentre]*floor{}}
 	for _, o := range options {
 		o(t)
 	}
 	if t.random == nil {
 		t.random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
+	if t.budget == nil {
+		t.budget = NewBudget(t.profile)
+	}
 	return t
 }
 
 // SetCandidates replaces the targets of the service and keeps what is known of those that stay.
-func (t *Table) SetCandidates(candidates []Candidate) {
+// Targets that join later start slowly; those of the first call do not, since all would be equally slow.
+func (t *Table) SetCandidates(candidates []Candidate, now time.Time) {
+	candidates = slices.Clone(candidates)
 	slices.SortFunc(candidates, t.compare)
 	if len(candidates) > candidateCap {
 		candidates = candidates[:candidateCap]
@@ -90,12 +100,17 @@
 	t.states = nil
 	for _, c := range candidates {
 		s, ok := known[c.Target]
-		if !ok {
+		if !ok || s.VM != c.VM {
 			s = &state{inFlight: map[call.ID]time.Time{}}
+			if t.filled {
+				s.since = now
+			}
 		}
 		s.Candidate = c
 		t.states = append(t.states, s)
 	}
+	t.filled = t.filled || len(candidates) > 0
+	t.limitEjections(now)
 }
 
 // compare orders the own target first, then the own data centre, then by rendezvous hash.
@@ -130,29 +145,75 @@
 	return h.Sum64()
 }
 
-// Pick chooses a target that is not excluded.
-func (t *Table) Pick(_ time.Time, excluded []ident.Target) (ident.Target, bool) {
-	var usable []*state
+// Pick chooses a target that is not excluded. Draining targets are never chosen. Targets that are
+// ejected or down are chosen only when no other is left, since then the fault may be on this side.
+func (t *Table) Pick(now time.Time, excluded []ident.Target) (ident.Target, bool) {
+	var healthy, unhealthy []*state
 	for _, s := range t.states {
-		if !slices.Contains(excluded, s.Target) {
-			usable = append(usable, s)
+		switch {
+		case s.draining || slices.Contains(excluded, s.Target):
+		case s.down || s.ejected(now):
+			unhealthy = append(unhealthy, s)
+		default:
+			healthy = append(healthy, s)
 		}
 	}
-	if len(usable) == 0 {
+	if len(healthy) == 0 {
+		healthy = unhealthy
+	}
+	if len(healthy) == 0 {
 		return "", false
 	}
-	a := usable[t.random.IntN(len(usable))]
-	b := usable[t.random.IntN(len(usable))]
-	if len(b.inFlight)*a.Slots < len(a.inFlight)*b.Slots {
-		a = b
+	return t.lowest(t.sample(healthy), now).Target, true
+}
+
+// sample moves as many different random states as the profile says to the front and returns them.
+func (t *Table) sample(states []*state) []*state {
+	n := min(t.profile.samples(), len(states))
+	for i := range n {
+		j := i + t.random.IntN(len(states)-i)
+		states[i], states[j] = states[j], states[i]
+	}
+	return states[:n]
+}
+
+func (t *Table) lowest(states []*state, now time.Time) *state {
+	v := t.view(now)
+	best, least := states[0], v.score(states[0])
+	for _, s := range states[1:] {
+		if score := v.score(s); score < least {
+			best, least = s, score
+		}
+	}
+	return best
+}
+
+// Called counts a call of the service, which earns a part of a probe.
+func (t *Table) Called(now time.Time) { t.budget.Called(now) }
+
+// Probe returns a candidate whose load must be asked for, if there is one and the budget allows it.
+func (t *Table) Probe(now time.Time) (ident.Target, bool) {
+	var oldest *state
+	for _, s := range t.states {
+		if now.Sub(s.contact()) < probeAge {
+			continue
+		}
+		if oldest == nil || s.contact().Before(oldest.contact()) {
+			oldest = s
+		}
+	}
+	if oldest == nil || !t.budget.Take(now) {
+		return "", false
 	}
-	return a.Target, true
+	oldest.probed = now
+	return oldest.Target, true
 }
 
 // Sent notes that an attempt was sent to a target.
 func (t *Table) Sent(target ident.Target, attempt call.ID, now time.Time) {
 	if s := t.find(target); s != nil {
 		s.inFlight[attempt] = now
+		s.sent = append(s.sent, attempt)
 	}
 }
 
@@ -163,12 +224,17 @@
 		return
 	}
 	delete(s.inFlight, attempt)
+	s.trim()
 	switch f := feedback.(type) {
 	case Served:
+		t.learn(s, f.Latency, now)
 		s.report(f.Load, now)
+		s.succeeded(now)
 	case Declined:
 		s.report(f.Load, now)
-	case Failed, Cancelled:
+	case Failed:
+		t.failed(s, now)
+	case Cancelled:
 	}
 }
 
@@ -181,11 +247,39 @@
 	return s.load, true
 }
 
-func (s *state) report(load call.Load, now time.Time) {
-	if load.Incarnation.IsZero() {
-		return
+// Heard notes a report that did not come with an attempt.
+func (t *Table) Heard(target ident.Target, load call.Load, now time.Time) {
+	if s := t.find(target); s != nil {
+		s.report(load, now)
+	}
+}
+
+// SetDraining stops new work for the targets on a VM until PeerUp or a new incarnation.
+func (t *Table) SetDraining(vm ident.VM) {
+	for _, s := range t.states {
+		s.draining = s.draining || s.VM == vm
+	}
+}
+
+// SetDown marks the targets on a VM as reachable or not.
+func (t *Table) SetDown(vm ident.VM, down bool, now time.Time) {
+	for _, s := range t.states {
+		if s.VM != vm {
+			continue
+		}
+		if !down && (s.down || s.draining) {
+			s.since, s.draining = now, false
+		}
+		s.down = down
+	}
+}
+
+// Discard forgets loads and ejections. After a process pause they describe another time.
+func (t *Table) Discard() {
+	for _, s := range t.states {
+		s.others, s.reported = 0, time.Time{}
+		s.failures, s.ejections, s.until = 0, 0, time.Time{}
 	}
-	s.load, s.heard = load, now
 }
 
 func (t *Table) find(target ident.Target) *state {
@@ -196,10 +290,3 @@
 	}
 	return nil
 }
-
-// Heard notes a report that did not come with an attempt.
-func (t *Table) Heard(target ident.Target, load call.Load, now time.Time) {
-	if s := t.find(target); s != nil {
-		s.report(load, now)
-	}
-}
--- /dev/null
+++ b/internal/policy/route/route_test.go
@@ -0,0 +1,268 @@
+package route
+
+import (
+	"flag"
+	"fmt"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+// The verdict of a run must not depend on chance. -rapid.seed overrides the seed.
+func init() { flag.Set("rapid.seed", "1") }
+
+func targets(n int) []Candidate {
+	var candidates []Candidate
+	for i := range n {
+		candidates = append(candidates, Candidate{
+			Target: ident.Target(fmt.Sprintf("t%d", i)), VM: ident.VM(fmt.Sprintf("vm%d", i)),
+			DataCentre: ident.DataCentre(fmt.Sprintf("dc%d", i%3)), Slots: 10,
+		})
+	}
+	return candidates
+}
+
+func newTable(candidates []Candidate, options ...Option) *Table {
+	t := NewTable("vm0", "dc0", append(options, WithRandom(rand.New(rand.NewPCG(1, 2))))...)
+	t.SetCandidates(candidates, start)
+	return t
+}
+
+// serve runs calls one after the other on a target with a latency.
+func serve(t *Table, target ident.Target, n int, latency time.Duration, now time.Time) time.Time {
+	for range n {
+		id := call.NextID()
+		t.Sent(target, id, now)
+		now = now.Add(latency)
+		t.Finished(target, id, Served{Latency: latency, Load: call.Load{Limit: 10, Incarnation: ident.Incarnation{1}}}, now)
+	}
+	return now
+}
+
+// shares returns the part of 2,000 picks that each target gets, with a number of calls in flight.
+func shares(t *Table, inFlight int, now time.Time) map[ident.Target]float64 {
+	got := map[ident.Target]float64{}
+	var sent []ident.Target
+	for i := range 2000 {
+		target, _ := t.Pick(now, nil)
+		got[target] += 1. / 2000
+		t.Sent(target, call.ID(i), now)
+		if sent = append(sent, target); i >= inFlight {
+			t.Finished(sent[i-inFlight], call.ID(i-inFlight), Cancelled{}, now)
+		}
+	}
+	return got
+}
+
+// TestShares guards against a target that gets far more or less work than its state justifies.
+func TestShares(t *testing.T) {
+	ms := time.Millisecond
+	tests := []struct {
+		name   string
+		change func(table *Table, now time.Time) time.Time
+		target ident.Target
+		least  float64
+		most   float64
+	}{
+		{"equal targets share", func(_ *Table, now time.Time) time.Time { return now }, "t1", .2, .5},
+		{"an old call in flight makes a straggler within 40 ms", func(table *Table, now time.Time) time.Time {
+			table.Sent("t1", call.NextID(), now)
+			return now.Add(40 * ms)
+		}, "t1", 0, .01},
+		{"a young call in flight does not", func(table *Table, now time.Time) time.Time {
+			table.Sent("t1", call.NextID(), now)
+			return now.Add(3 * ms)
+		}, "t1", .05, .5},
+		{"slow answers make a straggler", func(table *Table, now time.Time) time.Time {
+			return serve(table, "t1", 8, 60*ms, now)
+		}, "t1", 0, .01},
+		{"a straggler that is unused for long is tried again", func(table *Table, now time.Time) time.Time {
+			return serve(table, "t1", 8, 60*ms, now).Add(20 * time.Second)
+		}, "t1", .2, .5},
+		{"others' load on a target counts", func(table *Table, now time.Time) time.Time {
+			table.Heard("t1", call.Load{Limit: 10, InFlight: 9, Incarnation: ident.Incarnation{1}}, now)
+			return now
+		}, "t1", 0, .01},
+		{"an old report counts no more", func(table *Table, now time.Time) time.Time {
+			table.Heard("t1", call.Load{Limit: 10, InFlight: 9, Incarnation: ident.Incarnation{1}}, now)
+			return now.Add(time.Second)
+		}, "t1", .2, .5},
+		{"a restarted target starts slowly", func(table *Table, now time.Time) time.Time {
+			table.Heard("t1", call.Load{Limit: 10, Incarnation: ident.Incarnation{2}}, now)
+			return now
+		}, "t1", 0, .01},
+		{"and has its share after the ramp", func(table *Table, now time.Time) time.Time {
+			table.Heard("t1", call.Load{Limit: 10, Incarnation: ident.Incarnation{2}}, now)
+			return now.Add(slowStart)
+		}, "t1", .2, .5},
+		{"a failing target is ejected", func(table *Table, now time.Time) time.Time {
+			for range ejectAfter {
+				table.Finished("t1", 1, Failed{}, now)
+			}
+			return now
+		}, "t1", 0, 0},
+		{"a target that is down is left out", func(table *Table, now time.Time) time.Time {
+			table.SetDown("vm1", true, now)
+			return now
+		}, "t1", 0, 0},
+		{"all targets down are all used", func(table *Table, now time.Time) time.Time {
+			for _, c := range targets(3) {
+				table.SetDown(c.VM, true, now)
+			}
+			return now
+		}, "t1", .2, .5},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table, now := newTable(targets(3)), start
+			for _, c := range targets(3) {
+				now = serve(table, c.Target, 40, 4*ms, now)
+			}
+			now = test.change(table, now)
+			got := shares(table, 6, now)[test.target]
+			qt.Assert(t, got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("share %v", got))
+		})
+	}
+}
+
+// TestDataCentre guards against calls that travel without need and against a full own data
+// centre that keeps its calls while others are idle.
+func TestDataCentre(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		inFlight int
+		least    float64
+		most     float64
+	}{
+		{"idle own data centre keeps its calls", 0, .99, 1},
+		{"full own data centre lets them go", 10, 0, .01},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table, now := newTable(targets(3)), start
+			now = serve(table, "t0", 40, 8*time.Millisecond, now)
+			now = serve(table, "t1", 40, 11*time.Millisecond, now)
+			now = serve(table, "t2", 40, 11*time.Millisecond, now)
+			table.Heard("t0", call.Load{Limit: 10, InFlight: test.inFlight, Incarnation: ident.Incarnation{1}}, now)
+			got := shares(table, 1, now)["t0"]
+			qt.Assert(t, got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("share %v", got))
+		})
+	}
+}
+
+// TestCandidateCap guards against state that grows with the service, and against the loss of the own target.
+func TestCandidateCap(t *testing.T) {
+	table := newTable(targets(50))
+	statuses := table.Status(start)
+	qt.Assert(t, statuses, qt.HasLen, candidateCap)
+	qt.Assert(t, statuses[0].Target, qt.Equals, ident.Target("t0"))
+	qt.Assert(t, statuses[candidateCap-1].DataCentre, qt.Equals, ident.DataCentre("dc0"))
+}
+
+// TestProbeBudget guards against probes above the budget, for any order of calls, pauses, silence and shifts.
+func TestProbeBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		profile := rapid.SampledFrom([]Profile{Tail, Cost}).Draw(t, "profile")
+		table, now := newTable(targets(rapid.IntRange(1, 8).Draw(t, "targets")), WithProfile(profile)), start
+		table.Called(now)
+		calls, probes, latest := 1, 0, now
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(-100, 5000).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				n := rapid.IntRange(1, 100).Draw(t, "calls")
+				for range n {
+					table.Called(now)
+				}
+				calls += n
+			case 2:
+				table.Discard()
+			default:
+				if _, ok := table.Probe(now); ok {
+					probes++
+				}
+			}
+			if float64(probes) > float64(calls)*profile.probesPerCall() {
+				t.Fatalf("%d probes for %d calls", probes, calls)
+			}
+			if now.After(latest) {
+				latest = now
+			}
+			if d := latest.Sub(start).Seconds(); float64(probes*probeBytes) > d*profile.probeRate()*(1+1e-9) {
+				t.Fatalf("%d probes in %v s", probes, d)
+			}
+		}
+	})
+}
+
+// TestTable guards against more ejections than the cap allows, and against a pick of a withdrawn
+// or draining target, for any order of events.
+func TestTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		all := targets(rapid.IntRange(1, 9).Draw(t, "targets"))
+		table, now := newTable(all), start
+		present, drained := map[ident.Target]bool{}, map[ident.Target]bool{}
+		for _, c := range all {
+			present[c.Target] = true
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			c := rapid.SampledFrom(all).Draw(t, "target")
+			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			case 0:
+				now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			case 1:
+				table.SetDraining(c.VM)
+				drained[c.Target] = present[c.Target]
+			case 2:
+				table.SetDown(c.VM, rapid.Bool().Draw(t, "down"), now)
+				drained[c.Target] = drained[c.Target] && table.find(c.Target) != nil && table.find(c.Target).draining
+			case 3:
+				present[c.Target] = !present[c.Target]
+				drained[c.Target] = false
+				var candidates []Candidate
+				for _, c := range all {
+					if present[c.Target] {
+						candidates = append(candidates, c)
+					}
+				}
+				table.SetCandidates(candidates, now)
+			case 4:
+				table.Finished(c.Target, 1, Served{Latency: time.Millisecond}, now)
+			default:
+				table.Finished(c.Target, 1, Failed{}, now)
+			}
+			check(t, table, now, present, drained)
+		}
+	})
+}
+
+func check(t *rapid.T, table *Table, now time.Time, present, drained map[ident.Target]bool) {
+	usable := 0
+	for target, ok := range present {
+		if ok && !drained[target] {
+			usable++
+		}
+	}
+	target, ok := table.Pick(now, nil)
+	if ok != (usable > 0) {
+		t.Fatalf("pick %v with %d usable targets", ok, usable)
+	}
+	if ok && (!present[target] || drained[target]) {
+		t.Fatalf("picked %s, which takes no new work", target)
+	}
+	n := len(table.states)
+	limit := n / 3
+	if n == 2 {
+		limit = 1
+	}
+	if table.ejectedAt(now) > limit {
+		t.Fatalf("%d of %d targets are ejected", table.ejectedAt(now), n)
+	}
+}
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -150,7 +150,7 @@
 			delete(t.tables, name)
 			continue
 		}
-		table.SetCandidates(t.candidates(name))
+		table.SetCandidates(t.candidates(name), t.clock.Now())
 	}
 }
 
@@ -158,7 +158,7 @@
 	table, ok := t.tables[service]
 	if !ok {
 		table = route.NewTable(t.vm, t.dataCentre)
-		table.SetCandidates(t.candidates(service))
+		table.SetCandidates(t.candidates(service), t.clock.Now())
 		t.tables[service] = table
 	}
 	return table
