Compare routing policies on a queueing model

Cause: the routing has to be compared with its baselines and with an oracle in one run.

Change: a model of the targets of one service in virtual time with fixed seeds; BenchmarkCompare prints the table, TestGoals holds the goals.

--- /dev/null
+++ b/internal/bench/policy/policy.go
@@ -0,0 +1,143 @@
+// Package policy compares the ways to choose a target on a queueing model of one service in virtual time.
+package policy
+
+import (
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/policy/route"
+	"slices"
+)
+
+// A Policy is a way to choose a target: Random, RoundRobin, StaleReport, TwoChoices, Table or Oracle.
+type Policy interface{ policy() }
+
+// A Random chooses any target.
+type Random struct{}
+
+// A RoundRobin chooses the targets in turn.
+type RoundRobin struct{}
+
+// A StaleReport chooses the target with the least load in its last report.
+type StaleReport struct{}
+
+// A TwoChoices chooses the one of two random targets with fewer own calls in flight.
+type TwoChoices struct{}
+
+// A Table is the policy of the daemon with a profile.
+type Table struct{ Profile route.Profile }
+
+// An Oracle sees the true calls in flight on all targets, and their speed when Speed is true.
+type Oracle struct{ Speed bool }
+
+func (Random) policy()      {}
+func (RoundRobin) policy()  {}
+func (StaleReport) policy() {}
+func (TwoChoices) policy()  {}
+func (Table) policy()       {}
+func (Oracle) policy()      {}
+
+// Policies lists what is compared.
+func Policies() []Policy {
+	return []Policy{
+		Random{},
+		RoundRobin{},
+		StaleReport{},
+		TwoChoices{},
+		Table{route.Tail},
+		Table{route.Cost},
+		Oracle{},
+		Oracle{Speed: true},
+	}
+}
+
+// Name returns the name of a Policy in tables.
+func Name(p Policy) string {
+	switch p := p.(type) {
+	case Random:
+		return "random"
+	case RoundRobin:
+		return "round robin"
+	case StaleReport:
+		return "stale report"
+	case TwoChoices:
+		return "two choices"
+	case Table:
+		return "table " + string(p.Profile)
+	case Oracle:
+		if p.Speed {
+			return "oracle+speed"
+		}
+		return "oracle"
+	}
+	return "unknown"
+}
+
+// choose returns the target for a call that entered at e.
+func (m *model) choose(e *entry, c *request) (int, bool) {
+	var usable []int
+	for i, t := range m.targets {
+		if t.present && !slices.Contains(c.tried, i) {
+			usable = append(usable, i)
+		}
+	}
+	if len(usable) == 0 {
+		return 0, false
+	}
+	switch m.policy.(type) {
+	case Random:
+		return usable[m.random.IntN(len(usable))], true
+	case RoundRobin:
+		e.turn++
+		return usable[e.turn%len(usable)], true
+	case StaleReport:
+		return m.least(usable, func(i int) float64 { return float64(e.reports[i]) }), true
+	case TwoChoices:
+		a, b := usable[m.random.IntN(len(usable))], usable[m.random.IntN(len(usable))]
+		if e.inFlight[b] < e.inFlight[a] {
+			a = b
+		}
+		return a, true
+	case Table:
+		return m.fromTable(e, c)
+	case Oracle:
+		return m.least(usable, func(i int) float64 { return m.trueCost(e, i) }), true
+	}
+	return 0, false
+}
+
+func (m *model) fromTable(e *entry, c *request) (int, bool) {
+	excluded := make([]ident.Target, 0, len(c.tried))
+	for _, i := range c.tried {
+		excluded = append(excluded, m.targets[i].name)
+	}
+	name, ok := e.table.Pick(m.time(), excluded)
+	return m.index[name], ok
+}
+
+// least returns the choice with the lowest cost, a random one of equals.
+func (m *model) least(choices []int, cost func(int) float64) int {
+	m.random.Shuffle(len(choices), func(i, j int) { choices[i], choices[j] = choices[j], choices[i] })
+	return slices.MinFunc(choices, func(a, b int) int {
+		switch x, y := cost(a), cost(b); {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		}
+		return 0
+	})
+}
+
+// trueCost is the expected time to the answer: network, wait for a slot and run. The small last
+// term spreads calls while slots are free.
+func (m *model) trueCost(e *entry, i int) float64 {
+	t := m.targets[i]
+	if t.crashed {
+		return 1e9
+	}
+	run := meanWork
+	if m.policy.(Oracle).Speed {
+		run /= t.speed
+	}
+	n := float64(t.assigned+1) / float64(m.size.Slots)
+	return 2*m.oneWay(e.dataCentre, t.dataCentre) + run*(1+max(0, n-1)) + run*n*1e-3
+}
--- /dev/null
+++ b/internal/bench/policy/policy_test.go
@@ -0,0 +1,49 @@
+package policy
+
+import (
+	"jacinthcross/internal/policy/route"
+	"os"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// BenchmarkCompare prints the comparison of all policies.
+func BenchmarkCompare(b *testing.B) {
+	for range b.N {
+		if err := Compare(os.Stdout, 1); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// TestGoals guards against a change of the routing that loses the goals of the design page: p99 within
+// 1.2x of the oracle, at most half of round robin's with a straggler, and probes within the budget.
+func TestGoals(t *testing.T) {
+	const duration, seed = 10 * time.Second, 2
+	profiles := []struct {
+		profile route.Profile
+		probes  float64
+	}{{route.Tail, .05}, {route.Cost, .01}}
+	for _, size := range Sizes() {
+		for _, scenario := range Scenarios() {
+			t.Run(size.Name+"/"+string(scenario), func(t *testing.T) {
+				t.Parallel()
+				oracle, turns := Run(size, scenario, Oracle{}, duration, seed), Run(size, scenario, RoundRobin{}, duration, seed)
+				for _, p := range profiles {
+					r := Run(size, scenario, Table{p.profile}, duration, seed)
+					p99 := r.Quantile(.99)
+					t.Logf("%s: p99 %.2f ms, oracle %.2f ms, round robin %.2f ms", p.profile, p99, oracle.Quantile(.99), turns.Quantile(.99))
+					qt.Check(t, len(r.latencies) > 10_000, qt.IsTrue)
+					qt.Check(t, r.Failed, qt.Equals, 0)
+					qt.Check(t, p99 <= 1.2*oracle.Quantile(.99), qt.IsTrue, qt.Commentf("%s", p.profile))
+					qt.Check(t, float64(r.Probes) <= p.probes*float64(r.Calls), qt.IsTrue, qt.Commentf("%s: %d probes", p.profile, r.Probes))
+					if scenario == Straggler {
+						qt.Check(t, p99 <= turns.Quantile(.99)/2, qt.IsTrue, qt.Commentf("%s", p.profile))
+					}
+				}
+			})
+		}
+	}
+}
