Decide retries and hedges under budgets

Cause: retries had neither budget nor delay. A non-idempotent call whose link was lost and whose owner then refused the reattachment was sent to another target, which may run it twice, and the caller saw a refusal that said not run. A non-idempotent call whose target was not known was refused.

Change: policy/retry has a token bucket for each of at most 4,096 callers and one for all of them, jittered delays, Retry-After, reattachment, the p95 of a service and a 2% budget of hedges. task/router delays retries through its alarms, cancels the loser of a hedge, asks for the load before it sends a non-idempotent call, probes, bounds calls and contexts, holds new calls after a pause, and takes PeerDraining, PeerDown, PeerUp, Paused and Confirmed. The allowance goes along with an attempt; without a report from the daemon beside the target it counts as used.

route: an attempt that was given up raises the latency of its target, and counts as a failure when the target had enough time.

--- /dev/null
+++ b/internal/policy/retry/retry_test.go
@@ -0,0 +1,177 @@
+package retry
+
+import (
+	"flag"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var (
+	start = time.Unix(1000, 0)
+	addr  = netip.MustParseAddr("10.0.0.1")
+)
+
+// The verdict of a run must not depend on chance. -rapid.seed overrides the seed.
+func init() { flag.Set("rapid.seed", "1") }
+
+// newPolicy returns a Policy that has seen calls of addr.
+func newPolicy(calls int) *Policy {
+	p := NewPolicy(WithRandom(rand.New(rand.NewPCG(1, 2))))
+	for range calls {
+		p.Called(addr)
+	}
+	return p
+}
+
+// TestDecide guards against retries that may run a call twice and against missing or early ones.
+func TestDecide(t *testing.T) {
+	shed, lost := call.Refused{Kind: errs.TargetShed, RetryAfter: time.Second}, call.Unknown{Kind: errs.PeerLost}
+	failed, down := call.Unknown{Kind: errs.TargetFailed}, call.Refused{Kind: errs.PeerUnreachable}
+	tests := []struct {
+		name    string
+		attempt Attempt
+		calls   int
+		left    time.Duration
+		want    string
+		least   time.Duration
+	}{
+		{"refusal goes to another target at once", Attempt{Outcome: shed, Untried: true, Allowance: 1}, 20, 5 * time.Second, "ProvedNotRun", 0},
+		{"Retry-After delays a retry when all targets refused", Attempt{Outcome: shed, Allowance: 1}, 20, 5 * time.Second, "ProvedNotRun", time.Second},
+		{"Retry-After beyond the deadline", Attempt{Outcome: shed, Allowance: 1}, 20, time.Second, "Stop", 0},
+		{"no allowance", Attempt{Outcome: shed, Untried: true}, 20, 5 * time.Second, "Stop", 0},
+		{"no budget", Attempt{Outcome: shed, Untried: true, Allowance: 1}, 5, 5 * time.Second, "Stop", 0},
+		{"refusal that no target would change", Attempt{Outcome: call.Refused{Kind: errs.KeyMismatch}, Untried: true, Allowance: 1}, 20, time.Second, "Stop", 0},
+		{"refusal of a bound call", Attempt{Outcome: shed, Bound: true, Keyed: true, Untried: true, Allowance: 1}, 20, time.Second, "Stop", 0},
+		{"unknown outcome of an idempotent call", Attempt{Outcome: failed, Idempotent: true, Untried: true, Allowance: 1}, 20, time.Second, "IdempotentUnknown", 0},
+		{"unknown outcome of a non-idempotent call", Attempt{Outcome: failed, Keyed: true, Untried: true, Allowance: 1}, 20, time.Second, "Stop", 0},
+		{"lost link of a keyed call", Attempt{Outcome: lost, Keyed: true}, 0, time.Second, "Reattach", 0},
+		{"lost link without a key", Attempt{Outcome: lost, Allowance: 1}, 20, time.Second, "Stop", 0},
+		{"owner unreachable after a lost link", Attempt{Outcome: down, Keyed: true, Uncertain: true, Untried: true, Allowance: 1}, 20, time.Second, "Reattach", 0},
+		{"owner overloaded after a lost link", Attempt{Outcome: shed, Keyed: true, Uncertain: true, Untried: true, Allowance: 1}, 20, 5 * time.Second, "Stop", 0},
+		{"reattachments end with the deadline", Attempt{Outcome: lost, Keyed: true, Reattachments: 30}, 0, 100 * time.Millisecond, "Stop", 0},
+		{"owner of an internal key has restarted", Attempt{Outcome: call.Refused{Kind: errs.OwnerGone}, Keyed: true, Untried: true, Allowance: 1}, 20, time.Second, "ProvedNotRun", 0},
+		{"owner of an issued key has restarted", Attempt{Outcome: call.Refused{Kind: errs.OwnerGone}, Keyed: true, Bound: true, Allowance: 1}, 20, time.Second, "Stop", 0},
+		{"answer", Attempt{Outcome: call.Answered{Status: 500}, Idempotent: true, Untried: true, Allowance: 1}, 20, time.Second, "Stop", 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			test.attempt.Caller, test.attempt.Deadline = addr, start.Add(test.left)
+			got, after := "Stop", time.Duration(0)
+			switch d := newPolicy(test.calls).Decide(test.attempt, start).(type) {
+			case Again:
+				got, after = string(d.Reason), d.After
+			case Reattach:
+				got, after = "Reattach", d.After
+			}
+			qt.Assert(t, got, qt.Equals, test.want)
+			qt.Assert(t, after >= test.least && after <= test.least+150*time.Millisecond, qt.IsTrue, qt.Commentf("%v", after))
+		})
+	}
+}
+
+// TestSettle guards against a refusal that says not run when an earlier attempt may have run.
+func TestSettle(t *testing.T) {
+	refused := call.Refused{Kind: errs.Overloaded}
+	qt.Assert(t, Settle(refused, nil), qt.Equals, call.Outcome(refused))
+	got := Settle(refused, &call.Unknown{Kind: errs.PeerLost})
+	qt.Assert(t, got.(call.Unknown).Kind, qt.Equals, errs.PeerLost)
+}
+
+// TestBudgets guards against retries above a tenth and hedges above 2% of the calls, and against a
+// table of callers that grows, for any order of calls and failures of many callers.
+func TestBudgets(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p, calls, retries, hedges := newPolicy(0), 0, 0, 0
+		perCaller := map[netip.Addr][2]int{}
+		spread := rapid.IntRange(1, 255).Draw(t, "callers")
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			a := netip.AddrFrom4([4]byte{10, 0, 0, byte(rapid.IntRange(0, spread).Draw(t, "caller"))})
+			n := rapid.IntRange(1, 50).Draw(t, "n")
+			c := perCaller[a]
+			for range n {
+				switch rapid.IntRange(0, 2).Draw(t, "step") {
+				case 0:
+					p.Called(a)
+					calls++
+					c[0]++
+				case 1:
+					if p.Hedge() {
+						hedges++
+					}
+				default:
+					d := p.Decide(Attempt{Caller: a, Outcome: call.Unknown{}, Idempotent: true, Allowance: 1, Deadline: start.Add(time.Minute)}, start)
+					if _, ok := d.(Again); ok {
+						retries++
+						c[1]++
+					}
+				}
+			}
+			perCaller[a] = c
+			if 10*retries > calls || 50*hedges > calls || 10*(c[1]-firstTokens) > c[0] {
+				t.Fatalf("%d retries and %d hedges for %d calls, %d for %d of one caller", retries, hedges, calls, c[1], c[0])
+			}
+		}
+	})
+	p := newPolicy(0)
+	for i := range 3 * maxCallers {
+		p.Called(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}))
+	}
+	qt.Assert(t, len(p.callers), qt.Equals, maxCallers)
+	qt.Assert(t, p.recent.Len(), qt.Equals, maxCallers)
+}
+
+// TestNeverTwice guards against a second dispatch of a non-idempotent call that may have run: after an
+// unknown outcome only the same key may go to the same daemon process again, whatever follows.
+func TestNeverTwice(t *testing.T) {
+	kinds := slices.Sorted(slices.Values(errs.Kinds()))
+	rapid.Check(t, func(t *rapid.T) {
+		p, uncertain := newPolicy(1000), false
+		for i := range rapid.IntRange(1, 30).Draw(t, "attempts") {
+			kind := rapid.SampledFrom(kinds).Draw(t, "kind")
+			var o call.Outcome = call.Refused{Kind: kind}
+			if rapid.Bool().Draw(t, "unknown") {
+				o = call.Unknown{Kind: kind}
+			}
+			d := p.Decide(Attempt{
+				Caller: addr, Outcome: o, Keyed: rapid.Bool().Draw(t, "keyed"), Bound: rapid.Bool().Draw(t, "bound"),
+				Uncertain: uncertain, Untried: true, Reattachments: i, Allowance: 9, Deadline: start.Add(time.Minute),
+			}, start)
+			if _, ok := o.(call.Unknown); ok {
+				uncertain = true
+			}
+			if _, ok := d.(Again); ok && uncertain {
+				t.Fatalf("dispatched again after %v", o)
+			}
+		}
+	})
+}
+
+// TestLatency guards against hedges at another quantile than the p95 and against hedges on few answers.
+func TestLatency(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		answers int
+		want    time.Duration
+	}{
+		{"too few answers", latenciesNeeded - 1, 0},
+		{"p95 of a full window", 1000, 95 * time.Millisecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var l Latency
+			for i := range test.answers {
+				l.Add(time.Duration(i%100+1) * time.Millisecond)
+			}
+			got, ok := l.P95()
+			qt.Assert(t, ok, qt.Equals, test.want > 0)
+			qt.Assert(t, (got-test.want).Abs() <= 2*time.Millisecond, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -18,7 +18,7 @@
 	Slots      int
 }
 
-// A Feedback is what an attempt showed of a target: Served, Declined, Failed or Cancelled.
+// A Feedback is what an attempt showed of a target: Served, Declined, Failed, Expired or Cancelled.
 type Feedback interface{ feedback() }
 
 // A Served is an attempt that the target answered.
@@ -33,12 +33,17 @@
 // A Failed is an attempt that got no answer.
 type Failed struct{}
 
-// A Cancelled is an attempt that was given up before its end.
-type Cancelled struct{}
+// An Expired is an attempt that was given up at its deadline. It is a failure only when the target had
+// enough time, since a caller may send calls with deadlines that no target can meet.
+type Expired struct{ Age time.Duration }
+
+// A Cancelled is an attempt that was given up before its end for a reason that does not lie with the target.
+type Cancelled struct{ Age time.Duration }
 
 func (Served) feedback()    {}
 func (Declined) feedback()  {}
 func (Failed) feedback()    {}
+func (Expired) feedback()   {}
 func (Cancelled) feedback() {}
 
 // candidateCap bounds the state, links and messages that one service costs a daemon.
@@ -234,14 +239,20 @@
 		s.report(f.Load, now)
 	case Failed:
 		t.failed(s, now)
+	case Expired:
+		if f.Age > t.patience(s, now) {
+			t.failed(s, now)
+		}
+		t.waited(s, f.Age, now)
 	case Cancelled:
+		t.waited(s, f.Age, now)
 	}
 }
 
-// Load returns the last report of a target, and whether there is one.
-func (t *Table) Load(target ident.Target) (call.Load, bool) {
+// Load returns the last report of a target, and whether there is one that is not older than maxAge.
+func (t *Table) Load(target ident.Target, maxAge time.Duration, now time.Time) (call.Load, bool) {
 	s := t.find(target)
-	if s == nil || s.heard.IsZero() {
+	if s == nil || s.heard.IsZero() || now.Sub(s.heard) > maxAge {
 		return call.Load{}, false
 	}
 	return s.load, true
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -19,6 +19,8 @@
 	stragglerFactor = 4
 	// stragglerAge is the least age of a call that makes a straggler. Below it, scheduling noise would.
 	stragglerAge = 10 * time.Millisecond
+	// unknownLimit replaces the age limit as long as no latency of the service is known.
+	unknownLimit = time.Second
 	// stragglerPenalty is added to the score of a straggler, in units of the service's latency.
 	stragglerPenalty = 4
 	// slowStart is how long the share of a new or restarted target ramps up.
@@ -174,15 +176,31 @@
 // straggles reports whether a target is slow but not dead: by its oldest call, before any
 // of its answers shows it, or by its latency against that of its siblings.
 func (v view) straggles(s *state) bool {
-	if at, ok := s.oldest(); ok && len(v.latencies) > 0 {
-		limit := max(stragglerAge.Seconds(), stragglerFactor*v.unit()) + v.distance(s.DataCentre).Seconds()
-		if v.now.Sub(at).Seconds() > limit {
-			return true
-		}
+	if at, ok := s.oldest(); ok && v.now.Sub(at) > v.limit(s) {
+		return true
 	}
 	return s.latency > 0 && len(v.latencies) > 2 && v.latencyOf(s) > stragglerFactor*v.siblings(s)
 }
 
+// limit is the age of a call in flight beyond which its target is a straggler.
+func (v view) limit(s *state) time.Duration {
+	if len(v.latencies) == 0 {
+		return unknownLimit
+	}
+	return max(stragglerAge, time.Duration(stragglerFactor*v.unit()*float64(time.Second))) + v.distance(s.DataCentre)
+}
+
+// patience is how long a target may take before its silence counts as a failure.
+func (t *Table) patience(s *state, now time.Time) time.Duration { return t.view(now).limit(s) }
+
+// waited takes the age of an attempt without an answer: the latency would have been longer.
+func (t *Table) waited(s *state, age time.Duration, now time.Time) {
+	if run := (age - t.distance(s.DataCentre)).Seconds(); run > s.latency && s.latency > 0 {
+		s.latency = smooth(s.latency, run, latencyWeight)
+		s.served = now
+	}
+}
+
 // siblings returns the median latency of the other targets of the service.
 func (v view) siblings(s *state) float64 {
 	middle := (len(v.latencies) - 1) / 2
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -56,7 +56,7 @@
 			return links.New(b.links, links.WithMaxSize(s.MaxBody+messageOverhead), links.WithServe(server.Session)), nil
 		}},
 		{Name: "router", Start: func() (tree.Task, error) {
-			return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}), nil
+			return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, router.WithMeter(m)), nil
 		}},
 	}, hook)
 	edge := tree.NewSupervisor("edge", []tree.Child{
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -5,46 +5,83 @@
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
-	"jacinthcross/internal/task/link"
-	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
+	"slices"
 	"time"
 )
 
 const (
-	maxDepth         = 7
-	entryAllowance   = 1
-	maxReattachments = 3
+	maxDepth       = 7
+	entryAllowance = 1
 )
 
-// submit completes the request from the release and the context, and sends the first attempt.
+// A pending is a call that has no outcome yet.
+type pending struct {
+	Submit
+	arrived time.Time
+	tried   []ident.Target
+	// attempts are under way: at most one and a hedge.
+	attempts []*attempt
+	// allowance is what is left of the retries of the call. Attempts under way hold their own part.
+	allowance     int
+	retries       int
+	reattachments int
+	// rejoin is the attempt to which the next one is reattached, or nil.
+	rejoin  *attempt
+	context *local.Context
+	// uncertain is the outcome of the first attempt that may have run, or nil.
+	uncertain *call.Unknown
+	hedged    bool
+	// ownerSpoke is true when the last refusal came from the daemon beside the target.
+	ownerSpoke bool
+	// waiting is the target whose load the call waits for.
+	waiting ident.Target
+}
+
+// submit takes a new call, or holds it after a pause.
 func (t *Task) submit(m Submit) {
-	p := &pending{Submit: m}
-	service, kind, detail := t.prepare(p)
+	switch {
+	case len(t.calls)+len(t.held) >= t.maxCalls:
+		t.reply(&pending{Submit: m, arrived: t.clock.Now()}, refusal(errs.Busy, "too many calls have no outcome yet"))
+	case !t.resume.IsZero():
+		t.held = append(t.held, m)
+	default:
+		t.begin(m)
+	}
+}
+
+// begin completes the request from the release and the context, and sends the first attempt.
+func (t *Task) begin(m Submit) {
+	now := t.clock.Now()
+	p := &pending{Submit: m, arrived: now}
+	service, kind, detail := t.prepare(p, now)
 	if kind != "" {
 		t.reply(p, refusal(kind, detail))
 		return
 	}
 	p.Request.Service = service.Name
 	t.calls[p.ID] = p
-	t.alarms.Set(p.ID, p.Request.Deadline)
+	t.alarms.Set(deadline{p.ID}, p.Request.Deadline)
+	t.retries.Called(p.Request.Caller)
+	table := t.table(service.Name)
+	table.Called(now)
+	t.probe(table, now)
 	t.try(p)
 }
 
 // prepare fills in what the caller left open. It returns a kind when the call must be refused.
-func (t *Task) prepare(p *pending) (note.Service, errs.Kind, string) {
+func (t *Task) prepare(p *pending, now time.Time) (note.Service, errs.Kind, string) {
 	name := p.Request.Service
 	if name == "" {
 		name, _ = t.release.ServiceOfHost(p.Host)
 	}
 	service, ok := t.release.Services[name]
 	if !ok {
+		p.Request.Service = ""
 		return service, errs.UnknownService, "service " + string(name) + ", host " + p.Host
 	}
-	now := t.clock.Now()
 	if p.Request.Deadline.IsZero() {
 		p.Request.Deadline = now.Add(service.Timeout)
 	}
@@ -52,11 +89,12 @@
 		p.Request.Rank = service.Rank
 	}
 	p.Request.Idempotent = service.Idempotent(p.Request.Method)
-	p.allowance = entryAllowance
-	if c, ok := t.contexts[p.Context]; ok {
+	// A context that is not known any more has no allowance left to move.
+	if p.Context == "" {
+		p.allowance = entryAllowance
+	} else if c, ok := t.contexts[p.Context]; ok {
 		t.inherit(p, c)
 	}
-	p.Request.Allowance = p.allowance
 	switch {
 	case p.Request.Depth >= maxDepth:
 		return service, errs.DepthExceeded, ""
@@ -80,201 +118,88 @@
 	p.allowance, c.Allowance = c.Allowance, 0
 }
 
-// try sends the next attempt of a call.
-func (t *Task) try(p *pending) {
-	target, key, refused := t.choose(p)
-	if refused != nil {
-		t.conclude(p, *refused)
-		return
-	}
-	t.send(p, target, key)
-}
-
-// choose returns the target of the next attempt and the key for it.
-func (t *Task) choose(p *pending) (note.Target, string, *call.Refused) {
-	if p.Request.Key != "" {
-		return t.owner(p.Request.Key)
-	}
-	name, ok := t.table(p.Request.Service).Pick(t.clock.Now(), p.tried)
-	if !ok {
-		r := refusal(errs.NoTarget, "service "+string(p.Request.Service))
-		return note.Target{}, "", &r
-	}
-	return t.release.Targets[name], "", nil
-}
-
-// owner returns the target that a key names, also when it was withdrawn a short time ago.
-func (t *Task) owner(text string) (note.Target, string, *call.Refused) {
-	key, err := ledger.ParseKey(text)
-	if err != nil {
-		r := refusal(errs.KindOf(err), err.Error())
-		return note.Target{}, "", &r
-	}
-	if target, ok := t.release.Targets[key.Target]; ok {
-		return target, text, nil
-	}
-	if w, ok := t.release.Withdrawn[key.Target]; ok {
-		return w.Target, text, nil
-	}
-	r := refusal(errs.OwnerGone, "target "+string(key.Target)+" is not in the release")
-	return note.Target{}, "", &r
-}
-
-func (t *Task) send(p *pending, target note.Target, key string) {
-	now := t.clock.Now()
-	a := &attempt{id: call.NextID(), call: p, target: target, key: key, started: now}
-	request := p.Request
-	request.Allowance = p.allowance
-	if !request.Idempotent && key == "" {
-		if load, ok := t.table(request.Service).Load(target.Name); ok {
-			a.key = ledger.NewKey(target.Name, load.Incarnation, load.Epoch).String()
-		} else {
-			t.askLoad(target)
-			t.conclude(p, refusal(errs.Unconfirmed, "the owner of the call is not known yet"))
-			return
-		}
-	}
-	request.Key = a.key
-	p.attempt = a
-	p.tried = append(p.tried, target.Name)
-	t.attempts[a.id] = a
-	t.table(request.Service).Sent(target.Name, a.id, now)
-	if !t.dispatch(a, request) {
-		t.finish(call.Result{Attempt: a.id, Outcome: refusal(errs.Busy, "the mailbox is full")})
-	}
-}
-
-// dispatch hands an attempt to the task that carries it, or reports false when its mailbox is full.
-func (t *Task) dispatch(a *attempt, request call.Request) bool {
-	if a.target.VM == t.vm {
-		return t.local.TryPut(local.Run{ID: a.id, Target: a.target.Name, Request: request, Reply: t.results})
-	}
-	return t.links.TryPut(links.Message{Peer: a.target.Daemon, Message: link.Send{
-		ID: a.id, Target: a.target.Name, Request: request, Reply: t.results,
-	}})
-}
-
-// finish takes the result of an attempt and decides whether the call is tried again.
-func (t *Task) finish(r call.Result) {
-	a, ok := t.attempts[r.Attempt]
+// expire ends a call whose deadline has passed.
+func (t *Task) expire(id call.ID) {
+	p, ok := t.calls[id]
 	if !ok {
 		return
 	}
-	delete(t.attempts, r.Attempt)
-	now := t.clock.Now()
-	p := a.call
-	t.table(p.Request.Service).Finished(a.target.Name, a.id, feedback(r, now.Sub(a.started)), now)
-	t.spend(p, r.RetriesUsed)
-	if t.reattach(p, a, r, now) {
+	if len(p.attempts) == 0 {
+		t.conclude(p, refusal(errs.DeadlineExceeded, "the deadline passed while the call waited for its next attempt"))
 		return
 	}
-	decision := retry.Decide(retry.Attempt{
-		Outcome: r.Outcome, Idempotent: p.Request.Idempotent, Bound: p.Request.Key != "",
-		Allowance: p.allowance, Deadline: p.Request.Deadline,
-	}, now)
-	switch decision.(type) {
-	case retry.Again:
-		t.spend(p, 1)
-		t.try(p)
-	case retry.Stop:
-		t.conclude(p, r.Outcome)
+	now := t.clock.Now()
+	for _, a := range slices.Clone(p.attempts) {
+		t.abandon(a, route.Expired{Age: now.Sub(a.started)})
 	}
+	t.conclude(p, call.Unknown{Kind: errs.DeadlineInFlight, Detail: "the deadline passed before the outcome was known"})
 }
 
-// reattach sends a keyed call again to the same daemon process after its link was lost. The ledger
-// there joins it to the first send, so this is not a second run.
-func (t *Task) reattach(p *pending, a *attempt, r call.Result, now time.Time) bool {
-	o, ok := r.Outcome.(call.Unknown)
-	if !ok || o.Kind != errs.PeerLost || a.key == "" || p.reattach >= maxReattachments || !p.Request.Deadline.After(now) {
-		return false
+func (t *Task) cancel(id call.ID) {
+	t.held = slices.DeleteFunc(t.held, func(m Submit) bool { return m.ID == id })
+	if p, ok := t.calls[id]; ok {
+		t.conclude(p, call.Unknown{Kind: errs.CallerGone})
 	}
-	p.reattach++
-	t.send(p, a.target, a.key)
-	return true
 }
 
-// spend takes retries out of the allowance of a call and tells the daemon's own target's call of them.
-func (t *Task) spend(p *pending, n int) {
-	if n <= 0 {
-		return
+// conclude gives a call its outcome and cancels what is still under way for it.
+func (t *Task) conclude(p *pending, o call.Outcome) {
+	now := t.clock.Now()
+	for _, a := range slices.Clone(p.attempts) {
+		t.abandon(a, route.Cancelled{Age: now.Sub(a.started)})
 	}
-	p.allowance = max(0, p.allowance-n)
-	p.used += n
+	delete(t.calls, p.ID)
+	t.alarms.Clear(deadline{p.ID})
+	t.alarms.Clear(again{p.ID})
+	t.alarms.Clear(hedge{p.ID})
 	if p.context != nil {
-		for range n {
-			t.local.TryPut(local.RetrySpent{Token: p.Context})
-		}
+		p.context.Allowance += p.allowance
 	}
+	t.reply(p, retry.Settle(o, p.uncertain))
 }
 
-func feedback(r call.Result, latency time.Duration) route.Feedback {
-	switch o := r.Outcome.(type) {
-	case call.Answered:
-		return route.Served{Latency: latency, Load: r.Load}
-	case call.Refused:
-		if o.Kind == errs.PeerUnreachable || o.Kind == errs.TargetDown {
-			return route.Failed{}
-		}
-		return route.Declined{Load: r.Load}
-	case call.Unknown:
-		return route.Failed{}
+// answerAll answers the calls that are left when the task ends.
+func (t *Task) answerAll() {
+	for _, m := range t.held {
+		t.reply(&pending{Submit: m, arrived: t.clock.Now()}, refusal(errs.Busy, "the router stopped"))
 	}
-	return route.Failed{}
-}
-
-// expire ends a call whose deadline has passed.
-func (t *Task) expire(id call.ID) {
-	if p, ok := t.calls[id]; ok {
-		t.abandon(p)
-		t.conclude(p, call.Unknown{Kind: errs.DeadlineInFlight, Detail: "the deadline passed before the outcome was known"})
-	}
-}
-
-func (t *Task) cancel(id call.ID) {
-	if p, ok := t.calls[id]; ok {
-		t.abandon(p)
-		t.conclude(p, call.Unknown{Kind: errs.CallerGone})
+	for _, p := range t.calls {
+		if len(p.attempts) > 0 {
+			t.conclude(p, call.Unknown{Kind: errs.Internal, Detail: "the router stopped before the outcome was known"})
+		} else {
+			t.conclude(p, refusal(errs.Busy, "the router stopped"))
+		}
 	}
 }
 
-// abandon cancels the attempt that is under way.
-func (t *Task) abandon(p *pending) {
-	a := p.attempt
-	if a == nil || t.attempts[a.id] == nil {
-		return
-	}
-	delete(t.attempts, a.id)
-	t.table(p.Request.Service).Finished(a.target.Name, a.id, route.Cancelled{}, t.clock.Now())
-	if a.target.VM == t.vm {
-		t.local.TryPut(local.Cancel{ID: a.id})
-		return
+func (t *Task) reply(p *pending, o call.Outcome) {
+	if r, ok := o.(call.Refused); ok {
+		o = present(p, r)
 	}
-	t.links.TryPut(links.Message{Peer: a.target.Daemon, Message: link.Cancel{ID: a.id}})
+	t.count(p, o)
+	p.Reply.TryPut(o)
 }
 
-// conclude gives a call its outcome.
-func (t *Task) conclude(p *pending, o call.Outcome) {
-	delete(t.calls, p.ID)
-	t.alarms.Clear(p.ID)
-	if p.context != nil {
-		p.context.Allowance += p.allowance
+// present returns the refusal that the caller sees. When the daemon beside the owner of a key did not
+// refuse, an earlier send of the key may have run. When the key was internal, its owner does not concern the caller.
+func present(p *pending, r call.Refused) call.Refused {
+	kind := r.Kind
+	if p.Request.Key == "" {
+		if kind == errs.OwnerGone || kind == errs.KeyExpired {
+			kind = errs.TargetDown
+		}
+	} else if !p.ownerSpoke {
+		switch kind {
+		case errs.PeerUnreachable, errs.Busy, errs.DeadlineExceeded, errs.NoTarget:
+			kind = errs.OwnerUnreachable
+		}
 	}
-	t.reply(p, o)
-}
-
-func (t *Task) reply(p *pending, o call.Outcome) {
-	if r, ok := o.(call.Refused); ok && p.Request.Key != "" && r.Kind == errs.PeerUnreachable {
-		r.Kind = errs.OwnerUnreachable
-		o = r
+	if kind == r.Kind {
+		return r
 	}
-	p.Reply.TryPut(o)
+	return refusal(kind, string(r.Kind)+" "+r.Detail)
 }
 
 func refusal(kind errs.Kind, detail string) call.Refused {
 	return call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail}
 }
-
-// serviceOf returns the service of a target of the release.
-func (t *Task) serviceOf(target ident.Target) ident.Service {
-	return t.release.Targets[target].Service
-}
--- /dev/null
+++ b/internal/task/router/chain_test.go
@@ -0,0 +1,119 @@
+package router
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/local"
+	"net/http"
+	"strconv"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A chain is one daemon per level. A call at a level calls the next level in parallel, and any attempt may fail.
+type chain struct {
+	t       *rapid.T
+	levels  []*bench
+	tokens  int
+	retries int
+}
+
+// serve runs a request on the target of a level and returns the retries that its daemon reports.
+func (c *chain) serve(level int, r call.Request) int {
+	if level == len(c.levels) {
+		return 0
+	}
+	b := c.levels[level]
+	c.tokens++
+	token := strconv.Itoa(c.tokens)
+	b.receive(ContextChanged{local.Context{Token: token, Deadline: r.Deadline, Rank: ident.Urgent, Depth: r.Depth, Allowance: r.Allowance}})
+	c.calls(level, token)
+	b.receive(ContextChanged{local.Context{Token: token, Closed: true}})
+	used := 0
+	for {
+		select {
+		case m := <-b.in.C():
+			if s, ok := m.(local.RetrySpent); ok && s.Token == token {
+				used++
+			}
+			continue
+		default:
+		}
+		return used
+	}
+}
+
+// calls makes calls at a level until all have an outcome.
+func (c *chain) calls(level int, token string) {
+	b := c.levels[level]
+	made, sends := rapid.IntRange(1, 2).Draw(c.t, "parallel"), 0
+	var open []call.ID
+	for range made {
+		id, _ := b.submit(http.MethodGet, "", token)
+		open = append(open, id)
+	}
+	for len(open) > 0 {
+		if s, ok := b.sent().(link.Send); ok {
+			sends++
+			b.finish(c.attempt(level, s))
+			continue
+		}
+		id := open[0]
+		open = open[1:]
+		if _, ok := b.calls[id]; ok {
+			open = append(open, id)
+			b.wake(again{id})
+		}
+	}
+	c.retries += sends - made
+}
+
+// attempt lets an attempt fail before or after it ran, with or without a report.
+func (c *chain) attempt(level int, s link.Send) call.Result {
+	r := call.Result{Attempt: s.ID, Outcome: call.Answered{Status: 200}}
+	r.Load.Incarnation = self
+	switch rapid.IntRange(0, 3).Draw(c.t, "outcome") {
+	case 0:
+		r.Outcome = call.Refused{Kind: errs.PeerUnreachable}
+		r.Load.Incarnation = ident.Incarnation{}
+	case 1:
+		c.serve(level+1, s.Request)
+		return call.Result{Attempt: s.ID, Outcome: call.Unknown{Kind: errs.PeerLost}}
+	case 2:
+		r.Outcome = call.Unknown{Kind: errs.TargetFailed}
+		r.RetriesUsed = c.serve(level+1, s.Request)
+	default:
+		r.RetriesUsed = c.serve(level+1, s.Request)
+	}
+	return r
+}
+
+// TestChain guards against retries that multiply along a chain of calls, for any failures at any level
+// and for calls made in parallel.
+func TestChain(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := &chain{t: t}
+		for range maxDepth {
+			c.levels = append(c.levels, newBench(3))
+		}
+		b := c.levels[0]
+		id, _ := b.submit(http.MethodGet, "", "")
+		sends := 0
+		for {
+			if s, ok := b.sent().(link.Send); ok {
+				sends++
+				b.finish(c.attempt(0, s))
+			} else if _, ok := b.calls[id]; ok {
+				b.wake(again{id})
+			} else {
+				break
+			}
+		}
+		if c.retries += sends - 1; c.retries > entryAllowance {
+			t.Fatalf("%d retries of one call", c.retries)
+		}
+	})
+}
--- /dev/null
+++ b/internal/task/router/count.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/policy/retry"
+	"slices"
+)
+
+// count counts a call and its outcome.
+func (t *Task) count(p *pending, o call.Outcome) {
+	if t.meter == nil {
+		return
+	}
+	outcome := errs.Unknown
+	switch o := o.(type) {
+	case call.Answered:
+		outcome = errs.Answered
+	case call.Refused:
+		outcome = errs.AnswerTo(o.Kind).Outcome
+		t.meter.Refused(o.Kind)
+	case call.Unknown:
+	}
+	// A name that a caller made up must not become a label.
+	service := p.Request.Service
+	if _, ok := t.release.Services[service]; !ok {
+		service = ""
+	}
+	t.meter.Called(service, outcome, t.clock.Now().Sub(p.arrived))
+}
+
+func (t *Task) retried(reason retry.Reason) {
+	if t.meter != nil {
+		t.meter.Retried(string(reason))
+	}
+}
+
+func (t *Task) hedgeEnded(won bool) {
+	if t.meter != nil {
+		t.meter.Hedged(won)
+	}
+}
+
+func (t *Task) probed() {
+	if t.meter != nil {
+		t.meter.Probed()
+	}
+}
+
+func (t *Task) status() Status {
+	s := Status{Calls: len(t.calls) + len(t.held), Services: len(t.tables), Holding: !t.resume.IsZero()}
+	now := t.clock.Now()
+	for name, table := range t.tables {
+		s.InUse = append(s.InUse, ServiceStatus{Service: name, Candidates: table.Status(now)})
+	}
+	slices.SortFunc(s.InUse, func(a, b ServiceStatus) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return s
+}
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -7,7 +7,7 @@
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/task/local"
 )
 
@@ -51,8 +51,33 @@
 type Status struct {
 	Calls    int
 	Services int
+	// Holding is true while new calls wait after a pause.
+	Holding bool
+	// InUse lists the services whose calls have entered here.
+	InUse []ServiceStatus
 }
 
+// A ServiceStatus is what the task knows of the candidates of a service.
+type ServiceStatus struct {
+	Service    ident.Service
+	Candidates []route.Status
+}
+
+// A PeerDraining says that the daemon on a VM takes no new work.
+type PeerDraining struct{ VM ident.VM }
+
+// A PeerDown says that the daemon on a VM was found to have failed.
+type PeerDown struct{ VM ident.VM }
+
+// A PeerUp says that the daemon on a VM answers, after it was down or draining.
+type PeerUp struct{ VM ident.VM }
+
+// A Paused says that the process did not run for a time. New calls wait until Confirmed, but at most holdTime.
+type Paused struct{}
+
+// A Confirmed says that the keeper has compared its head with peers after a pause.
+type Confirmed struct{}
+
 // A loadKnown is the answer to a request for the load of a target.
 type loadKnown struct {
 	target ident.Target
@@ -60,10 +85,7 @@
 }
 
 // A loadUnknown says that a request for the load of a target failed.
-type loadUnknown struct {
-	target ident.Target
-	answer link.Answer
-}
+type loadUnknown struct{ target ident.Target }
 
 func (Submit) message()         {}
 func (Cancel) message()         {}
@@ -71,5 +93,10 @@
 func (ReleaseChanged) message() {}
 func (ContextChanged) message() {}
 func (StatusAsk) message()      {}
+func (PeerDraining) message()   {}
+func (PeerDown) message()       {}
+func (PeerUp) message()         {}
+func (Paused) message()         {}
+func (Confirmed) message()      {}
 func (loadKnown) message()      {}
 func (loadUnknown) message()    {}
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -6,7 +6,9 @@
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/links"
@@ -24,33 +26,24 @@
 	local      *mail.Box[local.Message]
 	links      *mail.Box[links.Message]
 	clock      clock.Clock
-	alarms     *alarm.Queue[call.ID]
+	meter      *meter.Meter
+	profile    route.Profile
+	maxCalls   int
+	alarms     *alarm.Queue[wakeup]
 	release    *note.Release
 	tables     map[ident.Service]*route.Table
+	latencies  map[ident.Service]*retry.Latency
+	budget     *route.Budget
+	retries    *retry.Policy
 	calls      map[call.ID]*pending
 	attempts   map[call.ID]*attempt
 	contexts   map[string]*local.Context
-	keyWaits   map[ident.Target][]IssueKey
-}
-
-// A pending is a call that has no outcome yet.
-type pending struct {
-	Submit
-	tried     []ident.Target
-	attempt   *attempt
-	allowance int
-	used      int
-	context   *local.Context
-	reattach  int
-}
-
-// An attempt is one send of a call to a target.
-type attempt struct {
-	id      call.ID
-	call    *pending
-	target  note.Target
-	key     string
-	started time.Time
+	waits      map[ident.Target][]waiter
+	asking     map[ident.Target]bool
+	peers      map[ident.VM]PeerState
+	// held are the new calls that wait after a pause until resume.
+	held   []Submit
+	resume time.Time
 }
 
 // An Option sets a property of a Task.
@@ -59,6 +52,15 @@
 // WithClock sets the clock.
 func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
 
+// WithMeter sets the meter that counts calls, refusals, retries, hedges and probes.
+func WithMeter(m *meter.Meter) Option { return func(t *Task) { t.meter = m } }
+
+// WithProfile sets the settings profile of the routing.
+func WithProfile(p route.Profile) Option { return func(t *Task) { t.profile = p } }
+
+// WithMaxCalls bounds the calls that have no outcome yet.
+func WithMaxCalls(n int) Option { return func(t *Task) { t.maxCalls = n } }
+
 // A Config names the daemon and the mailboxes of the tasks that the router talks to.
 type Config struct {
 	VM         ident.VM
@@ -68,11 +70,23 @@
 	Links      *mail.Box[links.Message]
 }
 
-// resultMailbox bounds the results that wait for the router. Senders wait when it is full.
-const resultMailbox = 1024
+const (
+	// resultMailbox bounds the results that wait for the router. Senders wait when it is full.
+	resultMailbox = 1024
+	// defaultMaxCalls bounds the pending calls. 500 calls/s of a daemon with 2 s each are 1,000.
+	defaultMaxCalls = 8192
+)
 
 // New starts the task.
 func New(config Config, options ...Option) *Task {
+	t := newTask(config, options...)
+	go func() {
+		t.Run(t.loop)
+	}()
+	return t
+}
+
+func newTask(config Config, options ...Option) *Task {
 	t := &Task{
 		Loop:       tree.NewLoop(),
 		vm:         config.VM,
@@ -82,25 +96,30 @@
 		local:      config.Local,
 		links:      config.Links,
 		clock:      clock.System{},
-		alarms:     alarm.NewQueue[call.ID](),
+		profile:    route.Tail,
+		maxCalls:   defaultMaxCalls,
+		alarms:     alarm.NewQueue[wakeup](),
 		release:    note.NewRelease(),
 		tables:     map[ident.Service]*route.Table{},
+		latencies:  map[ident.Service]*retry.Latency{},
+		retries:    retry.NewPolicy(),
 		calls:      map[call.ID]*pending{},
 		attempts:   map[call.ID]*attempt{},
 		contexts:   map[string]*local.Context{},
-		keyWaits:   map[ident.Target][]IssueKey{},
+		waits:      map[ident.Target][]waiter{},
+		asking:     map[ident.Target]bool{},
+		peers:      map[ident.VM]PeerState{},
 	}
 	for _, o := range options {
 		o(t)
 	}
-	go func() {
-		t.Run(t.loop)
-	}()
+	t.budget = route.NewBudget(t.profile)
 	return t
 }
 
 func (t *Task) loop() error {
 	defer t.alarms.Stop()
+	defer t.answerAll()
 	for {
 		select {
 		case m := <-t.inbox.C():
@@ -108,8 +127,8 @@
 		case r := <-t.results.C():
 			t.finish(r)
 		case <-t.alarms.C():
-			for _, id := range t.alarms.Due(t.clock.Now()) {
-				t.expire(id)
+			for _, w := range t.alarms.Due(t.clock.Now()) {
+				t.wake(w)
 			}
 		case <-t.Stopping():
 			return nil
@@ -124,52 +143,58 @@
 	case Cancel:
 		t.cancel(m.ID)
 	case IssueKey:
-		t.issue(m)
+		t.issue(m, nil)
 	case ReleaseChanged:
 		t.setRelease(m.Release)
 	case ContextChanged:
-		if m.Context.Closed {
-			delete(t.contexts, m.Context.Token)
-			return
-		}
-		t.contexts[m.Context.Token] = &m.Context
+		t.setContext(m.Context)
+	case PeerDraining:
+		t.setPeer(m.VM, PeerIsDraining)
+	case PeerDown:
+		t.setPeer(m.VM, PeerIsDown)
+	case PeerUp:
+		t.setPeer(m.VM, PeerIsUp)
+	case Paused:
+		t.pause()
+	case Confirmed:
+		t.unhold()
 	case loadKnown:
 		t.loadArrived(m)
 	case loadUnknown:
 		t.loadFailed(m)
 	case StatusAsk:
-		m.Reply.TryPut(Status{Calls: len(t.calls), Services: len(t.tables)})
+		m.Reply.TryPut(t.status())
 	}
 }
 
-// setRelease updates the candidates of the services in use. Tables of other services are made on first use.
-func (t *Task) setRelease(r *note.Release) {
-	t.release = r
-	for name, table := range t.tables {
-		if _, ok := r.Services[name]; !ok {
-			delete(t.tables, name)
-			continue
-		}
-		table.SetCandidates(t.candidates(name), t.clock.Now())
-	}
-}
+// A wakeup is what an alarm is for: deadline, again, hedge or resume.
+type wakeup interface{ wakeup() }
 
-func (t *Task) table(service ident.Service) *route.Table {
-	table, ok := t.tables[service]
-	if !ok {
-		table = route.NewTable(t.vm, t.dataCentre)
-		table.SetCandidates(t.candidates(service), t.clock.Now())
-		t.tables[service] = table
-	}
-	return table
-}
+type (
+	// deadline ends a call.
+	deadline struct{ id call.ID }
+	// again sends the next attempt of a call.
+	again struct{ id call.ID }
+	// hedge sends a second attempt of a slow read.
+	hedge struct{ id call.ID }
+	// resume ends the wait after a pause.
+	resume struct{}
+)
+
+func (deadline) wakeup() {}
+func (again) wakeup()    {}
+func (hedge) wakeup()    {}
+func (resume) wakeup()   {}
 
-func (t *Task) candidates(service ident.Service) []route.Candidate {
-	var candidates []route.Candidate
-	for _, target := range t.release.TargetsOf(service) {
-		candidates = append(candidates, route.Candidate{
-			Target: target.Name, VM: target.VM, DataCentre: target.DataCentre, Slots: target.Slots,
-		})
+func (t *Task) wake(w wakeup) {
+	switch w := w.(type) {
+	case deadline:
+		t.expire(w.id)
+	case again:
+		t.again(w.id)
+	case hedge:
+		t.hedge(w.id)
+	case resume:
+		t.unhold()
 	}
-	return candidates
 }
