Admit calls by a gradient limit and a queue served by rank

Cause: the gate used all declared slots whatever the target did, served first in, first out at any load, and refused the more urgent call when the queue was full of less urgent ones.

Change: a limit between 1 and the slots follows the ratio of the smoothed to the recent latency and falls when the target sheds. Under overload (calls waiting for more than 100 ms without a break) the newest call of a rank is served first. A full queue drops a call of a lower rank for a higher one. A call that cannot end before its deadline is refused, unless the target is idle.

--- /dev/null
+++ b/internal/policy/admit/admit_test.go
@@ -0,0 +1,189 @@
+package admit
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSteps guards against service out of rank, runs of expired calls, and starvation by a full queue.
+func TestSteps(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	const ms = time.Millisecond
+	arrive := func(g *Gate, id call.ID, r ident.Rank, deadline, now time.Duration) Decision {
+		return g.Arrive(Arrival{Call: id, Rank: r, Deadline: at(deadline)}, at(now))
+	}
+	busy := func(g *Gate) { // one slot in use by a call that takes 10 ms
+		g.limiter.sample(10*ms, 0)
+		arrive(g, 100, ident.Normal, time.Second, 0)
+	}
+	tests := []struct {
+		name string
+		run  func(g *Gate) []Step
+		want []Step
+	}{
+		{
+			name: "ranks are served in order, and in order of arrival within a rank",
+			run: func(g *Gate) []Step {
+				arrive(g, 1, ident.Deferred, time.Second, 0)
+				arrive(g, 2, ident.Urgent, time.Second, 0)
+				arrive(g, 3, ident.Urgent, time.Second, 0)
+				g.Done(Completed, 10*ms, at(10*ms))
+				steps := g.Steps(at(10 * ms))
+				g.Done(Completed, 10*ms, at(20*ms))
+				return append(steps, g.Steps(at(20*ms))...)
+			},
+			want: []Step{Dispatch{2}, Dispatch{3}},
+		},
+		{
+			name: "the newest of a rank is served first under overload",
+			run: func(g *Gate) []Step {
+				arrive(g, 1, ident.Deferred, time.Second, 0)
+				arrive(g, 2, ident.Urgent, time.Second, 110*ms)
+				arrive(g, 3, ident.Urgent, time.Second, 111*ms)
+				g.Done(Completed, 10*ms, at(120*ms))
+				return g.Steps(at(120 * ms))
+			},
+			want: []Step{Dispatch{3}},
+		},
+		{
+			name: "a call that waited too long for its rank is dropped",
+			run: func(g *Gate) []Step {
+				arrive(g, 1, ident.Urgent, time.Second, 0)
+				arrive(g, 2, ident.Normal, time.Second, 0)
+				return g.Steps(at(50 * ms))
+			},
+			want: []Step{Drop{1, errs.QueueTimeout, time.Second + 10*ms}},
+		},
+		{
+			name: "a call that expired during a pause is dropped and not run",
+			run: func(g *Gate) []Step {
+				arrive(g, 1, ident.Urgent, 20*ms, 0)
+				g.Done(Completed, 10*ms, at(2*time.Second))
+				return g.Steps(at(2 * time.Second))
+			},
+			want: []Step{Drop{1, errs.DeadlineExceeded, 0}},
+		},
+		{
+			name: "a queued call that can no longer end in time is dropped when its turn comes",
+			run: func(g *Gate) []Step {
+				g.SetSlots(2)
+				g.limiter.limit = 2
+				arrive(g, 101, ident.Normal, time.Second, 0)
+				arrive(g, 1, ident.Urgent, 30*ms, 0)
+				g.Done(Completed, 10*ms, at(25*ms))
+				return g.Steps(at(25 * ms))
+			},
+			want: []Step{Drop{1, errs.DeadlineExceeded, 0}},
+		},
+		{
+			name: "a queued call of a lower rank yields its place in a full queue",
+			run: func(g *Gate) []Step {
+				for i := range queuePerSlot {
+					arrive(g, call.ID(i+1), ident.Deferred, time.Second, 0)
+				}
+				arrive(g, 50, ident.Urgent, time.Second, 0)
+				return g.Steps(at(0))
+			},
+			want: []Step{Drop{queuePerSlot, errs.Overloaded, time.Second + (queuePerSlot-1)*10*ms}},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewGate(1)
+			busy(g)
+			qt.Assert(t, test.run(g), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestArrive guards against work that cannot succeed and against a queue without bound.
+func TestArrive(t *testing.T) {
+	start := time.Unix(1000, 0)
+	tests := []struct {
+		name     string
+		queued   int
+		latency  time.Duration
+		deadline time.Duration
+		want     Decision
+	}{
+		{"room in the queue", 0, 10 * time.Millisecond, time.Second, Wait{}},
+		{"expired", 0, 10 * time.Millisecond, 0, Refuse{Kind: errs.DeadlineExceeded}},
+		{"cannot end in time", 0, 10 * time.Millisecond, 9 * time.Millisecond, Refuse{Kind: errs.DeadlineExceeded}},
+		{
+			"full queue of the same rank", queuePerSlot, 10 * time.Millisecond, time.Second,
+			Refuse{errs.Overloaded, time.Second + queuePerSlot*10*time.Millisecond},
+		},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := NewGate(1)
+			g.limiter.sample(test.latency, 0)
+			g.Arrive(Arrival{Call: 100, Rank: ident.Urgent, Deadline: start.Add(time.Second)}, start)
+			for i := range test.queued {
+				g.Arrive(Arrival{Call: call.ID(i), Rank: ident.Urgent, Deadline: start.Add(time.Second)}, start)
+			}
+			got := g.Arrive(Arrival{Call: 200, Rank: ident.Urgent, Deadline: start.Add(test.deadline)}, start)
+			qt.Assert(t, got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// TestIdleTargetIsTried guards against a slow spell that refuses all calls with short deadlines forever.
+func TestIdleTargetIsTried(t *testing.T) {
+	start := time.Unix(1000, 0)
+	g := NewGate(1)
+	g.limiter.sample(time.Second, 0)
+	qt.Assert(t, g.Arrive(Arrival{Call: 1, Deadline: start.Add(time.Millisecond)}, start), qt.Equals, Start{})
+}
+
+// TestLimit guards against a limit that ignores a slow or shedding target, or that does not recover.
+func TestLimit(t *testing.T) {
+	tests := []struct {
+		name     string
+		load     func(l *limiter)
+		min, max int
+	}{
+		{"steady latency keeps all slots", func(l *limiter) { feed(l, 500, 5*time.Millisecond) }, 10, 10},
+		{"a rise of the latency lowers the limit", func(l *limiter) {
+			feed(l, 500, 5*time.Millisecond)
+			feed(l, 30, 50*time.Millisecond)
+		}, 1, 5},
+		{"the limit recovers with the latency", func(l *limiter) {
+			feed(l, 500, 5*time.Millisecond)
+			feed(l, 30, 50*time.Millisecond)
+			feed(l, 300, 5*time.Millisecond)
+		}, 10, 10},
+		{"a burst of shed calls counts once", func(l *limiter) {
+			feed(l, 500, 5*time.Millisecond)
+			for range 10 {
+				l.shed(time.Unix(1000, 0))
+			}
+		}, 8, 8},
+		{"continued shedding lowers the limit to one and no further", func(l *limiter) {
+			feed(l, 500, 5*time.Millisecond)
+			for i := range 100 {
+				l.shed(time.Unix(1000+int64(i), 0))
+			}
+		}, 1, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			l := newLimiter(10)
+			test.load(&l)
+			got := l.current()
+			qt.Assert(t, got >= test.min && got <= test.max, qt.IsTrue, qt.Commentf("limit %d, want %d to %d", got, test.min, test.max))
+		})
+	}
+}
+
+func feed(l *limiter, n int, took time.Duration) {
+	for range n {
+		l.sample(took, l.current())
+	}
+}
--- /dev/null
+++ b/internal/policy/admit/decide.go
@@ -0,0 +1,63 @@
+package admit
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"time"
+)
+
+// A Decision is what to do with an arriving call: Start, Wait or Refuse.
+type Decision interface{ decision() }
+
+// Start says that the call may be dispatched now; Done must follow.
+type Start struct{}
+
+// Wait says that the call is queued. Steps must follow, since a queued call may have yielded its place.
+type Wait struct{}
+
+// Refuse says that the call is not run.
+type Refuse struct {
+	Kind       errs.Kind
+	RetryAfter time.Duration
+}
+
+func (Start) decision()  {}
+func (Wait) decision()   {}
+func (Refuse) decision() {}
+
+// A Step is what became of a queued call: Dispatch or Drop.
+type Step interface{ step() }
+
+// A Dispatch says that a queued call may be dispatched now; Done must follow.
+type Dispatch struct{ Call call.ID }
+
+// A Drop says that a queued call is not run.
+type Drop struct {
+	Call       call.ID
+	Kind       errs.Kind
+	RetryAfter time.Duration
+}
+
+func (Dispatch) step() {}
+func (Drop) step()     {}
+
+// An Arrival is a call that asks to be run.
+type Arrival struct {
+	Call     call.ID
+	Rank     ident.Rank
+	Deadline time.Time
+}
+
+// An End is how a dispatched call ended.
+type End string
+
+// The ends of a dispatched call.
+const (
+	// Completed means that the target answered; the time it took is a sample of its latency.
+	Completed End = "Completed"
+	// Shed means that the target itself refused the call.
+	Shed End = "Shed"
+	// Failed means that the call was cut off, so that the time it took tells nothing of the latency.
+	Failed End = "Failed"
+)
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -36,9 +36,9 @@
 	case admit.Start:
 		t.dispatch(r, now)
 	case admit.Wait:
-		t.armGate()
+		t.advanceGate(now)
 	case admit.Refuse:
-		t.refuseRun(r, d.Kind)
+		t.end(r, call.Refused{Kind: d.Kind, RetryAfter: d.RetryAfter})
 	}
 }
 
@@ -102,7 +102,7 @@
 		return
 	}
 	now := t.clock.Now()
-	t.gate.Done(r.ID, now.Sub(r.started), now)
+	t.gate.Done(endOf(m.outcome), now.Sub(r.started), now)
 	if m.reusable {
 		t.idle = append(t.idle, m.conn)
 	} else {
@@ -125,7 +125,7 @@
 	}
 	now := t.clock.Now()
 	r.conn.close()
-	t.gate.Done(r.ID, now.Sub(r.started), now)
+	t.gate.Done(admit.Failed, now.Sub(r.started), now)
 	t.end(r, o)
 	t.advanceGate(now)
 }
@@ -177,7 +177,7 @@
 			}
 		case admit.Drop:
 			if r, ok := t.runs[s.Call]; ok {
-				t.refuseRun(r, s.Kind)
+				t.end(r, call.Refused{Kind: s.Kind, RetryAfter: s.RetryAfter})
 			}
 		}
 	}
@@ -191,3 +191,17 @@
 	}
 	t.alarms.Clear(gateAlarm{})
 }
+
+// endOf returns what the end of a call tells of the target's load.
+func endOf(o call.Outcome) admit.End {
+	switch o := o.(type) {
+	case call.Answered:
+		return admit.Completed
+	case call.Refused:
+		if o.Kind == errs.TargetShed {
+			return admit.Shed
+		}
+	case call.Unknown:
+	}
+	return admit.Failed
+}
