--- a/internal/base/errs/errs.go
+++ b/internal/base/errs/errs.go
@@ -22,6 +22,7 @@
 	KeyExpired       Kind = "KeyExpired"
 	OwnerGone        Kind = "OwnerGone"
 	OwnerUnreachable Kind = "OwnerUnreachable"
+	StillRunning     Kind = "StillRunning"
 	LedgerFull       Kind = "LedgerFull"
 	AnswerForgotten  Kind = "AnswerForgotten"
 	Busy             Kind = "Busy"
--- a/internal/base/errs/table.go
+++ b/internal/base/errs/table.go
@@ -20,6 +20,7 @@
 	KeyExpired:       {409, NotRunEarlierUnknown, 0, "check the earlier outcome, then use a new key"},
 	OwnerGone:        {409, NotRunEarlierUnknown, 0, "check the earlier outcome, then use a new key"},
 	OwnerUnreachable: {503, NotRunEarlierUnknown, soon, "send again with the same key"},
+	StillRunning:     {503, NotRunEarlierUnknown, soon, "send again with the same key"},
 	LedgerFull:       {503, NotRun, later, "send again later"},
 	AnswerForgotten:  {502, Unknown, 0, "check the outcome, do not send again with a new key"},
 	Busy:             {503, NotRun, soon, "send again later"},
--- a/internal/policy/ledger/key.go
+++ b/internal/policy/ledger/key.go
@@ -49,7 +49,8 @@
 func ParseKey(text string) (Key, error) {
 	var k Key
 	body, ok := strings.CutPrefix(text, keyPrefix)
-	if !ok {
+	// The decoder skips line breaks, which would give one key many forms.
+	if !ok || strings.ContainsAny(body, "\r\n") {
 		return k, errs.New(errs.KeyInvalid, "the key was not issued by a daemon")
 	}
 	b, err := base64.RawURLEncoding.Strict().DecodeString(body)
--- a/internal/policy/ledger/ledger_test.go
+++ b/internal/policy/ledger/ledger_test.go
@@ -4,13 +4,14 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
+	"runtime"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 )
 
-var testLimits = Limits{EpochLength: time.Minute, MaxEntries: 2, MaxBytes: 100}
+var testLimits = Limits{EpochLength: time.Minute, MaxEntries: 2, MaxBytes: 100, MaxJoined: 2}
 
 // TestBegin guards against a second run of a key.
 func TestBegin(t *testing.T) {
@@ -52,7 +53,7 @@
 				l.Finish(k, call.Unknown{Kind: errs.TargetFailed})
 			},
 			key:  Key{Target: "b1", Incarnation: self},
-			want: Replay{call.Unknown{Kind: errs.TargetFailed}},
+			want: Replay{call.Unknown{Kind: errs.TargetFailed, Detail: unknownBefore}},
 		},
 		{
 			name: "resend after a refusal runs",
@@ -86,6 +87,52 @@
 			key:  Key{Target: "b1", Incarnation: self},
 			want: Refuse{errs.KeyExpired, "the key is too old"},
 		},
+		{
+			name:   "key of an epoch that has not begun was never issued",
+			before: func(*Ledger, Key) {},
+			key:    Key{Target: "b1", Incarnation: self, Epoch: 1},
+			want:   Refuse{errs.KeyInvalid, "the key names an epoch that has not begun"},
+		},
+		{
+			name: "call whose epoch was dropped while it ran does not run again",
+			before: func(l *Ledger, k Key) {
+				l.Begin(k, ident.Digest{})
+				l.Advance(start.Add(3 * time.Minute))
+				l.Release(k)
+			},
+			key:  Key{Target: "b1", Incarnation: self},
+			want: Refuse{errs.KeyExpired, "the key is too old"},
+		},
+		{
+			name: "resends beyond the bound do not wait and are not said to be the only send",
+			before: func(l *Ledger, k Key) {
+				for range 3 {
+					l.Begin(k, ident.Digest{})
+				}
+			},
+			key:  Key{Target: "b1", Incarnation: self},
+			want: Refuse{errs.StillRunning, "the call is running and as many resends as may wait for it"},
+		},
+		{
+			name: "a resend that left makes room for another",
+			before: func(l *Ledger, k Key) {
+				for range 3 {
+					l.Begin(k, ident.Digest{})
+				}
+				l.Leave(k)
+			},
+			key:  Key{Target: "b1", Incarnation: self},
+			want: Join{},
+		},
+		{
+			name: "answer beyond the byte bound is forgotten and its key does not run again",
+			before: func(l *Ledger, k Key) {
+				l.Begin(k, ident.Digest{})
+				l.Finish(k, call.Answered{Status: 200, Body: make([]byte, 101)})
+			},
+			key:  Key{Target: "b1", Incarnation: self},
+			want: Replay{call.Unknown{Kind: errs.AnswerForgotten, Detail: forgotten}},
+		},
 		{
 			name: "full ledger refuses and evicts nothing",
 			before: func(l *Ledger, _ Key) {
@@ -105,6 +152,28 @@
 	}
 }
 
+// BenchmarkEntry measures the memory of one remembered key without its answer.
+func BenchmarkEntry(b *testing.B) {
+	const n = 100_000
+	keys := make([]Key, n)
+	for i := range keys {
+		keys[i] = NewKey("b1", ident.Incarnation{1}, 0)
+	}
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		l := New("b1", ident.Incarnation{1}, Limits{EpochLength: time.Minute, MaxEntries: n, MaxBytes: 1 << 20}, time.Unix(0, 0))
+		for _, k := range keys {
+			l.Begin(k, ident.Digest{})
+			l.Finish(k, call.Unknown{Kind: errs.TargetFailed})
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(l.Len()), "B/entry")
+	}
+}
+
 // TestParseKey guards against keys that no daemon issued and against damaged ones.
 func TestParseKey(t *testing.T) {
 	good := NewKey("b1", ident.Incarnation{1}, 7)
@@ -131,3 +200,16 @@
 		})
 	}
 }
+
+// FuzzParseKey guards against a text that is read as a key but is not the key's own form.
+func FuzzParseKey(f *testing.F) {
+	f.Add(Key{Target: "b1", Incarnation: ident.Incarnation{1}, Epoch: 7}.String())
+	f.Fuzz(func(t *testing.T, text string) {
+		k, err := ParseKey(text)
+		if err != nil {
+			qt.Assert(t, errs.KindOf(err), qt.Equals, errs.KeyInvalid)
+			return
+		}
+		qt.Assert(t, k.String(), qt.Equals, text)
+	})
+}
