Recognise requests that crash targets, and pauses of the process

Cause: nothing kept a crash-inducing request from crashing each target that its caller reaches by sending it again, and a process that was stopped for seconds went on with what it held.

Change: policy/crash holds a table of 1,024 digests with the crashes of the own target and one sum per peer, so that a report received twice counts once. Only first-hand evidence is sent on. Evidence expires after 60 s, three clean completions remove it, and the weakest is displaced first. policy/pause detects gaps of more than 1 s between the times at which a task loop ran.

Conclusion: evidence is bounded and innocents recover.

--- /dev/null
+++ b/internal/policy/crash/table.go
@@ -0,0 +1,200 @@
+package crash
+
+import (
+	"jacinthcross/internal/base/ident"
+	"slices"
+	"time"
+)
+
+const (
+	// window is how long a crash counts, and how long a quarantine lasts.
+	window = 60 * time.Second
+	// A digest is quarantined with this blame from this many crashes. One crash is never enough,
+	// since a target may crash for reasons of its own while a single call is in flight.
+	blameLimit = 1.5
+	crashLimit = 2
+	// cleanLimit is the number of clean completions after which a digest loses its blame.
+	cleanLimit = 3
+	// maxDigests bounds the table and maxReported the entries of one message.
+	maxDigests  = 1024
+	maxReported = 8
+	// maxMarks bounds the crashes and maxPeers the peers that are remembered per digest. A request
+	// among ten in flight needs 15 crashes to be recognised.
+	maxMarks = 16
+	maxPeers = 8
+)
+
+// A mark is the evidence of one source: of one crash of the own target, or the sum that a peer reported.
+type mark struct {
+	from    ident.VM // empty for the own target
+	weight  float64
+	crashes int
+	expires time.Time
+}
+
+type evidence struct {
+	marks []mark
+	clean int
+	until time.Time // end of the quarantine
+}
+
+// A Table holds the blame of requests for crashes of the targets of one service.
+type Table struct {
+	digests map[ident.Digest]*evidence
+}
+
+// NewTable returns an empty Table.
+func NewTable() *Table { return &Table{digests: map[ident.Digest]*evidence{}} }
+
+// Crashed blames the calls that were in flight when the own target crashed, given by their digests.
+// It returns the first-hand evidence to send to peers, strongest first. What peers reported is
+// not passed on, so that no crash counts twice.
+func (t *Table) Crashed(inFlight []ident.Digest, now time.Time) []Blame {
+	weights := map[ident.Digest]float64{}
+	for _, d := range inFlight {
+		weights[d] += 1 / float64(len(inFlight))
+	}
+	var reports []Blame
+	for d, w := range weights {
+		e := t.entry(d, w, now)
+		if e == nil {
+			continue
+		}
+		e.clean = 0
+		e.add(mark{weight: w, crashes: 1, expires: now.Add(window)}, now)
+		reports = append(reports, e.report(d, now))
+	}
+	slices.SortFunc(reports, func(a, b Blame) int {
+		switch {
+		case a.Weight > b.Weight:
+			return -1
+		case a.Weight < b.Weight:
+			return 1
+		}
+		return slices.Compare(a.Digest[:], b.Digest[:])
+	})
+	return reports[:min(len(reports), maxReported)]
+}
+
+// Merge takes the evidence of a peer. It replaces what the same peer reported before.
+func (t *Table) Merge(from ident.VM, blames []Blame, now time.Time) {
+	for _, b := range blames[:min(len(blames), maxReported)] {
+		m := mark{from: from, weight: min(b.Weight, float64(b.Crashes)), crashes: b.Crashes, expires: now.Add(min(b.Expires, window))}
+		// The comparison is false for a weight that is not a number.
+		if from == "" || !(m.weight > 0) || !m.expires.After(now) {
+			continue
+		}
+		if e := t.entry(b.Digest, m.weight, now); e != nil {
+			e.add(m, now)
+		}
+	}
+}
+
+// Completed notes that a call with the digest ended without a crash.
+func (t *Table) Completed(d ident.Digest) {
+	e, ok := t.digests[d]
+	if !ok {
+		return
+	}
+	if e.clean++; e.clean >= cleanLimit {
+		delete(t.digests, d)
+	}
+}
+
+// Quarantined reports whether a call with the digest must not run.
+func (t *Table) Quarantined(d ident.Digest, now time.Time) bool {
+	e, ok := t.digests[d]
+	return ok && e.until.After(now)
+}
+
+// Len returns the number of digests with evidence.
+func (t *Table) Len() int { return len(t.digests) }
+
+// entry returns the evidence on a digest. In a full table a new digest displaces the
+// weakest one, and gets no entry when none is weaker.
+func (t *Table) entry(d ident.Digest, weight float64, now time.Time) *evidence {
+	if e, ok := t.digests[d]; ok {
+		return e
+	}
+	if len(t.digests) >= maxDigests {
+		var weakest ident.Digest
+		lowest := weight
+		for k, e := range t.digests {
+			if s := e.strength(now); s < lowest {
+				weakest, lowest = k, s
+			}
+		}
+		if lowest >= weight {
+			return nil
+		}
+		delete(t.digests, weakest)
+	}
+	e := &evidence{}
+	t.digests[d] = e
+	return e
+}
+
+func (e *evidence) add(m mark, now time.Time) {
+	e.marks = slices.DeleteFunc(e.marks, func(o mark) bool {
+		return !o.expires.After(now) || m.from != "" && o.from == m.from
+	})
+	limit := maxMarks
+	if m.from != "" {
+		limit = maxPeers
+	}
+	if e.count(m.from != "") >= limit {
+		i := slices.IndexFunc(e.marks, func(o mark) bool { return (o.from != "") == (m.from != "") })
+		e.marks = slices.Delete(e.marks, i, i+1)
+	}
+	e.marks = append(e.marks, m)
+	weight, crashes := e.sum(now, func(mark) bool { return true })
+	if weight >= blameLimit-rounding && crashes >= crashLimit && !e.until.After(now) {
+		e.until = now.Add(window)
+	}
+}
+
+// rounding allows for sums of fractions such as 15 x 1/10, which floating point makes less than 1.5.
+const rounding = 1e-9
+
+// count returns the number of marks from peers, or of those from the own target.
+func (e *evidence) count(peers bool) int {
+	n := 0
+	for _, m := range e.marks {
+		if (m.from != "") == peers {
+			n++
+		}
+	}
+	return n
+}
+
+func (e *evidence) sum(now time.Time, of func(mark) bool) (weight float64, crashes int) {
+	for _, m := range e.marks {
+		if m.expires.After(now) && of(m) {
+			weight += m.weight
+			crashes += m.crashes
+		}
+	}
+	return weight, crashes
+}
+
+// strength orders the evidence by what is lost with it. A quarantine is never the weakest.
+func (e *evidence) strength(now time.Time) float64 {
+	w, _ := e.sum(now, func(mark) bool { return true })
+	if e.until.After(now) {
+		return max(w, blameLimit)
+	}
+	return w
+}
+
+// report returns the first-hand evidence. It expires with its oldest crash, so that a peer never counts too much.
+func (e *evidence) report(d ident.Digest, now time.Time) Blame {
+	own := func(m mark) bool { return m.from == "" }
+	b := Blame{Digest: d, Expires: window}
+	b.Weight, b.Crashes = e.sum(now, own)
+	for _, m := range e.marks {
+		if own(m) && m.expires.After(now) {
+			b.Expires = min(b.Expires, m.expires.Sub(now))
+		}
+	}
+	return b
+}
--- /dev/null
+++ b/internal/policy/crash/table_test.go
@@ -0,0 +1,154 @@
+package crash
+
+import (
+	"encoding/binary"
+	"jacinthcross/internal/base/ident"
+	"math"
+	"math/rand"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func digest(n int) ident.Digest {
+	var d ident.Digest
+	binary.BigEndian.PutUint32(d[:], uint32(n))
+	return d
+}
+
+// TestQuarantined guards against requests that keep crashing targets, and against innocent ones that are refused.
+func TestQuarantined(t *testing.T) {
+	start := time.Unix(1000, 0)
+	at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+	poison := digest(0)
+	crowd := func(n int) []ident.Digest { // the poison and n-1 others
+		var all []ident.Digest
+		for i := range n {
+			all = append(all, digest(i))
+		}
+		return all
+	}
+	alone := []ident.Digest{poison}
+	tests := []struct {
+		name string
+		run  func(t *Table)
+		now  int
+		want bool
+	}{
+		{"one crash", func(t *Table) { t.Crashed(alone, at(0)) }, 1, false},
+		{"two crashes alone", func(t *Table) { t.Crashed(alone, at(0)); t.Crashed(alone, at(1)) }, 2, true},
+		{"two crashes among four", func(t *Table) { t.Crashed(crowd(4), at(0)); t.Crashed(crowd(4), at(1)) }, 2, false},
+		{"one call of two copies of the request", func(t *Table) { t.Crashed([]ident.Digest{poison, poison}, at(0)) }, 1, false},
+		{"two crashes too far apart", func(t *Table) { t.Crashed(alone, at(0)); t.Crashed(alone, at(60)) }, 61, false},
+		{"quarantine ends", func(t *Table) { t.Crashed(alone, at(0)); t.Crashed(alone, at(1)) }, 61, false},
+		{"own crash and one of a peer", func(t *Table) {
+			t.Crashed(alone, at(0))
+			t.Merge("p1", []Blame{{poison, 1, 1, window}}, at(1))
+		}, 2, true},
+		{"the same report of a peer three times", func(t *Table) {
+			for i := range 3 {
+				t.Merge("p1", []Blame{{poison, 1, 1, window}}, at(i))
+			}
+		}, 3, false},
+		{"a peer's report with too much weight", func(t *Table) {
+			t.Crashed(crowd(10), at(0))
+			t.Merge("p1", []Blame{{poison, 100, 1, window}}, at(0))
+		}, 1, false},
+		{"a peer's report that is not a number", func(t *Table) { t.Merge("p1", []Blame{{poison, math.NaN(), 2, window}}, at(0)) }, 1, false},
+		{"a peer's report that has expired", func(t *Table) {
+			t.Merge("p1", []Blame{{poison, 1, 1, time.Second}}, at(0))
+			t.Crashed(alone, at(2))
+		}, 3, false},
+		{"clean completions between the crashes", func(t *Table) {
+			t.Crashed(alone, at(0))
+			for range cleanLimit {
+				t.Completed(poison)
+			}
+			t.Crashed(alone, at(1))
+		}, 2, false},
+		{"fifteen crashes among ten within the window", func(t *Table) {
+			for i := range 15 {
+				t.Crashed(crowd(10), at(i))
+			}
+		}, 15, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			table := NewTable()
+			test.run(table)
+			qt.Assert(t, table.Quarantined(poison, at(test.now)), qt.Equals, test.want)
+		})
+	}
+}
+
+// TestReport guards against evidence that is counted twice because peers pass it on to each other.
+func TestReport(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.Merge("p1", []Blame{{digest(0), 1, 1, window}}, now)
+	table.Crashed([]ident.Digest{digest(0)}, now)
+	got := table.Crashed([]ident.Digest{digest(0), digest(1)}, now.Add(20*time.Second))
+	qt.Assert(t, got, qt.DeepEquals, []Blame{{digest(0), 1.5, 2, 40 * time.Second}, {digest(1), 0.5, 1, window}})
+}
+
+// TestFlood guards against a flood of distinct requests that pushes strong evidence out of the table.
+func TestFlood(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	table.Crashed([]ident.Digest{digest(0)}, now)
+	for crash := range 100 {
+		var flood []ident.Digest
+		for i := range 50 {
+			flood = append(flood, digest(1+crash*50+i))
+		}
+		table.Crashed(flood, now)
+	}
+	qt.Assert(t, table.Len() <= 1024, qt.IsTrue)
+	table.Crashed([]ident.Digest{digest(0)}, now)
+	qt.Assert(t, table.Quarantined(digest(0), now), qt.IsTrue)
+}
+
+// TestOwnCrashes guards against a target that crashes for its own reasons, every ten seconds under a
+// usual load, and takes its most popular requests with it. Seed 3.
+func TestOwnCrashes(t *testing.T) {
+	tests := []struct {
+		name   string
+		slots  int
+		poison bool
+	}{
+		{"ten slots", 10, false},
+		{"six slots", 6, false},
+		{"six slots and a request that crashes each target", 6, true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			random := rand.New(rand.NewSource(3))
+			popular := rand.NewZipf(random, 1.2, 1, 500)
+			table, now := NewTable(), time.Unix(1000, 0)
+			quarantined, found := 0, false
+			for range 60 {
+				for range 500 {
+					table.Completed(digest(1 + int(popular.Uint64())))
+				}
+				var inFlight []ident.Digest
+				for range test.slots {
+					inFlight = append(inFlight, digest(1+int(popular.Uint64())))
+				}
+				now = now.Add(5 * time.Second)
+				if test.poison && !table.Quarantined(digest(0), now) {
+					inFlight[0] = digest(0)
+				}
+				table.Crashed(inFlight, now)
+				found = found || table.Quarantined(digest(0), now)
+				for i := 1; i <= 501; i++ {
+					if table.Quarantined(digest(i), now) {
+						quarantined++
+					}
+				}
+			}
+			qt.Assert(t, quarantined, qt.Equals, 0)
+			qt.Assert(t, found, qt.Equals, test.poison)
+		})
+	}
+}
--- /dev/null
+++ b/internal/policy/pause/pause_test.go
@@ -0,0 +1,34 @@
+package pause
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// TestSeen guards against a pause that is missed, reported twice, or seen in a slow tick.
+func TestSeen(t *testing.T) {
+	tests := []struct {
+		name string
+		gaps []time.Duration
+		want []bool
+	}{
+		{"regular ticks", []time.Duration{Interval, Interval}, []bool{false, false}},
+		{"late tick", []time.Duration{Threshold}, []bool{false}},
+		{"pause, once", []time.Duration{Interval, 3 * time.Second, 0, Interval}, []bool{false, true, false, false}},
+		{"two pauses", []time.Duration{2 * time.Second, 2 * time.Second}, []bool{true, true}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := NewDetector(now)
+			for i, gap := range test.gaps {
+				now = now.Add(gap)
+				length, paused := d.Seen(now)
+				qt.Assert(t, length, qt.Equals, gap)
+				qt.Assert(t, paused, qt.Equals, test.want[i])
+			}
+		})
+	}
+}
