--- a/cmd/jcbench/main.go
+++ b/cmd/jcbench/main.go
@@ -2,18 +2,10 @@
 package main
 
 import (
-	"fmt"
-	"jacinthcross/internal/bench/demo"
+	"jacinthcross/internal/bench/cmds"
 	"os"
 )
 
 func main() {
-	if len(os.Args) != 2 || os.Args[1] != "demo" {
-		fmt.Fprintln(os.Stderr, "usage: jcbench demo")
-		os.Exit(2)
-	}
-	if err := demo.Run(os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "jcbench:", err)
-		os.Exit(1)
-	}
+	os.Exit(cmds.Main(os.Args[1:], cmds.Env{Out: os.Stdout, Err: os.Stderr}))
 }
--- /dev/null
+++ b/internal/bench/cmds/config.go
@@ -0,0 +1,78 @@
+package cmds
+
+import (
+	"fmt"
+	"jacinthcross/internal/bench/config"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+type configCommand struct {
+	Address string        `arg:"--address,required" help:"address to listen at"`
+	Notes   []string      `arg:"--note" help:"files with the entries of release notes, published in this order"`
+	Every   time.Duration `arg:"--every" default:"0s" help:"time between two notes"`
+	VMList  string        `arg:"--vm-list" help:"file with the list of VMs"`
+	Lag     time.Duration `arg:"--lag" help:"how far the list of VMs lags"`
+	Mode    string        `arg:"--mode" default:"normal" help:"normal, down, slow, stale or garbage"`
+	Slow    time.Duration `arg:"--slow" default:"500ms" help:"delay of each answer in mode slow"`
+}
+
+func (c *configCommand) run(env Env) error {
+	at, err := netip.ParseAddrPort(c.Address)
+	if err != nil {
+		return errors.NewNotValid(err, "--address")
+	}
+	mode, err := c.mode()
+	if err != nil {
+		return err
+	}
+	var notes []string
+	for _, file := range c.Notes {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Annotate(err, "read note")
+		}
+		notes = append(notes, string(text))
+	}
+	t, err := config.New(at)
+	if err != nil {
+		return err
+	}
+	if c.VMList != "" {
+		text, err := os.ReadFile(c.VMList)
+		if err != nil {
+			return errors.Annotate(err, "read list of VMs")
+		}
+		t.Send(config.Put{Key: config.VMList, Text: string(text), Lag: c.Lag})
+	}
+	go func() {
+		for i, n := range notes {
+			if i > 0 {
+				time.Sleep(c.Every)
+			}
+			t.Publish(n)
+		}
+		t.Send(config.Behave{Mode: mode})
+	}()
+	fmt.Fprintln(env.Out, "configuration service at", t.URL())
+	return untilSignal(t)
+}
+
+func (c *configCommand) mode() (config.Mode, error) {
+	switch c.Mode {
+	case "normal":
+		return config.Normal{}, nil
+	case "down":
+		return config.Down{}, nil
+	case "slow":
+		return config.Slow{By: c.Slow}, nil
+	case "stale":
+		return config.Stale{}, nil
+	case "garbage":
+		return config.Garbage{}, nil
+	}
+	return nil, errors.NotValidf("--mode %q", c.Mode)
+}
--- /dev/null
+++ b/internal/bench/cmds/run.go
@@ -0,0 +1,108 @@
+package cmds
+
+import (
+	"fmt"
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/report"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/bench/target"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+type runCommand struct {
+	Scenario  string `arg:"positional,required" help:"scenario file"`
+	JSON      string `arg:"--json" help:"write the result into FILE" placeholder:"FILE"`
+	Daemon    string `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
+	InProcess bool   `arg:"--in-process" help:"run the daemons in this process"`
+}
+
+func (c *runCommand) run(env Env) error {
+	s, err := setup.ReadScenario(c.Scenario)
+	if err != nil {
+		return err
+	}
+	path, clean, err := daemonProgram(c.Daemon, c.InProcess)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	r := &report.Result{Scenario: s.Name, Deployment: s.Layout.Name, Seed: s.Seed, Started: time.Now()}
+	for _, b := range s.Balancers {
+		run, err := runBalancer(env, s, b, path)
+		if err != nil {
+			return errors.Annotatef(err, "balancer %s", b)
+		}
+		r.Runs = append(r.Runs, run)
+	}
+	if err := report.Print(env.Out, r); err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		if err := report.Write(c.JSON, r); err != nil {
+			return err
+		}
+	}
+	return promises(r)
+}
+
+// runBalancer runs the scenario in a new deployment, so that each balancer starts from the same state.
+func runBalancer(env Env, s *setup.Scenario, b setup.Balancer, path string) (report.Run, error) {
+	v := stage.Config{
+		Layout: s.Layout, Seed: s.Seed, Daemons: stage.None{}, ShedAbove: s.ShedAbove,
+		Noise: target.Noise{Period: time.Duration(s.Noise.Period), Share: s.Noise.Share, Factor: s.Noise.Factor},
+		Cold:  target.Cold{Time: time.Duration(s.Cold.Time), Factor: s.Cold.Factor},
+	}
+	switch {
+	case b != setup.Daemon:
+	case path == "":
+		v.Daemons = stage.Embedded{}
+	default:
+		v.Daemons = stage.Processes{Path: path}
+	}
+	st, err := stage.Start(v)
+	if err != nil {
+		return report.Run{}, err
+	}
+	defer st.Close()
+	return report.NewRun(s, load.Run(s, b, st, env.Err)), nil
+}
+
+// promises fails when the daemons broke a promise that no load excuses.
+func promises(r *report.Result) error {
+	for _, run := range r.Runs {
+		if run.Balancer == setup.Daemon && run.SecondRuns+run.FalseRefusals+run.Foreign > 0 {
+			return errors.Errorf("%d second runs, %d false refusals, %d foreign answers",
+				run.SecondRuns, run.FalseRefusals, run.Foreign)
+		}
+	}
+	return nil
+}
+
+// daemonProgram returns the path of the daemon, empty when it runs in this process, and what removes it.
+func daemonProgram(path string, inProcess bool) (string, func(), error) {
+	if inProcess || path != "" {
+		if inProcess && path != "" {
+			return "", nil, errors.NotValidf("--in-process with --daemon %s", path)
+		}
+		return path, func() {}, nil
+	}
+	dir, err := os.MkdirTemp("", "jcbench")
+	if err != nil {
+		return "", nil, errors.Annotate(err, "create folder for the daemon")
+	}
+	clean := func() {
+		if err := os.RemoveAll(dir); err != nil {
+			fmt.Fprintln(os.Stderr, "jcbench: remove the daemon that was built:", err)
+		}
+	}
+	path, err = stage.BuildDaemon(dir)
+	if err != nil {
+		clean()
+		return "", nil, err
+	}
+	return path, clean, nil
+}
--- /dev/null
+++ b/internal/bench/cmds/target.go
@@ -0,0 +1,80 @@
+package cmds
+
+import (
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+type targetCommand struct {
+	Name        string        `arg:"--name" default:"target-0" help:"name in answers and counts"`
+	Address     string        `arg:"--address,required" help:"address to listen at"`
+	Slots       int           `arg:"--slots" default:"10" help:"calls that run at once"`
+	Median      time.Duration `arg:"--median" default:"5ms" help:"median of the service time"`
+	Sigma       float64       `arg:"--sigma" default:"0" help:"deviation of the logarithm of the service time"`
+	Seed        uint64        `arg:"--seed" default:"1" help:"seed of the service times"`
+	NoisePeriod time.Duration `arg:"--noise-period" help:"period of the noisy neighbour"`
+	NoiseShare  float64       `arg:"--noise-share" default:"0.2" help:"share of the slow periods"`
+	NoiseFactor float64       `arg:"--noise-factor" default:"4" help:"slowdown in a slow period"`
+	Cold        time.Duration `arg:"--cold" help:"length of the cold start"`
+	ColdFactor  float64       `arg:"--cold-factor" default:"5" help:"slowdown in the cold start"`
+	ShedAbove   int           `arg:"--shed-above" help:"calls that may wait before others are refused"`
+	CrashMarker string        `arg:"--crash-marker" help:"text in a request that ends the process"`
+	Next        string        `arg:"--next" help:"service that each call calls"`
+	Daemon      string        `arg:"--daemon" help:"address for callers of the daemon beside this target"`
+}
+
+func (c *targetCommand) run(Env) error {
+	s := target.Settings{
+		Name: c.Name, Slots: c.Slots, Times: target.LogNormal{Median: c.Median, Sigma: c.Sigma}, Seed: c.Seed,
+		Noise:     target.Noise{Period: c.NoisePeriod, Share: c.NoiseShare, Factor: c.NoiseFactor},
+		Cold:      target.Cold{Time: c.Cold, Factor: c.ColdFactor},
+		ShedAbove: c.ShedAbove, CrashMarker: c.CrashMarker, Exit: func() { os.Exit(crashCode) }, Next: c.Next,
+	}
+	var err error
+	if s.Address, err = netip.ParseAddrPort(c.Address); err != nil {
+		return errors.NewNotValid(err, "--address")
+	}
+	if c.Next != "" {
+		if s.Daemon, err = netip.ParseAddrPort(c.Daemon); err != nil {
+			return errors.NewNotValid(err, "--daemon")
+		}
+	}
+	if s.Slots < 1 {
+		return errors.NotValidf("--slots %d", s.Slots)
+	}
+	counts := tally.New()
+	defer counts.Stop()
+	t, err := target.New(s, target.NewBox(), counts)
+	if err != nil {
+		return err
+	}
+	return untilSignal(t)
+}
+
+// crashCode is the exit code of a target that crashed on a request.
+const crashCode = 3
+
+// A task is what a command runs until a signal.
+type task interface {
+	Stop()
+	Done() <-chan struct{}
+	Err() error
+}
+
+func untilSignal(t task) error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	select {
+	case <-signals:
+		t.Stop()
+	case <-t.Done():
+	}
+	return t.Err()
+}
--- /dev/null
+++ b/internal/bench/config/config_test.go
@@ -0,0 +1,70 @@
+package config_test
+
+import (
+	"context"
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/task/watch"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A stand-in that does not fail as the platform does would leave the daemon's handling of it untested.
+func TestModes(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		mode config.Mode
+		text string
+		fail bool
+	}{
+		{"normal", config.Normal{}, "new", false},
+		{"down", config.Down{}, "", true},
+		{"slow", config.Slow{By: 20 * time.Millisecond}, "new", false},
+		{"stale", config.Stale{}, "old", false},
+		{"garbage", config.Garbage{}, "\x00\xff not a value = [", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			s := start(c)
+			s.Send(config.Put{Key: "k", Text: "old"})
+			s.Send(config.Behave{Mode: test.mode})
+			s.Send(config.Put{Key: "k", Text: "new"})
+			v, err := watch.NewHTTPReader(s.URL()).Read(context.Background(), "k", 0, 0)
+			if test.fail {
+				c.Assert(err, qt.IsNotNil)
+				return
+			}
+			c.Assert(err, qt.IsNil)
+			c.Assert(string(v.Text), qt.Equals, test.text)
+		})
+	}
+}
+
+func start(c *qt.C) *config.Task {
+	s, err := config.New(netip.MustParseAddrPort("127.0.0.1:0"))
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		s.Stop()
+		<-s.Done()
+	})
+	return s
+}
+
+// A watch that misses a change, or that counts more than once, would falsify the cost of watching.
+func TestWatch(t *testing.T) {
+	c := qt.New(t)
+	s := start(c)
+	reader := watch.NewHTTPReader(s.URL())
+	s.Send(config.Put{Key: "k", Text: "one"})
+	first, err := reader.Read(context.Background(), "k", 0, 0)
+	c.Assert(err, qt.IsNil)
+	_, err = reader.Read(context.Background(), "k", first.Version, 10*time.Millisecond)
+	c.Assert(err, qt.ErrorIs, watch.ErrUnchanged)
+	s.Send(config.Put{Key: "k", Text: "two", Lag: 20 * time.Millisecond})
+	second, err := reader.Read(context.Background(), "k", first.Version, time.Minute)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(second.Text), qt.Equals, "two")
+	c.Assert(s.Calls(), qt.Equals, 3)
+}
--- /dev/null
+++ b/internal/bench/delay/delay.go
@@ -0,0 +1,203 @@
+// Package delay relays TCP connections with the delay between two data centres.
+package delay
+
+import (
+	"io"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// A Message is what the task receives.
+type Message interface{ message() }
+
+// A Silence makes all open connections silent: they stay open and carry no more bytes. New ones work.
+type Silence struct{}
+
+// A Partition closes all connections and refuses new ones while Closed is true.
+type Partition struct{ Closed bool }
+
+type accepted struct{ conn *net.TCPConn }
+
+type ended struct{ pair *pair }
+
+func (Silence) message()   {}
+func (Partition) message() {}
+func (accepted) message()  {}
+func (ended) message()     {}
+
+// A OneWay returns the delay of each direction of a connection from an address.
+type OneWay func(from netip.AddrPort) time.Duration
+
+// A Task owns a listening socket and its connections.
+type Task struct {
+	*tree.Loop
+	inbox    *mail.Box[Message]
+	listener net.Listener
+	to       netip.AddrPort
+	oneWay   OneWay
+	pairs    map[*pair]bool
+	closed   bool
+}
+
+const (
+	mailbox     = 256
+	dialTimeout = time.Second
+)
+
+// NewBox returns a mailbox of a relay. It outlives restarts of the relay.
+func NewBox() *mail.Box[Message] { return mail.NewBox[Message](mailbox) }
+
+// New starts a relay from one address to another.
+func New(inbox *mail.Box[Message], at, to netip.AddrPort, oneWay OneWay) (*Task, error) {
+	l, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen at %s", at)
+	}
+	t := &Task{
+		Loop: tree.NewLoop(), inbox: inbox, listener: l,
+		to: to, oneWay: oneWay, pairs: map[*pair]bool{},
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			t.inbox.Put(accepted{c.(*net.TCPConn)}, t.Done())
+		}
+	}()
+	go func() {
+		t.Run(t.loop)
+	}()
+	return t, nil
+}
+
+func (t *Task) loop() error {
+	defer func() {
+		t.listener.Close()
+		t.closeAll()
+	}()
+	for {
+		select {
+		case m := <-t.inbox.C():
+			t.receive(m)
+		case <-t.Stopping():
+			return nil
+		}
+	}
+}
+
+func (t *Task) receive(m Message) {
+	switch m := m.(type) {
+	case accepted:
+		if t.closed {
+			m.conn.Close()
+			return
+		}
+		t.pairs[t.newPair(m.conn)] = true
+	case ended:
+		delete(t.pairs, m.pair)
+	case Silence:
+		for p := range t.pairs {
+			p.hush.Do(func() { close(p.silent) })
+		}
+	case Partition:
+		t.closed = m.Closed
+		if t.closed {
+			t.closeAll()
+		}
+	}
+}
+
+func (t *Task) closeAll() {
+	for p := range t.pairs {
+		p.close()
+	}
+}
+
+// A pair is a connection from a client and the one to the server.
+type pair struct {
+	client *net.TCPConn
+	stop   chan struct{}
+	once   sync.Once
+	silent chan struct{}
+	hush   sync.Once
+}
+
+func (p *pair) close() { p.once.Do(func() { close(p.stop) }) }
+
+// newPair starts the goroutine that dials the server and carries both directions.
+func (t *Task) newPair(client *net.TCPConn) *pair {
+	p := &pair{client: client, stop: make(chan struct{}), silent: make(chan struct{})}
+	go func() {
+		defer t.inbox.Put(ended{p}, t.Done())
+		defer client.Close()
+		c, err := net.DialTimeout("tcp", t.to.String(), dialTimeout)
+		if err != nil {
+			return
+		}
+		server := c.(*net.TCPConn)
+		defer server.Close()
+		from, _ := netip.ParseAddrPort(client.RemoteAddr().String())
+		delay := t.oneWay(from)
+		done := make(chan struct{}, 2)
+		go func() { p.carry(server, client, delay); done <- struct{}{} }()
+		go func() { p.carry(client, server, delay); done <- struct{}{} }()
+		select {
+		case <-done:
+		case <-p.stop:
+		}
+	}()
+	return p
+}
+
+// A chunk is what was read at once, and when it is due at the other side.
+type chunk struct {
+	due   time.Time
+	bytes []byte
+}
+
+// chunksInFlight bounds what is on the way in one direction, and so its bandwidth.
+const chunksInFlight = 1024
+
+// carry copies until one side fails. Bytes that were read before the end of the stream still arrive.
+func (p *pair) carry(to, from *net.TCPConn, delay time.Duration) {
+	chunks := make(chan chunk, chunksInFlight)
+	go func() {
+		defer close(chunks)
+		for {
+			b := make([]byte, 16<<10)
+			n, err := from.Read(b)
+			if n > 0 {
+				select {
+				case chunks <- chunk{time.Now().Add(delay), b[:n]}:
+				case <-p.stop:
+					return
+				}
+			}
+			if err != nil {
+				return
+			}
+		}
+	}()
+	for c := range chunks {
+		select {
+		case <-p.silent:
+			_, _ = io.Copy(io.Discard, from)
+			return
+		default:
+		}
+		if d := time.Until(c.due); d > 0 {
+			time.Sleep(d)
+		}
+		if _, err := to.Write(c.bytes); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/delay/delay_test.go
@@ -0,0 +1,102 @@
+package delay_test
+
+import (
+	"io"
+	"jacinthcross/internal/bench/delay"
+	"jacinthcross/internal/bench/stage"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+const oneWay = 30 * time.Millisecond
+
+type relayed struct {
+	box interface{ TryPut(delay.Message) bool }
+	at  netip.AddrPort
+}
+
+// start starts a relay to a server that sends back what it gets.
+func start(c *qt.C) relayed {
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	go func() {
+		for {
+			conn, err := server.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				_, _ = io.Copy(conn, conn)
+			}()
+		}
+	}()
+	at, err := stage.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	box := delay.NewBox()
+	t, err := delay.New(box, at, server.Addr().(*net.TCPAddr).AddrPort(), func(netip.AddrPort) time.Duration { return oneWay })
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		t.Stop()
+		<-t.Done()
+		server.Close()
+	})
+	return relayed{box, at}
+}
+
+func (r relayed) dial(c *qt.C) net.Conn {
+	conn, err := net.Dial("tcp", r.at.String())
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// echo sends a byte and returns how long it took to come back, and whether it did.
+func echo(c *qt.C, conn net.Conn) (time.Duration, bool) {
+	start := time.Now()
+	if _, err := conn.Write([]byte{1}); err != nil {
+		return 0, false
+	}
+	c.Assert(conn.SetReadDeadline(start.Add(500*time.Millisecond)), qt.IsNil)
+	_, err := io.ReadFull(conn, make([]byte, 1))
+	return time.Since(start), err == nil
+}
+
+// A relay that does not delay both directions would make data centres look closer than they are.
+func TestDelaysBothDirections(t *testing.T) {
+	c := qt.New(t)
+	d, ok := echo(c, start(c).dial(c))
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(d >= 2*oneWay, qt.IsTrue, qt.Commentf("%v", d))
+}
+
+// Faults that do not happen would make every test of their handling pass.
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		message  delay.Message
+		old, new bool
+	}{
+		{"silence", delay.Silence{}, false, true},
+		{"partition", delay.Partition{Closed: true}, false, false},
+		{"no partition", delay.Partition{Closed: false}, true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := start(c)
+			old := r.dial(c)
+			_, ok := echo(c, old)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(r.box.TryPut(test.message), qt.IsTrue)
+			time.Sleep(50 * time.Millisecond)
+			_, ok = echo(c, old)
+			c.Assert(ok, qt.Equals, test.old)
+			_, ok = echo(c, r.dial(c))
+			c.Assert(ok, qt.Equals, test.new)
+		})
+	}
+}
--- /dev/null
+++ b/internal/bench/load/load_test.go
@@ -0,0 +1,117 @@
+package load
+
+import (
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/google/go-cmp/cmp"
+)
+
+// Balancers that got different calls could not be compared.
+func TestScheduleDependsOnSeedOnly(t *testing.T) {
+	c := qt.New(t)
+	s := &setup.Scenario{Seed: 1, Loads: []setup.Load{
+		{Rate: 1000, Until: 4 * time.Second},
+		{Rate: 500, From: 2 * time.Second, Until: 4 * time.Second},
+	}}
+	a, b := schedule(s, 5), schedule(s, 5)
+	c.Assert(a, qt.CmpEquals(cmp.AllowUnexported(planned{})), b)
+	counts := [2]int{}
+	for i, p := range a {
+		c.Assert(p.id, qt.Equals, i)
+		c.Assert(i == 0 || a[i-1].at <= p.at, qt.IsTrue)
+		counts[p.load]++
+	}
+	// Four standard deviations of a Poisson count.
+	c.Assert(counts[0] > 4000-253 && counts[0] < 4000+253, qt.IsTrue, qt.Commentf("%d", counts[0]))
+	c.Assert(counts[1] > 1000-127 && counts[1] < 1000+127, qt.IsTrue, qt.Commentf("%d", counts[1]))
+}
+
+// A baseline that chooses otherwise than its name says would make a wrong yardstick.
+func TestPolicies(t *testing.T) {
+	near := &stage.Member{Seat: setup.Seat{Target: "near", DataCentre: "a"}}
+	far := &stage.Member{Seat: setup.Seat{Target: "far", DataCentre: "b"}}
+	for _, test := range []struct {
+		name     string
+		policy   policy
+		inFlight map[*stage.Member]int
+		reported map[*stage.Member]int
+		want     []*stage.Member
+	}{
+		{"oracle sees the truth", oracle{}, map[*stage.Member]int{near: 3}, map[*stage.Member]int{far: 9}, []*stage.Member{far, far}},
+		{"oracle prefers the own data centre", oracle{}, nil, nil, []*stage.Member{near, near}},
+		{"stale reports mislead", staleLeast{}, map[*stage.Member]int{near: 3}, map[*stage.Member]int{far: 9}, []*stage.Member{near, near}},
+		{"round robin alternates", roundRobin{}, map[*stage.Member]int{near: 3}, nil, []*stage.Member{far, near}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			k := newPicker(test.policy, 1, []*stage.Member{near, far})
+			k.Stop()
+			<-k.Done()
+			k.inFlight, k.reported = test.inFlight, test.reported
+			for _, want := range test.want {
+				c.Assert(k.choose("", "a").Seat.Target, qt.Equals, want.Seat.Target)
+			}
+		})
+	}
+}
+
+// Calls in the wrong column would hide refusals or make failures look good.
+func TestRecorder(t *testing.T) {
+	const deadline = time.Second
+	for _, test := range []struct {
+		name string
+		in   finished
+		want Tally
+	}{
+		{"good", finished{finish: answered{ok: true}, warm: true}, Tally{All: 1, Calls: 1, Answered: 1, Good: 1}},
+		{"late", finished{finish: answered{ok: true}, warm: true, latency: 2 * deadline}, Tally{All: 1, Calls: 1, Answered: 1}},
+		{"failed", finished{finish: answered{}, warm: true}, Tally{All: 1, Calls: 1, Answered: 1, Failed: 1}},
+		{"foreign", finished{finish: answered{ok: true, foreign: true}}, Tally{All: 1, Foreign: 1}},
+		{"warm-up", finished{finish: unknown{"PeerLost"}}, Tally{}},
+		{"refused", finished{finish: refused{kind: "Busy"}, warm: true}, Tally{Calls: 1, Refused: map[string]int{"Busy": 1}}},
+		{"unknown", finished{finish: unknown{"PeerLost"}, warm: true}, Tally{Calls: 1, Unknown: map[string]int{"PeerLost": 1}}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRecorder([]setup.Load{{Deadline: deadline}})
+			r.put(test.in)
+			got := r.snapshot().tallies[0]
+			r.Stop()
+			got.Latency = nil
+			if test.want.Refused == nil {
+				test.want.Refused = map[string]int{}
+			}
+			if test.want.Unknown == nil {
+				test.want.Unknown = map[string]int{}
+			}
+			c.Assert(got, qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// A refusal that is counted as proof although an earlier send may have run would report false refusals.
+func TestOnlyProvedRefusalsAreChecked(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		in   finish
+		want bool
+	}{
+		{"proved", refused{kind: "Busy"}, true},
+		{"earlier sends unknown", refused{kind: "OwnerGone", earlier: true}, false},
+		{"answered", answered{ok: true}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := newRecorder([]setup.Load{{}})
+			r.put(finished{finish: test.in, marker: "m"})
+			s := r.snapshot()
+			r.Stop()
+			<-r.Done()
+			c.Assert(s.refused["m"], qt.Equals, test.want)
+		})
+	}
+}
--- /dev/null
+++ b/internal/bench/load/metric.go
@@ -0,0 +1,30 @@
+package load
+
+import (
+	"net/http"
+	"net/netip"
+
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+)
+
+// Metrics returns the sum of each counter of a daemon over its labels. It is empty when the daemon does not answer.
+func Metrics(client *http.Client, at netip.AddrPort) map[string]float64 {
+	sums := map[string]float64{}
+	r, err := client.Get("http://" + at.String() + "/metrics")
+	if err != nil {
+		return sums
+	}
+	defer r.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(r.Body)
+	if err != nil {
+		return sums
+	}
+	for name, f := range families {
+		for _, m := range f.GetMetric() {
+			sums[name] += m.GetCounter().GetValue()
+		}
+	}
+	return sums
+}
--- /dev/null
+++ b/internal/bench/load/pick.go
@@ -0,0 +1,146 @@
+package load
+
+import (
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/super/tree"
+	"math/rand/v2"
+	"time"
+)
+
+// A policy is one of random, roundRobin, staleLeast and oracle.
+type policy interface{ policy() }
+
+type random struct{}
+
+type roundRobin struct{}
+
+// A staleLeast policy knows the calls in flight as they were at its last report.
+type staleLeast struct{ every time.Duration }
+
+// An oracle policy knows the true number of calls in flight at each target, which no system can.
+type oracle struct{}
+
+func (random) policy()     {}
+func (roundRobin) policy() {}
+func (staleLeast) policy() {}
+func (oracle) policy()     {}
+
+// reportGap is the age that load reports reach in the baseline of stale reports.
+const reportGap = 100 * time.Millisecond
+
+func policyOf(b setup.Balancer) (policy, bool) {
+	switch b {
+	case setup.Random:
+		return random{}, true
+	case setup.RoundRobin:
+		return roundRobin{}, true
+	case setup.StaleLeast:
+		return staleLeast{reportGap}, true
+	case setup.Oracle:
+		return oracle{}, true
+	case setup.Daemon:
+	}
+	return nil, false
+}
+
+type pickMessage interface{ pickMessage() }
+
+type pick struct {
+	service string
+	from    ident.DataCentre
+	reply   *mail.Box[*stage.Member]
+}
+
+type settled struct{ member *stage.Member }
+
+func (pick) pickMessage()    {}
+func (settled) pickMessage() {}
+
+// A picker chooses targets for direct calls by a policy.
+type picker struct {
+	*tree.Loop
+	inbox    *mail.Box[pickMessage]
+	policy   policy
+	random   *rand.Rand
+	members  map[string][]*stage.Member
+	next     map[string]int
+	inFlight map[*stage.Member]int
+	reported map[*stage.Member]int
+}
+
+const pickMailbox = 4096
+
+func newPicker(p policy, seed uint64, members []*stage.Member) *picker {
+	k := &picker{
+		Loop: tree.NewLoop(), inbox: mail.NewBox[pickMessage](pickMailbox), policy: p,
+		random: rand.New(rand.NewPCG(seed, 2)), members: map[string][]*stage.Member{}, next: map[string]int{},
+		inFlight: map[*stage.Member]int{}, reported: map[*stage.Member]int{},
+	}
+	for _, m := range members {
+		k.members[m.Service.Name] = append(k.members[m.Service.Name], m)
+	}
+	go func() {
+		k.Run(k.loop)
+	}()
+	return k
+}
+
+func (k *picker) loop() error {
+	var reports <-chan time.Time
+	if p, ok := k.policy.(staleLeast); ok {
+		ticker := time.NewTicker(p.every)
+		defer ticker.Stop()
+		reports = ticker.C
+	}
+	for {
+		select {
+		case m := <-k.inbox.C():
+			switch m := m.(type) {
+			case pick:
+				chosen := k.choose(m.service, m.from)
+				k.inFlight[chosen]++
+				m.reply.TryPut(chosen)
+			case settled:
+				k.inFlight[m.member]--
+			}
+		case <-reports:
+			for m, n := range k.inFlight {
+				k.reported[m] = n
+			}
+		case <-k.Stopping():
+			return nil
+		}
+	}
+}
+
+func (k *picker) choose(service string, from ident.DataCentre) *stage.Member {
+	members := k.members[service]
+	switch k.policy.(type) {
+	case roundRobin:
+		k.next[service]++
+		return members[k.next[service]%len(members)]
+	case staleLeast:
+		return k.least(members, k.reported, from)
+	case oracle:
+		return k.least(members, k.inFlight, from)
+	}
+	return members[k.random.IntN(len(members))]
+}
+
+// least returns the member with the fewest calls, the own data centre and then chance deciding between equals.
+func (k *picker) least(members []*stage.Member, calls map[*stage.Member]int, from ident.DataCentre) *stage.Member {
+	best, bestScore := members[0], -1.0
+	for _, m := range members {
+		score := float64(calls[m]) + k.random.Float64()/4
+		if m.DataCentre != from {
+			score += 0.5
+		}
+		if bestScore < 0 || score < bestScore {
+			best, bestScore = m, score
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/bench/proc/embed.go
@@ -0,0 +1,55 @@
+package proc
+
+import (
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/super/daemon"
+	"jacinthcross/internal/super/tree"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+// An Embedded owns a daemon in this process.
+type Embedded struct {
+	*tree.Loop
+	daemon *daemon.Daemon
+	inbox  *mail.Box[Message]
+}
+
+// NewEmbedded starts a daemon in this process.
+func NewEmbedded(inbox *mail.Box[Message], settings *conf.Settings) (*Embedded, error) {
+	d, err := daemon.New(settings, "bench")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	t := &Embedded{Loop: tree.NewLoop(), daemon: d, inbox: inbox}
+	go func() {
+		t.Run(t.loop)
+	}()
+	return t, nil
+}
+
+func (t *Embedded) loop() error {
+	for {
+		select {
+		case m := <-t.inbox.C():
+			switch m := m.(type) {
+			case Terminate:
+				t.daemon.Drain()
+				return nil
+			case Restart, Kill:
+				t.daemon.Drain()
+				return ErrExited
+			case AskPID:
+				m.Reply.TryPut(os.Getpid())
+			case Pause, Continue:
+			}
+		case <-t.daemon.Done():
+			return errors.Annotate(ErrExited, "daemon in this process")
+		case <-t.Stopping():
+			t.daemon.Drain()
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/bench/report/result.go
@@ -0,0 +1,129 @@
+// Package report keeps and shows the results of runs.
+package report
+
+import (
+	"encoding/json"
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/setup"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// A Result is what one run of a scenario showed.
+type Result struct {
+	Scenario   string
+	Deployment string
+	Seed       uint64
+	Started    time.Time
+	Runs       []Run
+}
+
+// A Run is the part of a Result with one balancer.
+type Run struct {
+	Balancer      setup.Balancer
+	Seconds       float64
+	Sent          int
+	Late          int
+	TargetRuns    int
+	Amplification float64
+	SecondRuns    int
+	FalseRefusals int
+	Foreign       int
+	// ProbesPerCall and ControlBytesPerCall count calls including the warm-up.
+	ProbesPerCall       float64
+	ControlBytesPerCall float64
+	PlatformCalls       int
+	Loads               []Load
+}
+
+// A Load is what the calls of one load saw. Latencies are in milliseconds.
+type Load struct {
+	Name     string
+	Service  string
+	Rate     float64
+	Calls    int
+	Answered int
+	Good     int
+	Failed   int
+	Sends    int
+	Refused  map[string]int
+	Unknown  map[string]int
+	Goodput  float64
+	P50      float64
+	P99      float64
+	P999     float64
+	Curve    []Point
+}
+
+// A Point is a quantile of the latency in percent and in milliseconds.
+type Point struct {
+	Percent float64
+	Millis  float64
+}
+
+var quantiles = []float64{1, 5, 10, 20, 30, 40, 50, 60, 70, 80, 90, 95, 98, 99, 99.5, 99.9, 100}
+
+// NewRun turns the outcome of a balancer into its part of a Result.
+func NewRun(s *setup.Scenario, o *load.Outcome) Run {
+	r := Run{
+		Balancer: o.Balancer, Seconds: o.Elapsed.Seconds(), Sent: o.Sent, Late: o.Late, TargetRuns: o.Runs,
+		Amplification: o.Amplification, SecondRuns: o.SecondRuns, FalseRefusals: o.FalseRefusals, PlatformCalls: o.PlatformCalls,
+	}
+	if o.Sent > 0 {
+		r.ProbesPerCall = o.Probes / float64(o.Sent)
+		r.ControlBytesPerCall = o.ControlBytes / float64(o.Sent)
+	}
+	for i, t := range o.Tallies {
+		r.Foreign += t.Foreign
+		r.Loads = append(r.Loads, newLoad(s, s.Loads[i], t))
+	}
+	return r
+}
+
+func newLoad(s *setup.Scenario, l setup.Load, t load.Tally) Load {
+	millis := func(percent float64) float64 { return float64(t.Latency.ValueAtQuantile(percent)) / 1000 }
+	v := Load{
+		Name: l.Name, Service: l.Service, Rate: l.Rate, Calls: t.Calls, Answered: t.Answered, Good: t.Good, Failed: t.Failed,
+		Sends: t.Sends, Refused: t.Refused, Unknown: t.Unknown, P50: millis(50), P99: millis(99), P999: millis(99.9),
+	}
+	if measured := l.Until - max(l.From, s.WarmUp); measured > 0 {
+		v.Goodput = float64(t.Good) / measured.Seconds()
+	}
+	for _, q := range quantiles {
+		v.Curve = append(v.Curve, Point{q, millis(q)})
+	}
+	return v
+}
+
+// Total returns the sum of counts.
+func Total(counts map[string]int) int {
+	n := 0
+	for _, v := range counts {
+		n += v
+	}
+	return n
+}
+
+// Write writes a Result into a file.
+func Write(path string, r *Result) error {
+	text, err := json.MarshalIndent(r, "", "  ")
+	if err != nil {
+		return errors.Annotate(err, "encode result")
+	}
+	return errors.Annotate(os.WriteFile(path, append(text, '\n'), 0o644), "write result")
+}
+
+// Read reads a Result from a file.
+func Read(path string) (*Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "read result")
+	}
+	r := &Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, errors.NewNotValid(err, path)
+	}
+	return r, nil
+}
--- /dev/null
+++ b/internal/bench/setup/layout.go
@@ -0,0 +1,102 @@
+// Package setup describes deployments and scenarios of the load tool.
+package setup
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"time"
+)
+
+// A Layout is a deployment: data centres and the services in them.
+type Layout struct {
+	Name        string
+	DataCentres []ident.DataCentre
+	// OneWay is the delay between two data centres.
+	OneWay   time.Duration
+	Services []Service
+}
+
+// A Service is a service of a Layout.
+type Service struct {
+	Name    string
+	Targets int
+	Slots   int
+	Rank    ident.Rank
+	Median  time.Duration
+	Sigma   float64
+	// Keyed says that calls are not idempotent.
+	Keyed bool
+	// Next is the service that each call calls.
+	Next string
+}
+
+// Perizia is the deployment for surveys in Sicily.
+func Perizia() Layout {
+	return Layout{
+		Name:        "Perizia",
+		DataCentres: []ident.DataCentre{"catania", "palermo", "messina"},
+		OneWay:      1500 * time.Microsecond,
+		Services: []Service{
+			{Name: "summaries", Targets: 5, Slots: 10, Rank: ident.Urgent, Median: 30 * time.Millisecond, Sigma: 0.5},
+			{Name: "bookings", Targets: 3, Slots: 10, Rank: ident.Urgent, Median: 40 * time.Millisecond, Sigma: 0.3, Keyed: true},
+			{Name: "reports", Targets: 3, Slots: 10, Rank: ident.Normal, Median: 60 * time.Millisecond, Sigma: 0.5},
+		},
+	}
+}
+
+// Clachan is the deployment for pendulum hire in Scotland.
+func Clachan() Layout {
+	return Layout{
+		Name:        "Clachan",
+		DataCentres: []ident.DataCentre{"glasgow", "edinburgh", "aberdeen", "inverness"},
+		OneWay:      500 * time.Microsecond,
+		Services: []Service{
+			{Name: "catalogue", Targets: 4, Slots: 6, Rank: ident.Urgent, Median: 30 * time.Millisecond, Sigma: 0.5},
+			{Name: "bookings", Targets: 4, Slots: 6, Rank: ident.Urgent, Median: 40 * time.Millisecond, Sigma: 0.3, Keyed: true},
+			{Name: "deliveries", Targets: 4, Slots: 6, Rank: ident.Deferred, Median: 60 * time.Millisecond, Sigma: 0.5},
+		},
+	}
+}
+
+// A Seat is the place of one target in a Layout.
+type Seat struct {
+	Service    Service
+	Target     string
+	VM         ident.VM
+	DataCentre ident.DataCentre
+}
+
+// Seats places the targets of each service in turn over the data centres.
+func (l Layout) Seats() []Seat {
+	var seats []Seat
+	for i, s := range l.Services {
+		for j := range s.Targets {
+			seats = append(seats, Seat{
+				Service:    s,
+				Target:     fmt.Sprintf("%s-%d", s.Name, j),
+				VM:         ident.VM(fmt.Sprintf("vm-%s-%d", s.Name, j)),
+				DataCentre: l.DataCentres[(i+j)%len(l.DataCentres)],
+			})
+		}
+	}
+	return seats
+}
+
+// Service returns the service with a name.
+func (l Layout) Service(name string) (Service, bool) {
+	for _, s := range l.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Depth returns how many services a call of a service reaches.
+func (l Layout) Depth(service string) int {
+	depth := 0
+	for s, ok := l.Service(service); ok; s, ok = l.Service(s.Next) {
+		depth++
+	}
+	return depth
+}
--- /dev/null
+++ b/internal/bench/setup/scene.go
@@ -0,0 +1,298 @@
+package setup
+
+import (
+	"bytes"
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// A Balancer decides which target a call of the load goes to.
+type Balancer string
+
+// The balancers. All but Daemon are baselines: the load tool calls the targets directly.
+const (
+	Daemon     Balancer = "Daemon"
+	Random     Balancer = "Random"
+	RoundRobin Balancer = "RoundRobin"
+	StaleLeast Balancer = "StaleLeast"
+	Oracle     Balancer = "Oracle"
+)
+
+// Balancers lists all balancers.
+func Balancers() []Balancer { return []Balancer{Daemon, Random, RoundRobin, StaleLeast, Oracle} }
+
+// A FaultKind is what a fault does.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	SlowTarget     FaultKind = "SlowTarget"
+	DrainTarget    FaultKind = "DrainTarget"
+	CrashTarget    FaultKind = "CrashTarget"
+	WithdrawTarget FaultKind = "WithdrawTarget"
+	StopDaemon     FaultKind = "StopDaemon"
+	RestartDaemon  FaultKind = "RestartDaemon"
+	KillDaemon     FaultKind = "KillDaemon"
+	SilenceLinks   FaultKind = "SilenceLinks"
+	ConfigDown     FaultKind = "ConfigDown"
+	ConfigNormal   FaultKind = "ConfigNormal"
+)
+
+func faultKinds() []FaultKind {
+	return []FaultKind{
+		SlowTarget, DrainTarget, CrashTarget, WithdrawTarget, StopDaemon, RestartDaemon, KillDaemon,
+		SilenceLinks, ConfigDown, ConfigNormal,
+	}
+}
+
+// A Fault happens at a time after the start of the load. Daemons are named by their target.
+type Fault struct {
+	At     time.Duration
+	Kind   FaultKind
+	Target string
+	Factor float64
+}
+
+// A Load is one stream of calls with exponential gaps.
+type Load struct {
+	Name    string
+	Service string
+	Rate    float64
+	From    time.Duration
+	Until   time.Duration
+	// Resends bounds how often a caller sends an unknown or refused call again.
+	Resends int
+	// Lost is the share of answers that the caller loses and asks for again.
+	Lost float64
+	// Patience is how long a caller waits for one send before it sends again. Zero waits for the deadline.
+	Patience time.Duration
+	// Deadline is how long a caller waits. Answers after it are not counted as good.
+	Deadline time.Duration
+}
+
+// A Scenario is a deployment with a load and faults.
+type Scenario struct {
+	Name      string
+	Layout    Layout
+	Seed      uint64
+	WarmUp    time.Duration
+	Balancers []Balancer
+	Loads     []Load
+	Faults    []Fault
+	Noise     NoiseFile
+	Cold      ColdFile
+	ShedAbove int
+}
+
+// Duration returns the time from the start of the load to its end.
+func (s *Scenario) Duration() time.Duration {
+	var end time.Duration
+	for _, l := range s.Loads {
+		end = max(end, l.Until)
+	}
+	return end
+}
+
+// A NoiseFile is a noisy neighbour of every target.
+type NoiseFile struct {
+	Period Span
+	Share  float64
+	Factor float64
+}
+
+// A ColdFile is the cold start of every target.
+type ColdFile struct {
+	Time   Span
+	Factor float64
+}
+
+// A Span is a duration in a scenario file, such as "20ms".
+type Span time.Duration
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil || d < 0 {
+		return errors.NotValidf("duration %q (want one such as \"20ms\")", text)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// file is the form of a scenario file.
+type file struct {
+	Name       string
+	Deployment string
+	Seed       uint64
+	WarmUp     Span
+	Duration   Span
+	Balancers  []Balancer
+	Chain      int
+	ShedAbove  int
+	Noise      NoiseFile
+	Cold       ColdFile
+	Service    []struct {
+		Name   string
+		Median Span
+		Sigma  float64
+	}
+	Load []struct {
+		Name     string
+		Service  string
+		Rate     float64
+		From     Span
+		Until    Span
+		Deadline Span
+		Patience Span
+		Lost     float64
+		Resends  int
+	}
+	Fault []struct {
+		At     Span
+		Kind   FaultKind
+		Target string
+		Factor float64
+	}
+}
+
+// ReadScenario reads and checks a scenario file.
+func ReadScenario(path string) (*Scenario, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Annotate(err, "read scenario")
+	}
+	s, err := ParseScenario(text)
+	return s, errors.Annotatef(err, "%s", path)
+}
+
+// defaultDeadline is how long callers wait when the scenario does not say.
+const defaultDeadline = 2 * time.Second
+
+// ParseScenario reads and checks a scenario.
+func ParseScenario(text []byte) (*Scenario, error) {
+	var f file
+	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
+	if err := d.Decode(&f); err != nil {
+		return nil, errors.NewNotValid(err, "scenario")
+	}
+	s := &Scenario{
+		Name: f.Name, Seed: f.Seed, WarmUp: time.Duration(f.WarmUp), Balancers: f.Balancers,
+		Noise: f.Noise, Cold: f.Cold, ShedAbove: f.ShedAbove,
+	}
+	switch f.Deployment {
+	case "Perizia":
+		s.Layout = Perizia()
+	case "Clachan":
+		s.Layout = Clachan()
+	default:
+		return nil, errors.NotValidf("Deployment %q (want Perizia or Clachan)", f.Deployment)
+	}
+	if err := f.services(s); err != nil {
+		return nil, err
+	}
+	if err := f.loads(s); err != nil {
+		return nil, err
+	}
+	return s, f.faults(s)
+}
+
+func (f *file) services(s *Scenario) error {
+	for _, c := range f.Service {
+		found := false
+		for i := range s.Layout.Services {
+			if v := &s.Layout.Services[i]; v.Name == c.Name {
+				v.Median, v.Sigma, found = time.Duration(c.Median), c.Sigma, true
+			}
+		}
+		if !found {
+			return errors.NotValidf("Service %q of the deployment", c.Name)
+		}
+	}
+	if f.Chain == 1 || f.Chain < 0 {
+		return errors.NotValidf("Chain %d (want 0 or at least 2)", f.Chain)
+	}
+	for level := 2; level <= f.Chain; level++ {
+		name := fmt.Sprintf("level-%d", level)
+		previous := &s.Layout.Services[0]
+		if level > 2 {
+			previous = &s.Layout.Services[len(s.Layout.Services)-1]
+		}
+		previous.Next = name
+		s.Layout.Services = append(s.Layout.Services, Service{
+			Name: name, Targets: 2, Slots: previous.Slots, Rank: ident.Normal,
+			Median: 2 * time.Millisecond, Sigma: 0.3,
+		})
+	}
+	known := Balancers()
+	for _, b := range s.Balancers {
+		if !slices.Contains(known, b) {
+			return errors.NotValidf("Balancers %q (want some of %v)", b, known)
+		}
+		if f.Chain > 0 && b != Daemon {
+			return errors.NotValidf("Balancers %q with Chain: the calls between targets pass through daemons", b)
+		}
+	}
+	if len(s.Balancers) == 0 {
+		return errors.NotValidf("scenario without Balancers")
+	}
+	return nil
+}
+
+func (f *file) loads(s *Scenario) error {
+	for _, l := range f.Load {
+		if _, ok := s.Layout.Service(l.Service); !ok {
+			return errors.NotValidf("Load for service %q", l.Service)
+		}
+		if l.Rate <= 0 {
+			return errors.NotValidf("Load for service %q: Rate %v", l.Service, l.Rate)
+		}
+		v := Load{
+			Name: l.Name, Service: l.Service, Rate: l.Rate, From: time.Duration(l.From), Until: time.Duration(l.Until),
+			Resends: l.Resends, Lost: l.Lost, Patience: time.Duration(l.Patience), Deadline: time.Duration(l.Deadline),
+		}
+		if v.Name == "" {
+			v.Name = l.Service
+		}
+		if v.Until == 0 {
+			v.Until = time.Duration(f.Duration)
+		}
+		if v.Deadline == 0 {
+			v.Deadline = defaultDeadline
+		}
+		if v.From >= v.Until {
+			return errors.NotValidf("Load %q from %v until %v", v.Name, v.From, v.Until)
+		}
+		s.Loads = append(s.Loads, v)
+	}
+	if len(s.Loads) == 0 {
+		return errors.NotValidf("scenario without Load")
+	}
+	return nil
+}
+
+func (f *file) faults(s *Scenario) error {
+	names := map[string]bool{}
+	for _, seat := range s.Layout.Seats() {
+		names[seat.Target] = true
+	}
+	for _, v := range f.Fault {
+		if !slices.Contains(faultKinds(), v.Kind) {
+			return errors.NotValidf("Fault Kind %q (want one of %v)", v.Kind, faultKinds())
+		}
+		switch v.Kind {
+		case ConfigDown, ConfigNormal:
+		default:
+			if !names[v.Target] {
+				return errors.NotValidf("Fault %s at target %q", v.Kind, v.Target)
+			}
+		}
+		s.Faults = append(s.Faults, Fault{At: time.Duration(v.At), Kind: v.Kind, Target: v.Target, Factor: v.Factor})
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bench/setup/scene_test.go
@@ -0,0 +1,58 @@
+package setup_test
+
+import (
+	"jacinthcross/internal/bench/setup"
+	"path/filepath"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+)
+
+// A scenario file that does not load would be found only when somebody runs the experiment.
+func TestCommittedScenarios(t *testing.T) {
+	c := qt.New(t)
+	files, err := filepath.Glob("../../../scenarios/*.toml")
+	c.Assert(err, qt.IsNil)
+	c.Assert(len(files) >= 8, qt.IsTrue)
+	for _, f := range files {
+		s, err := setup.ReadScenario(f)
+		c.Assert(err, qt.IsNil)
+		c.Assert(s.Name+".toml", qt.Equals, filepath.Base(f))
+		c.Assert(s.WarmUp < s.Duration(), qt.IsTrue)
+	}
+}
+
+// A mistake that is passed over would run another experiment than its author meant.
+func TestRefusesMistakes(t *testing.T) {
+	const good = "Deployment = \"Perizia\"\nDuration = \"1s\"\nBalancers = [\"Daemon\"]\n[[Load]]\nService = \"summaries\"\nRate = 1\n"
+	for _, test := range []struct {
+		name, text, want string
+	}{
+		{"unknown key", "Colour = 1\n" + good, `.*strict mode.*`},
+		{"unknown deployment", "Deployment = \"Elsewhere\"\n", `Deployment "Elsewhere".*`},
+		{"unknown service", good + "[[Load]]\nService = \"x\"\nRate = 1\n", `Load for service "x" not valid`},
+		{"no rate", good + "[[Load]]\nService = \"reports\"\n", `Load for service "reports": Rate 0 not valid`},
+		{"unknown fault", good + "[[Fault]]\nKind = \"Flood\"\n", `Fault Kind "Flood".*`},
+		{"unknown target", good + "[[Fault]]\nKind = \"CrashTarget\"\nTarget = \"x\"\n", `Fault CrashTarget at target "x" not valid`},
+		{"baseline with chain", "Chain = 3\nDeployment = \"Perizia\"\nDuration = \"1s\"\nBalancers = [\"Oracle\"]\n", `Balancers "Oracle" with Chain.*`},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			_, err := setup.ParseScenario([]byte(test.text))
+			c.Assert(err, qt.ErrorMatches, `(?s)`+test.want)
+			c.Assert(errors.Is(err, errors.NotValid), qt.IsTrue)
+		})
+	}
+	_, err := setup.ParseScenario([]byte(good))
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// A chain of the wrong length would make retry amplification look smaller than it is.
+func TestChainDepth(t *testing.T) {
+	c := qt.New(t)
+	s, err := setup.ParseScenario([]byte("Chain = 7\nDeployment = \"Perizia\"\nDuration = \"1s\"\nBalancers = [\"Daemon\"]\n[[Load]]\nService = \"summaries\"\nRate = 1\n"))
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.Layout.Depth("summaries"), qt.Equals, 7)
+	c.Assert(s.Layout.Depth("reports"), qt.Equals, 1)
+}
--- /dev/null
+++ b/internal/bench/stage/member.go
@@ -0,0 +1,195 @@
+package stage
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/delay"
+	"jacinthcross/internal/bench/proc"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/target"
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/super/tree"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// A Member is a target with the daemon beside it.
+type Member struct {
+	setup.Seat
+	Settings *conf.Settings
+	// Address is where the target listens.
+	Address netip.AddrPort
+	// Relay is the address of the daemon in the release note.
+	Relay netip.AddrPort
+	// Direct is the address of the target as seen from each data centre.
+	Direct map[ident.DataCentre]netip.AddrPort
+	Target *mail.Box[target.Message]
+	Daemon *mail.Box[proc.Message]
+	// Links is the mailbox of the relay of the daemon's links.
+	Links *mail.Box[delay.Message]
+}
+
+// Silence makes the open links to the daemon silent.
+func (m *Member) Silence() { m.Links.TryPut(delay.Silence{}) }
+
+func newMember(seat setup.Seat, configURL string) (*Member, error) {
+	m := &Member{
+		Seat: seat, Direct: map[ident.DataCentre]netip.AddrPort{},
+		Target: target.NewBox(), Daemon: proc.NewBox(), Links: delay.NewBox(),
+		Settings: &conf.Settings{
+			VM: seat.VM, DataCentre: seat.DataCentre, Config: configURL,
+			MaxBody: 8 << 20, MaxHeader: 64 << 10, KeyEpoch: 5 * time.Minute,
+		},
+	}
+	for _, a := range []*netip.AddrPort{&m.Address, &m.Relay, &m.Settings.Callers, &m.Settings.Peers, &m.Settings.Admin} {
+		var err error
+		if *a, err = FreeAddress(); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+// entry returns the entry of the member in a release note.
+func (m *Member) entry() string {
+	return fmt.Sprintf("[[AddTarget]]\nName = %q\nService = %q\nVM = %q\nDataCentre = %q\nDaemon = %q\nAddress = %q\nSlots = %d\n",
+		m.Seat.Target, m.Service.Name, string(m.VM), string(m.DataCentre), m.Relay, m.Address, m.Service.Slots)
+}
+
+// settingsFile returns the settings of the daemon as a file.
+func (m *Member) settingsFile() string {
+	var b strings.Builder
+	s := m.Settings
+	fmt.Fprintf(&b, "VM = %q\nDataCentre = %q\n", string(s.VM), string(s.DataCentre))
+	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nPeers = %q\nAdmin = %q\n", s.Callers, s.Peers, s.Admin)
+	fmt.Fprintf(&b, "[Platform]\nConfig = %q\n", s.Config)
+	if s.VMList != "" {
+		fmt.Fprintf(&b, "VMList = %q\n", s.VMList)
+	}
+	if len(s.Seeds) > 0 {
+		seeds := make([]string, len(s.Seeds))
+		for i, a := range s.Seeds {
+			seeds[i] = fmt.Sprintf("%q", a)
+		}
+		fmt.Fprintf(&b, "Seeds = [%s]\n", strings.Join(seeds, ", "))
+	}
+	return b.String()
+}
+
+// restartDelay is how long a crashed target or daemon is away.
+const restartDelay = 300 * time.Millisecond
+
+// restarts wraps a constructor so that all starts but the first come after a delay.
+func restarts(start func() (tree.Task, error)) func() (tree.Task, error) {
+	first := true
+	return func() (tree.Task, error) {
+		if !first {
+			time.Sleep(restartDelay)
+		}
+		first = false
+		return start()
+	}
+}
+
+func (s *Stage) targetChild(i int, m *Member) tree.Child {
+	v := target.Settings{
+		Name: m.Seat.Target, Address: m.Address, Slots: m.Service.Slots,
+		Times: target.LogNormal{Median: m.Service.Median, Sigma: m.Service.Sigma},
+		Seed:  s.config.Seed + uint64(i), Noise: s.config.Noise, Cold: s.config.Cold,
+		ShedAbove: s.config.ShedAbove, CrashMarker: CrashMarker, Next: m.Service.Next, Daemon: m.Settings.Callers,
+	}
+	return tree.Child{Name: m.Seat.Target, Start: restarts(func() (tree.Task, error) { return target.New(v, m.Target, s.Tally) })}
+}
+
+// CrashMarker is the text in a request that crashes the target that runs it.
+const CrashMarker = "crash-the-target"
+
+func (s *Stage) relayChildren(m *Member) ([]tree.Child, error) {
+	peers := tree.Child{Name: "relay-" + m.Seat.Target, Start: func() (tree.Task, error) {
+		return delay.New(m.Links, m.Relay, m.Settings.Peers, func(from netip.AddrPort) time.Duration {
+			if s.dataCentreOf(from) == m.DataCentre {
+				return 0
+			}
+			return s.config.Layout.OneWay
+		})
+	}}
+	children := []tree.Child{peers}
+	if _, ok := s.config.Daemons.(None); !ok {
+		return children, nil
+	}
+	for _, dc := range s.config.Layout.DataCentres {
+		at, err := FreeAddress()
+		if err != nil {
+			return nil, err
+		}
+		m.Direct[dc] = at
+		oneWay := s.config.Layout.OneWay
+		if dc == m.DataCentre {
+			oneWay = 0
+		}
+		children = append(children, tree.Child{Name: fmt.Sprintf("direct-%s-%s", m.Seat.Target, dc), Start: func() (tree.Task, error) {
+			return delay.New(delay.NewBox(), at, m.Address, func(netip.AddrPort) time.Duration { return oneWay })
+		}})
+	}
+	return children, nil
+}
+
+func (s *Stage) daemonChild(m *Member) (tree.Child, bool, error) {
+	name := "daemon-" + string(m.VM)
+	switch d := s.config.Daemons.(type) {
+	case Embedded:
+		return tree.Child{Name: name, Start: restarts(func() (tree.Task, error) {
+			return proc.NewEmbedded(m.Daemon, m.Settings)
+		})}, true, nil
+	case Processes:
+		file := filepath.Join(s.dir, name+".toml")
+		if err := os.WriteFile(file, []byte(m.settingsFile()), 0o600); err != nil {
+			return tree.Child{}, false, errors.Annotate(err, "write settings")
+		}
+		return tree.Child{Name: name, Start: restarts(func() (tree.Task, error) {
+			return proc.New(m.Daemon, filepath.Join(s.dir, name+".log"), d.Path, "serve", "--config", file)
+		})}, true, nil
+	case None:
+	}
+	return tree.Child{}, false, nil
+}
+
+// dataCentreOf returns the data centre of the daemon process that opened a connection.
+// For daemons in this process it is not known.
+func (s *Stage) dataCentreOf(from netip.AddrPort) ident.DataCentre {
+	if _, ok := s.config.Daemons.(Processes); !ok {
+		return ""
+	}
+	pids := map[int]ident.DataCentre{}
+	var list []int
+	for _, m := range s.Members {
+		if pid, ok := m.PID(); ok {
+			pids[pid] = m.DataCentre
+			list = append(list, pid)
+		}
+	}
+	pid, _ := proc.SocketOwner(from, list)
+	return pids[pid]
+}
+
+// PID returns the process id of the daemon, or false when it does not run.
+func (m *Member) PID() (int, bool) {
+	reply := mail.NewBox[int](1)
+	if !m.Daemon.TryPut(proc.AskPID{Reply: reply}) {
+		return 0, false
+	}
+	select {
+	case pid := <-reply.C():
+		return pid, true
+	case <-time.After(askTimeout):
+		return 0, false
+	}
+}
+
+const askTimeout = 100 * time.Millisecond
--- /dev/null
+++ b/internal/bench/target/target_test.go
@@ -0,0 +1,153 @@
+package target_test
+
+import (
+	"io"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+type running struct {
+	task   *target.Task
+	counts *tally.Task
+	box    interface{ TryPut(target.Message) bool }
+	url    string
+}
+
+func start(c *qt.C, change func(*target.Settings)) running {
+	at, err := stage.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	s := target.Settings{Name: "t", Address: at, Slots: 1, Times: target.Fixed{Time: time.Millisecond}, CrashMarker: "boom"}
+	change(&s)
+	counts, box := tally.New(), target.NewBox()
+	t, err := target.New(s, box, counts)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		t.Stop()
+		<-t.Done()
+		counts.Stop()
+	})
+	return running{t, counts, box, "http://" + at.String()}
+}
+
+// reply is what a test looks at in a response.
+type reply struct {
+	status int
+	notRun string
+}
+
+func post(url, body string) (reply, error) {
+	r, err := http.Post(url+"/x", "text/plain", strings.NewReader(body))
+	if err != nil {
+		return reply{}, err
+	}
+	defer r.Body.Close()
+	_, err = io.Copy(io.Discard, r.Body)
+	return reply{r.StatusCode, r.Header.Get("Jacinth-Not-Run")}, err
+}
+
+// A second run that is not counted would hide a broken at-most-once promise from every experiment.
+func TestCountsRunsOfMarkers(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		bodies []string
+		second int
+	}{
+		{"one run each", []string{"a", "b"}, 0},
+		{"one marker twice", []string{"a", "b", "a"}, 1},
+		{"one marker three times", []string{"a", "a", "a"}, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := start(c, func(*target.Settings) {})
+			for _, b := range test.bodies {
+				response, err := post(r.url, b)
+				c.Assert(err, qt.IsNil)
+				c.Assert(response, qt.Equals, reply{http.StatusOK, ""})
+			}
+			c.Assert(r.counts.Counts().SecondRuns(), qt.Equals, test.second)
+			c.Assert(r.counts.Counts().Total(), qt.Equals, len(test.bodies))
+		})
+	}
+}
+
+// A stand-in that sheds after it ran a call would make its proof a lie.
+func TestRefusalsProveThatNothingRan(t *testing.T) {
+	c := qt.New(t)
+	r := start(c, func(*target.Settings) {})
+	r.box.TryPut(target.Adjust{Slowdown: 1, Draining: true})
+	response, err := post(r.url, "a")
+	c.Assert(err, qt.IsNil)
+	c.Assert(response, qt.Equals, reply{http.StatusServiceUnavailable, "true"})
+	c.Assert(r.counts.Counts().Total(), qt.Equals, 0)
+	c.Assert(r.task.State().Shed, qt.Equals, 1)
+}
+
+// A crash must cut the connections of all calls in flight and be counted as a run of the crashing call.
+func TestCrashCutsConnections(t *testing.T) {
+	c := qt.New(t)
+	r := start(c, func(s *target.Settings) { s.Slots, s.Times = 2, target.Fixed{Time: time.Minute} })
+	failed := make(chan error, 1)
+	go func() {
+		_, err := post(r.url, "waits")
+		failed <- err
+	}()
+	for r.task.State().InFlight == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	_, err := post(r.url, "boom")
+	c.Assert(err, qt.IsNotNil)
+	c.Assert(<-failed, qt.IsNotNil)
+	c.Assert(r.task.Err(), qt.ErrorIs, target.ErrCrashed)
+	c.Assert(r.counts.Counts().Markers, qt.DeepEquals, map[string]int{"waits": 1, "boom": 1})
+}
+
+// More calls at once than slots would make the stand-in faster than the server that it stands for.
+func TestSlotsBoundCallsInFlight(t *testing.T) {
+	c := qt.New(t)
+	r := start(c, func(s *target.Settings) { s.Slots, s.Times = 2, target.Fixed{Time: time.Minute} })
+	for range 5 {
+		go func() { _, _ = post(r.url, "") }()
+	}
+	for r.task.State().InFlight+r.task.State().Waiting < 5 {
+		time.Sleep(time.Millisecond)
+	}
+	s := r.task.State()
+	c.Assert(s.InFlight, qt.Equals, 2)
+	c.Assert(s.Waiting, qt.Equals, 3)
+}
+
+// Service times that depend on more than the seed would make two runs incomparable.
+func TestSampleDependsOnSeedOnly(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		d    target.Distribution
+		mean time.Duration
+	}{
+		{"fixed", target.Fixed{Time: 5 * time.Millisecond}, 5 * time.Millisecond},
+		{"exponential", target.Exponential{Mean: 5 * time.Millisecond}, 5 * time.Millisecond},
+		// The mean of a log-normal distribution is median * exp(sigma^2 / 2).
+		{"log-normal", target.LogNormal{Median: 5 * time.Millisecond, Sigma: 0.5}, 5666 * time.Microsecond},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			a, b := rand.New(rand.NewPCG(1, 1)), rand.New(rand.NewPCG(1, 1))
+			const n = 20000
+			var sum time.Duration
+			for range n {
+				v := target.Sample(test.d, a)
+				c.Assert(v, qt.Equals, target.Sample(test.d, b))
+				sum += v
+			}
+			ratio := float64(sum/n) / float64(test.mean)
+			c.Assert(ratio > 0.95 && ratio < 1.05, qt.IsTrue, qt.Commentf("mean is %v, want %v", sum/n, test.mean))
+		})
+	}
+}
--- /dev/null
+++ b/internal/bench/target/times.go
@@ -0,0 +1,71 @@
+package target
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// A Distribution is one of Fixed, Exponential and LogNormal.
+type Distribution interface{ distribution() }
+
+// A Fixed service time is always the same.
+type Fixed struct{ Time time.Duration }
+
+// An Exponential service time has a mean.
+type Exponential struct{ Mean time.Duration }
+
+// A LogNormal service time has a median and the deviation of its logarithm.
+type LogNormal struct {
+	Median time.Duration
+	Sigma  float64
+}
+
+func (Fixed) distribution()       {}
+func (Exponential) distribution() {}
+func (LogNormal) distribution()   {}
+
+// Sample draws a service time.
+func Sample(d Distribution, r *rand.Rand) time.Duration {
+	switch d := d.(type) {
+	case Fixed:
+		return d.Time
+	case Exponential:
+		return time.Duration(r.ExpFloat64() * float64(d.Mean))
+	case LogNormal:
+		return time.Duration(float64(d.Median) * math.Exp(d.Sigma*r.NormFloat64()))
+	}
+	return 0
+}
+
+// A Noise is a neighbour that slows the target in some periods.
+type Noise struct {
+	Period time.Duration
+	// Share is the share of the periods that are slow.
+	Share  float64
+	Factor float64
+}
+
+// factor returns the slowdown after a time since the start. It depends only on the seed and the period.
+func (n Noise) factor(seed uint64, since time.Duration) float64 {
+	if n.Period <= 0 {
+		return 1
+	}
+	if rand.New(rand.NewPCG(seed, uint64(since/n.Period))).Float64() < n.Share {
+		return n.Factor
+	}
+	return 1
+}
+
+// A Cold start slows a target for a time after its start.
+type Cold struct {
+	Time   time.Duration
+	Factor float64
+}
+
+func (c Cold) factor(since time.Duration) float64 {
+	if since < c.Time {
+		return c.Factor
+	}
+	return 1
+}
