Add the HTML report of results

Cause: tables do not show where in the distribution two balancers part.

Change: jcbench report writes one page with a latency plot per load as inline SVG, on a percentile axis that spreads the tail, and the tables of the runs.

--- a/internal/bench/cmds/cmds.go
+++ b/internal/bench/cmds/cmds.go
@@ -29,6 +29,7 @@
 	Demo    *demoCommand    `arg:"subcommand:demo" help:"show in a few seconds what the system does"`
 	Run     *runCommand     `arg:"subcommand:run" help:"run a scenario"`
 	Compare *compareCommand `arg:"subcommand:compare" help:"compare two results"`
+	Report  *reportCommand  `arg:"subcommand:report" help:"write an HTML page with the plots of results"`
 	Target  *targetCommand  `arg:"subcommand:target" help:"run a stand-in for a target"`
 	Config  *configCommand  `arg:"subcommand:config" help:"run a stand-in for the configuration service"`
 }
--- /dev/null
+++ b/internal/bench/cmds/report.go
@@ -0,0 +1,30 @@
+package cmds
+
+import (
+	"bytes"
+	"jacinthcross/internal/bench/report"
+	"os"
+
+	"github.com/juju/errors"
+)
+
+type reportCommand struct {
+	Results []string `arg:"positional,required" help:"files with results" placeholder:"RESULT"`
+	Out     string   `arg:"--out,required" help:"file of the page" placeholder:"FILE"`
+}
+
+func (c *reportCommand) run(Env) error {
+	var results []*report.Result
+	for _, file := range c.Results {
+		r, err := report.Read(file)
+		if err != nil {
+			return err
+		}
+		results = append(results, r)
+	}
+	var page bytes.Buffer
+	if err := report.HTML(&page, results); err != nil {
+		return err
+	}
+	return errors.Annotate(os.WriteFile(c.Out, page.Bytes(), 0o644), "write page")
+}
--- /dev/null
+++ b/internal/bench/report/html.go
@@ -0,0 +1,144 @@
+package report
+
+import (
+	"html/template"
+	"io"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/juju/errors"
+)
+
+// Size of a plot and of its margins, in pixels.
+const (
+	plotWidth, plotHeight                       = 640.0, 300.0
+	marginLeft, marginRight, marginTop, marginY = 60.0, 110.0, 14.0, 40.0
+)
+
+// colours tell balancers apart, also for readers who see red and green alike.
+var colours = []string{"#0072b2", "#d55e00", "#009e73", "#cc79a7", "#e69f00", "#56b4e9"}
+
+// A plot is the latency curves of one load.
+type plot struct {
+	Title  string
+	Curves []curve
+	Ticks  []tick
+	Marks  []tick
+}
+
+type curve struct {
+	Name   string
+	Colour string
+	Points []xy
+	// LabelY is where the name in the legend stands.
+	LabelY float64
+}
+
+type xy struct{ X, Y float64 }
+
+type tick struct {
+	At    float64
+	Label string
+}
+
+// tailX places a percentile so that 90, 99 and 99.9 are equally far from each other.
+func tailX(percent float64) float64 {
+	const right = 99.9
+	nines := -math.Log10(1 - min(percent, right)/100)
+	return marginLeft + nines/3*(plotWidth-marginLeft-marginRight)
+}
+
+func newPlot(title string, loads []named) plot {
+	p := plot{Title: title, Marks: []tick{
+		{tailX(0), "0"}, {tailX(50), "50"}, {tailX(90), "90"}, {tailX(99), "99"}, {tailX(99.9), "99.9"},
+	}}
+	low, high := math.Inf(1), 0.0
+	for _, l := range loads {
+		for _, v := range l.load.Curve {
+			if v.Millis > 0 {
+				low, high = min(low, v.Millis), max(high, v.Millis)
+			}
+		}
+	}
+	if high == 0 {
+		return p
+	}
+	bottom, top := math.Floor(math.Log10(low)), math.Ceil(math.Log10(high))
+	if top == bottom {
+		top++
+	}
+	y := func(millis float64) float64 {
+		share := (math.Log10(max(millis, low)) - bottom) / (top - bottom)
+		return plotHeight - marginY - share*(plotHeight-marginY-marginTop)
+	}
+	for e := bottom; e <= top; e++ {
+		p.Ticks = append(p.Ticks, tick{y(math.Pow(10, e)), number(math.Pow(10, e))})
+	}
+	for i, l := range loads {
+		c := curve{Name: l.name, Colour: colours[i%len(colours)], LabelY: marginTop + 16*float64(i+1)}
+		for _, v := range l.load.Curve {
+			if v.Percent <= 99.9 {
+				c.Points = append(c.Points, xy{tailX(v.Percent), y(v.Millis)})
+			}
+		}
+		p.Curves = append(p.Curves, c)
+	}
+	return p
+}
+
+// A named load is a load with the name of its balancer.
+type named struct {
+	name string
+	load Load
+}
+
+func plots(r *Result) []plot {
+	byLoad := map[string][]named{}
+	for _, run := range r.Runs {
+		for _, l := range run.Loads {
+			byLoad[l.Name] = append(byLoad[l.Name], named{string(run.Balancer), l})
+		}
+	}
+	var list []plot
+	for _, name := range slices.Sorted(maps.Keys(byLoad)) {
+		list = append(list, newPlot(name, byLoad[name]))
+	}
+	return list
+}
+
+// HTML writes a page with the plots and tables of results. It needs no network.
+func HTML(out io.Writer, results []*Result) error {
+	return errors.Annotate(page.Execute(out, results), "write page")
+}
+
+var page = template.Must(template.New("page").Funcs(template.FuncMap{
+	"plots": plots, "total": Total, "reasons": reasons,
+	"width": func() float64 { return plotWidth }, "height": func() float64 { return plotHeight },
+	"left": func() float64 { return marginLeft }, "right": func() float64 { return plotWidth - marginRight },
+	"bottom": func() float64 { return plotHeight - marginY },
+}).Parse(`<!DOCTYPE html>
+<html lang="en"><head><meta charset="utf-8"><title>jcbench results</title>
+<style>
+body{font:15px/1.5 sans-serif;margin:2em auto;max-width:70em;padding:0 1em;color:#222;background:#fff}
+table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}
+td:first-child,th:first-child,td:nth-child(2),th:nth-child(2){text-align:left}
+svg text{font:12px sans-serif;fill:#222}figure{margin:1em 0}
+</style></head><body>
+<h1>jcbench results</h1>
+{{range .}}<h2>{{.Scenario}}, {{.Deployment}}</h2>
+<p>Seed {{.Seed}}, started {{.Started.Format "2006-01-02 15:04:05"}}.</p>
+{{range plots .}}<figure><figcaption>Latency of {{.Title}} in ms by percentile</figcaption>
+<svg viewBox="0 0 {{width}} {{height}}" width="{{width}}" height="{{height}}" role="img" aria-label="latency of {{.Title}}">
+{{range .Ticks}}<line x1="{{left}}" x2="{{right}}" y1="{{.At}}" y2="{{.At}}" stroke="#ddd"/><text x="{{left}}" y="{{.At}}" dx="-6" dy="4" text-anchor="end">{{.Label}}</text>
+{{end}}{{range .Marks}}<text x="{{.At}}" y="{{bottom}}" dy="18" text-anchor="middle">{{.Label}}</text>
+{{end}}{{range .Curves}}<polyline fill="none" stroke="{{.Colour}}" stroke-width="2" points="{{range .Points}}{{printf "%.1f,%.1f " .X .Y}}{{end}}"/><text x="{{right}}" y="{{.LabelY}}" dx="10" style="fill:{{.Colour}}">{{.Name}}</text>
+{{end}}</svg></figure>
+{{end}}<table><tr><th>Balancer</th><th>Load</th><th>Calls</th><th>Answered</th><th>Refused</th><th>Unknown</th><th>Good/s</th><th>p50 ms</th><th>p99 ms</th><th>p99.9 ms</th></tr>
+{{range $run := .Runs}}{{range .Loads}}<tr><td>{{$run.Balancer}}</td><td>{{.Name}}</td><td>{{.Calls}}</td><td>{{.Answered}}</td><td title="{{reasons .Refused}}">{{total .Refused}}</td><td title="{{reasons .Unknown}}">{{total .Unknown}}</td><td>{{printf "%.1f" .Goodput}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .P999}}</td></tr>
+{{end}}{{end}}</table>
+<table><tr><th>Balancer</th><th>Deployment</th><th>Sent</th><th>Late</th><th>Amplification</th><th>Probes/call</th><th>Control B/call</th><th>Second runs</th><th>False refusals</th><th>Foreign answers</th></tr>
+{{$d := .Deployment}}{{range .Runs}}<tr><td>{{.Balancer}}</td><td>{{$d}}</td><td>{{.Sent}}</td><td>{{.Late}}</td><td>{{printf "%.3f" .Amplification}}</td><td>{{printf "%.4f" .ProbesPerCall}}</td><td>{{printf "%.1f" .ControlBytesPerCall}}</td><td>{{.SecondRuns}}</td><td>{{.FalseRefusals}}</td><td>{{.Foreign}}</td></tr>
+{{end}}</table>
+{{end}}</body></html>
+`))
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"text/tabwriter"
 
@@ -128,3 +129,5 @@
 	}
 	return fmt.Sprintf("%.3f", b/a)
 }
+
+func number(v float64) string { return strconv.FormatFloat(v, 'g', -1, 64) }
