Report every mistake of a release note with its line and key

Cause: a note was read up to its first mistake, without its line, and the order of mistakes followed the order of a map, so two daemons could report different texts. Change: base/form reads TOML and collects all mistakes. Check parses and applies in one run. Moved targets, repeated entries, withdrawn and added names, daemon addresses used twice, names over 128 bytes and oversized releases are refused. Releases have an index by VM, service and host, and a sorted text form with a checksum.

--- a/internal/fleet/note/note.go
+++ b/internal/fleet/note/note.go
@@ -2,14 +2,13 @@
 
 import (
 	"crypto/sha256"
-	"fmt"
+	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
+	"math"
 	"net/netip"
+	"regexp"
 	"strings"
 	"time"
-
-	"github.com/juju/errors"
-	"github.com/pelletier/go-toml/v2"
 )
 
 // MaxNoteSize is the largest text of a note, in bytes.
@@ -18,6 +17,12 @@
 // defaultTimeout applies to a service whose note sets none.
 const defaultTimeout = 2 * time.Second
 
+// maxName bounds each name. Target names are part of keys, which are sent in a header.
+const maxName = 128
+
+// maxSlots bounds the slots of a target. More than this is taken for a typing error.
+const maxSlots = 100_000
+
 // A Note lists what one release adds, changes and withdraws.
 type Note struct {
 	Serial          ident.Serial
@@ -30,223 +35,184 @@
 	WithdrawTarget  []NameEntry
 
 	digest ident.Digest
+	source *form.Table
 }
 
 // A ServiceEntry describes a service in a note.
 type ServiceEntry struct {
-	Name              string
-	Hosts             []string
-	Rank              string
-	KeyRequired       bool
-	IdempotentMethods []string
-	Timeout           string
+	Service
+	source *form.Table
 }
 
 // A TargetEntry describes a target in a note.
 type TargetEntry struct {
-	Name       string
-	Service    string
-	VM         string
-	DataCentre string
-	Region     string
-	Daemon     string
-	Address    string
-	Slots      int
+	Target
+	source *form.Table
 }
 
 // A NameEntry names what a note withdraws.
 type NameEntry struct {
-	Name string
+	Name   string
+	source *form.Table
 }
 
 // Digest returns the SHA-256 of the text from which the note was read.
 func (n *Note) Digest() ident.Digest { return n.digest }
 
-// Parse reads a note.
+// Parse reads a note. The error is of type form.Errors.
 func Parse(text []byte) (*Note, error) {
-	if len(text) > MaxNoteSize {
-		return nil, errors.NotValidf("note of %d bytes (at most %d)", len(text), MaxNoteSize)
-	}
-	n := &Note{digest: sha256.Sum256(text)}
-	d := toml.NewDecoder(strings.NewReader(string(text))).DisallowUnknownFields()
-	if err := d.Decode(n); err != nil {
-		return nil, errors.Annotate(err, "read note")
+	n, mistakes := parse(text)
+	if len(mistakes) > 0 {
+		return nil, mistakes
 	}
 	return n, nil
 }
 
-// Apply returns the release that follows r by note n, or all mistakes of the note.
-func Apply(r *Release, n *Note) (*Release, []error) {
-	a := &applier{release: r.clone(), serial: n.Serial}
-	a.checkOrder(r, n)
-	for _, e := range n.WithdrawTarget {
-		a.withdrawTarget(e)
-	}
-	for _, e := range n.WithdrawService {
-		a.withdrawService(e)
-	}
-	for _, e := range n.AddService {
-		a.putService("AddService", e, false)
-	}
-	for _, e := range n.ChangeService {
-		a.putService("ChangeService", e, true)
-	}
-	for _, e := range n.AddTarget {
-		a.putTarget("AddTarget", e, false)
+// Check reads a note and applies it to a release. It returns the release that follows,
+// or all mistakes of the text and of its entries.
+func Check(r *Release, text []byte) (*Release, form.Errors) {
+	n, mistakes := parse(text)
+	if n == nil {
+		return nil, mistakes
 	}
-	for _, e := range n.ChangeTarget {
-		a.putTarget("ChangeTarget", e, true)
+	next, more := Apply(r, n)
+	if mistakes = form.Sorted(append(mistakes, more...)); len(mistakes) > 0 {
+		return nil, mistakes
 	}
-	a.checkWhole()
-	if len(a.mistakes) > 0 {
-		return nil, a.mistakes
-	}
-	a.release.Head = ident.Head{Serial: n.Serial, Digest: n.digest}
-	a.forgetWithdrawals()
-	return a.release, nil
-}
-
-type applier struct {
-	release  *Release
-	serial   ident.Serial
-	mistakes []error
-}
-
-func (a *applier) mistake(format string, arguments ...any) {
-	a.mistakes = append(a.mistakes, errors.Errorf(format, arguments...))
+	return next, nil
 }
 
-func (a *applier) checkOrder(r *Release, n *Note) {
-	if n.Serial != r.Head.Serial+1 {
-		a.mistake("Serial is %d, want %d", n.Serial, r.Head.Serial+1)
+// parse returns what could be read of a note beside the mistakes, or no note when the text is not TOML.
+func parse(text []byte) (*Note, form.Errors) {
+	if len(text) > MaxNoteSize {
+		return nil, form.Errors{{Text: "the note is larger than 256 KiB: split it into several notes"}}
 	}
-	want := ""
-	if !r.Head.IsZero() {
-		want = r.Head.Digest.String()
+	d := form.Parse(text)
+	if m := d.Mistakes(); len(m) > 0 {
+		return nil, m
 	}
-	if n.Previous != want {
-		a.mistake("Previous is %q, want %q", n.Previous, want)
+	t := d.Root()
+	n := &Note{
+		Serial:   ident.Serial(t.Number("Serial", 1, math.MaxInt64, 0)),
+		Previous: t.Text("Previous"),
+		digest:   sha256.Sum256(text),
+		source:   t,
 	}
-}
-
-func (a *applier) withdrawTarget(e NameEntry) {
-	t, ok := a.release.Targets[ident.Target(e.Name)]
-	if !ok {
-		a.mistake("WithdrawTarget: target %q is not in the release", e.Name)
-		return
+	if !t.Has("Serial") {
+		t.Mistake("Serial", "is missing")
 	}
-	delete(a.release.Targets, t.Name)
-	a.release.Withdrawn[t.Name] = Withdrawal{Target: t, Serial: a.serial}
+	n.AddService, n.ChangeService = readServices(t, "AddService"), readServices(t, "ChangeService")
+	n.AddTarget, n.ChangeTarget = readTargets(t, "AddTarget"), readTargets(t, "ChangeTarget")
+	n.WithdrawService, n.WithdrawTarget = readNames(t, "WithdrawService"), readNames(t, "WithdrawTarget")
+	t.Done()
+	return n, d.Mistakes()
 }
 
-func (a *applier) withdrawService(e NameEntry) {
-	if _, ok := a.release.Services[ident.Service(e.Name)]; !ok {
-		a.mistake("WithdrawService: service %q is not in the release", e.Name)
-		return
+func readServices(t *form.Table, list string) []ServiceEntry {
+	var out []ServiceEntry
+	for _, e := range t.Tables(list) {
+		out = append(out, ServiceEntry{Service: readService(e), source: e})
+		e.Done()
 	}
-	delete(a.release.Services, ident.Service(e.Name))
+	return out
 }
 
-func (a *applier) putService(list string, e ServiceEntry, change bool) {
-	where := fmt.Sprintf("%s %q", list, e.Name)
+func readService(e *form.Table) Service {
 	s := Service{
-		Name:              ident.Service(e.Name),
-		Hosts:             e.Hosts,
+		Name:              ident.Service(readName(e, "Name")),
+		Hosts:             e.Texts("Hosts"),
 		Rank:              ident.Normal,
-		KeyRequired:       e.KeyRequired,
-		IdempotentMethods: e.IdempotentMethods,
-		Timeout:           defaultTimeout,
+		KeyRequired:       e.Flag("KeyRequired"),
+		IdempotentMethods: e.Texts("IdempotentMethods"),
+		Timeout:           e.Duration("Timeout", defaultTimeout),
 	}
-	if e.Name == "" {
-		a.mistake("%s: Name is missing", where)
-	}
-	if _, ok := a.release.Services[s.Name]; ok != change {
-		a.mistake("%s: the service is in the release: %t", where, ok)
+	for _, h := range s.Hosts {
+		if !hostForm.MatchString(h) {
+			e.Mistake("Hosts", "%q is not a host name", h)
+		}
 	}
-	if e.Rank != "" {
-		r, err := ident.ParseRank(e.Rank)
-		if err != nil {
-			a.mistake("%s: Rank: %v", where, err)
+	for _, m := range s.IdempotentMethods {
+		if !methodForm.MatchString(m) {
+			e.Mistake("IdempotentMethods", "%q is not an HTTP method in upper case", m)
 		}
-		s.Rank = r
 	}
 	if len(s.IdempotentMethods) == 0 {
 		s.IdempotentMethods = []string{"GET", "HEAD", "OPTIONS"}
 	}
-	if e.Timeout != "" {
-		d, err := time.ParseDuration(e.Timeout)
-		if err != nil || d <= 0 {
-			a.mistake("%s: Timeout %q is not a positive duration such as \"2s\"", where, e.Timeout)
+	if text := e.Text("Rank"); e.Has("Rank") {
+		r, err := ident.ParseRank(text)
+		if err != nil {
+			e.Mistake("Rank", "is %q, want Urgent, Normal or Deferred", text)
 		}
-		s.Timeout = d
+		s.Rank = r
+	}
+	return s
+}
+
+func readTargets(t *form.Table, list string) []TargetEntry {
+	var out []TargetEntry
+	for _, e := range t.Tables(list) {
+		out = append(out, TargetEntry{Target: readTarget(e), source: e})
+		e.Done()
 	}
-	a.release.Services[s.Name] = s
+	return out
 }
 
-func (a *applier) putTarget(list string, e TargetEntry, change bool) {
-	where := fmt.Sprintf("%s %q", list, e.Name)
+func readTarget(e *form.Table) Target {
 	t := Target{
-		Name:       ident.Target(e.Name),
-		Service:    ident.Service(e.Service),
-		VM:         ident.VM(e.VM),
-		DataCentre: ident.DataCentre(e.DataCentre),
-		Region:     ident.Region(e.Region),
-		Slots:      e.Slots,
-	}
-	for _, f := range []struct{ key, value string }{
-		{"Name", e.Name}, {"Service", e.Service}, {"VM", e.VM}, {"DataCentre", e.DataCentre},
-	} {
-		if f.value == "" {
-			a.mistake("%s: %s is missing", where, f.key)
-		}
+		Name:       ident.Target(readName(e, "Name")),
+		Service:    ident.Service(readName(e, "Service")),
+		VM:         ident.VM(readName(e, "VM")),
+		DataCentre: ident.DataCentre(readName(e, "DataCentre")),
+		Daemon:     unmapped(e.Address("Daemon")),
+		Address:    unmapped(e.Address("Address")),
+		Slots:      int(e.Number("Slots", 1, maxSlots, 0)),
 	}
-	if _, ok := a.release.Targets[t.Name]; ok != change {
-		a.mistake("%s: the target is in the release: %t", where, ok)
+	if e.Has("Region") {
+		t.Region = ident.Region(readName(e, "Region"))
+	} else {
+		e.Text("Region")
 	}
-	if t.Slots < 1 {
-		a.mistake("%s: Slots is %d, want at least 1", where, t.Slots)
+	if !e.Has("Slots") {
+		e.Mistake("Slots", "is missing")
 	}
-	t.Daemon = a.address(where, "Daemon", e.Daemon)
-	t.Address = a.address(where, "Address", e.Address)
-	a.release.Targets[t.Name] = t
-	delete(a.release.Withdrawn, t.Name)
+	return t
 }
 
-func (a *applier) address(where, key, text string) netip.AddrPort {
-	p, err := netip.ParseAddrPort(text)
-	if err != nil {
-		a.mistake("%s: %s %q is not an IP address with a port", where, key, text)
+// unmapped returns an IPv4 address that was written in its IPv6 form as IPv4,
+// so that two ways to write one address do not count as two addresses.
+func unmapped(p netip.AddrPort) netip.AddrPort {
+	if !p.IsValid() {
+		return p
 	}
-	return p
+	return netip.AddrPortFrom(p.Addr().Unmap(), p.Port())
 }
 
-// checkWhole checks what no single entry shows: references and uniqueness.
-func (a *applier) checkWhole() {
-	onVM := map[ident.VM]ident.Target{}
-	for _, t := range a.release.Targets {
-		if _, ok := a.release.Services[t.Service]; !ok {
-			a.mistake("target %q: service %q is not in the release", t.Name, t.Service)
-		}
-		if other, ok := onVM[t.VM]; ok {
-			a.mistake("VM %q has two targets, %q and %q", t.VM, min(other, t.Name), max(other, t.Name))
-		}
-		onVM[t.VM] = t.Name
-	}
-	ofHost := map[string]ident.Service{}
-	for _, s := range a.release.Services {
-		for _, h := range s.Hosts {
-			if other, ok := ofHost[h]; ok {
-				a.mistake("host %q belongs to two services, %q and %q", h, min(other, s.Name), max(other, s.Name))
-			}
-			ofHost[h] = s.Name
-		}
+func readNames(t *form.Table, list string) []NameEntry {
+	var out []NameEntry
+	for _, e := range t.Tables(list) {
+		out = append(out, NameEntry{Name: readName(e, "Name"), source: e})
+		e.Done()
 	}
+	return out
 }
 
-func (a *applier) forgetWithdrawals() {
-	for name, w := range a.release.Withdrawn {
-		if w.Serial+withdrawalsKept < a.serial {
-			delete(a.release.Withdrawn, name)
-		}
-	}
+var (
+	nameForm   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
+	hostForm   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9.:_-]{0,252}$`)
+	methodForm = regexp.MustCompile(`^[A-Z]{1,32}$`)
+)
+
+// readName reads a name. Names are sent in headers and keys, so they use letters, digits and "._-" only.
+func readName(e *form.Table, key string) string {
+	name := e.Text(key)
+	switch {
+	case !e.Has(key):
+		e.Mistake(key, "is missing")
+	case len(name) > maxName:
+		e.Mistake(key, "has %d bytes, want at most %d", len(name), maxName)
+	case !nameForm.MatchString(name):
+		e.Mistake(key, "is %q, want letters, digits, dots, dashes and underscores, beginning with a letter or digit", name)
+	}
+	return strings.Clone(name)
 }
--- /dev/null
+++ b/internal/fleet/note/note_test.go
@@ -0,0 +1,167 @@
+package note_test
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"maps"
+	"strings"
+	"testing"
+
+	"github.com/frankban/quicktest"
+)
+
+func target(name, service, vm, dataCentre string, n int) string {
+	return fmt.Sprintf("Name = %q\nService = %q\nVM = %q\nDataCentre = %q\nRegion = \"r\"\nDaemon = \"10.0.%d.%d:7000\"\nAddress = \"10.0.%d.%d:80\"\nSlots = 10\n",
+		name, service, vm, dataCentre, n/256, n%256, n/256, n%256)
+}
+
+const services = "[[AddService]]\nName = \"s\"\nHosts = [\"s.example\"]\n"
+
+func first(c *quicktest.C) *note.Release {
+	r, m := note.Check(note.NewRelease(), []byte("Serial = 1\n"+services+
+		"[[AddTarget]]\n"+target("a", "s", "vm-a", "d", 1)+"[[AddTarget]]\n"+target("b", "s", "vm-b", "d", 2)))
+	c.Assert(m, quicktest.HasLen, 0)
+	return r
+}
+
+// Guards against a mistake that is accepted, reported without its line and key, or hides the others.
+func TestCheckReportsEveryMistake(t *testing.T) {
+	long := strings.Repeat("x", 129)
+	tests := []struct {
+		name string
+		body string
+		want []string
+	}{
+		{"unknown key", "Colour = 1\n", []string{"line 3: Colour: is unknown"}},
+		{"several", "[[AddTarget]]\nName = \"c\"\nSlots = \"x\"\n", []string{
+			"line 3: AddTarget.Address: is missing", "line 3: AddTarget.Daemon: is missing", "line 3: AddTarget.DataCentre: is missing",
+			"line 3: AddTarget.Service: is missing", "line 3: AddTarget.VM: is missing", "line 5: AddTarget.Slots: want an integer",
+		}},
+		{"long name", "[[AddService]]\nName = \"" + long + "\"\n", []string{"line 4: AddService.Name: has 129 bytes"}},
+		{"bad name", "[[AddService]]\nName = \"a b\"\n", []string{"line 4: AddService.Name: is \"a b\""}},
+		{"moved", "[[ChangeTarget]]\n" + target("a", "s", "vm-z", "d", 1), []string{"line 6: ChangeTarget.VM: target \"a\" would move"}},
+		{"added twice", "[[AddService]]\nName = \"t\"\n[[AddService]]\nName = \"t\"\n", []string{"line 6: AddService.Name: service \"t\" has another entry on line 3"}},
+		{"withdrawn and added", "[[WithdrawTarget]]\nName = \"a\"\n[[AddTarget]]\n" + target("a", "s", "vm-a", "d", 1), []string{"line 6: AddTarget.Name: target \"a\" has another entry on line 3"}},
+		{"daemon address", "[[AddTarget]]\n" + target("c", "s", "vm-c", "d", 1), []string{"line 9: AddTarget.Daemon: address 10.0.0.1:7000 is used", "line 10: AddTarget.Address: address 10.0.0.1:80"}},
+		{"VM twice", "[[AddTarget]]\n" + target("c", "s", "vm-a", "d", 3), []string{"line 6: AddTarget.VM: VM \"vm-a\" has two targets"}},
+		{"service in use", "[[WithdrawService]]\nName = \"s\"\n", []string{"line 4: WithdrawService.Name: service \"s\" still has the target \"a\"", "line 4: WithdrawService.Name: service \"s\" still has the target \"b\""}},
+		{"host twice", "[[AddService]]\nName = \"t\"\nHosts = [\"s.example\"]\n", []string{"line 5: AddService.Hosts: host \"s.example\" belongs"}},
+		{"not there", "[[ChangeService]]\nName = \"t\"\n[[WithdrawTarget]]\nName = \"z\"\n", []string{"line 4: ChangeService.Name: service t is not", "line 6: WithdrawTarget.Name: target \"z\" is not"}},
+		{"two regions", "[[AddTarget]]\n" + strings.Replace(target("c", "s", "vm-c", "d", 3), "\"r\"", "\"q\"", 1), []string{"line 8: AddTarget.Region: data centre \"d\" has two"}},
+		{"not TOML", "[[AddService]\n", []string{"line 3: "}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			r := first(c)
+			next, m := note.Check(r, fmt.Appendf(nil, "Serial = 2\nPrevious = %q\n%s", r.Head.Digest, test.body))
+			c.Assert(next, quicktest.IsNil)
+			c.Assert(m, quicktest.HasLen, len(test.want), quicktest.Commentf("%v", m))
+			for i, want := range test.want {
+				c.Check(strings.HasPrefix(m[i].String(), want), quicktest.IsTrue, quicktest.Commentf("%v, want %s", m[i], want))
+			}
+		})
+	}
+}
+
+// Guards against a note that is applied out of order or on another branch.
+func TestCheckOrder(t *testing.T) {
+	tests := []struct {
+		name string
+		head string
+	}{
+		{"lower serial", "Serial = 1\n"},
+		{"same branch, later serial", "Serial = 3\nPrevious = %q\n"},
+		{"another branch", "Serial = 2\nPrevious = \"00\"\n"},
+	}
+	for _, test := range tests {
+		c := quicktest.New(t)
+		r := first(c)
+		_, m := note.Check(r, []byte(strings.Replace(test.head, "%q", fmt.Sprintf("%q", r.Head.Digest), 1)))
+		c.Check(len(m) > 0, quicktest.IsTrue, quicktest.Commentf(test.name))
+	}
+}
+
+// Guards against a snapshot that exceeds a value of the configuration service at
+// the design scale, depends on map order, or loses a field.
+func TestSnapshotAtDesignScale(t *testing.T) {
+	c := quicktest.New(t)
+	r := note.NewRelease()
+	n := 0
+	for serial := 1; n < 1800; serial++ {
+		var b strings.Builder
+		previous := ""
+		if serial > 1 {
+			previous = r.Head.Digest.String()
+		}
+		fmt.Fprintf(&b, "Serial = %d\nPrevious = %q\n", serial, previous)
+		for s := range 22 {
+			fmt.Fprintf(&b, "[[AddService]]\nName = \"service-%d-%d\"\nHosts = [\"service-%d-%d.example\"]\n", serial, s, serial, s)
+		}
+		for range 180 {
+			n++
+			fmt.Fprintf(&b, "[[AddTarget]]\n%s", target(fmt.Sprintf("target-number-%d", n), fmt.Sprintf("service-%d-%d", serial, n%22), fmt.Sprintf("vm-%d", n), fmt.Sprintf("data-centre-%d", n%12), n))
+		}
+		next, m := note.Check(r, []byte(b.String()))
+		c.Assert(m, quicktest.HasLen, 0)
+		r = next
+	}
+	text := r.Snapshot()
+	t.Logf("%d services, %d targets: %d bytes", len(r.Services), len(r.Targets), len(text))
+	c.Assert(len(r.Services), quicktest.Equals, 220)
+	c.Assert(len(text) <= note.MaxSnapshotSize, quicktest.IsTrue)
+	back, err := note.ParseSnapshot(text)
+	c.Assert(err, quicktest.IsNil)
+	c.Assert(string(back.Snapshot()), quicktest.Equals, string(text))
+	c.Assert(maps.Equal(back.Targets, r.Targets), quicktest.IsTrue)
+	c.Assert(back.Services, quicktest.DeepEquals, r.Services)
+	last, ok := back.TargetOn("vm-1800")
+	c.Assert(ok, quicktest.IsTrue)
+	c.Assert(last.Name, quicktest.Equals, ident.Target("target-number-1800"))
+}
+
+// Guards against a damaged snapshot that is taken for a release.
+func TestParseSnapshotRefusesDamage(t *testing.T) {
+	c := quicktest.New(t)
+	text := first(c).Snapshot()
+	for i := range text {
+		changed := append([]byte(nil), text...)
+		changed[i] ^= 1
+		_, err := note.ParseSnapshot(changed)
+		c.Assert(err, quicktest.IsNotNil, quicktest.Commentf("byte %d changed", i))
+		_, err = note.ParseSnapshot(text[:i])
+		c.Assert(err, quicktest.IsNotNil, quicktest.Commentf("cut to %d bytes", i))
+	}
+}
+
+// Guards against a text that makes the reader panic, and against a verdict that differs between daemons.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("Serial = 1\n" + services + "[[AddTarget]]\n" + target("a", "s", "vm-a", "d", 1)))
+	f.Add([]byte("Serial = 1\nAddTarget = [{Name = 1}, 2]\n[[AddService.X]]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, m := note.Check(note.NewRelease(), text)
+		again, n := note.Check(note.NewRelease(), text)
+		quicktest.Assert(t, m, quicktest.DeepEquals, n)
+		quicktest.Assert(t, (r == nil) == (len(m) > 0), quicktest.IsTrue)
+		if r != nil {
+			quicktest.Assert(t, string(r.Snapshot()), quicktest.Equals, string(again.Snapshot()))
+			back, err := note.ParseSnapshot(r.Snapshot())
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, string(back.Snapshot()), quicktest.Equals, string(r.Snapshot()))
+		}
+	})
+}
+
+// Guards against a snapshot that makes the reader panic or that changes when it is written again.
+func FuzzParseSnapshot(f *testing.F) {
+	f.Add(first(quicktest.New(f)).Snapshot())
+	f.Add([]byte("Checksum = \"\"\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		r, err := note.ParseSnapshot(text)
+		if err == nil {
+			_, err = note.ParseSnapshot(r.Snapshot())
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+	})
+}
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/netip"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -42,6 +43,16 @@
 	Services  map[ident.Service]Service
 	Targets   map[ident.Target]Target
 	Withdrawn map[ident.Target]Withdrawal
+
+	once  sync.Once
+	index index
+}
+
+// An index answers lookups without a scan of all targets. It is built at the first lookup.
+type index struct {
+	onVM      map[ident.VM]ident.Target
+	ofService map[ident.Service][]Target
+	ofHost    map[string]ident.Service
 }
 
 // A Withdrawal is a target that a recent note withdrew. Resends of keyed calls
@@ -66,39 +77,40 @@
 
 // TargetOn returns the target on a VM.
 func (r *Release) TargetOn(vm ident.VM) (Target, bool) {
-	for _, t := range r.Targets {
-		if t.VM == vm {
-			return t, true
-		}
-	}
-	return Target{}, false
+	name, ok := r.indexed().onVM[vm]
+	return r.Targets[name], ok
 }
 
 // TargetsOf returns the targets of a service, ordered by name.
 func (r *Release) TargetsOf(service ident.Service) []Target {
-	var targets []Target
-	for _, t := range r.Targets {
-		if t.Service == service {
-			targets = append(targets, t)
-		}
-	}
-	slices.SortFunc(targets, func(a, b Target) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
-	return targets
+	return slices.Clone(r.indexed().ofService[service])
 }
 
 // ServiceOfHost returns the service that lists host.
 func (r *Release) ServiceOfHost(host string) (ident.Service, bool) {
-	for _, s := range r.Services {
-		if slices.Contains(s.Hosts, host) {
-			return s.Name, true
+	s, ok := r.indexed().ofHost[host]
+	return s, ok
+}
+
+func (r *Release) indexed() *index {
+	r.once.Do(func() {
+		r.index = index{
+			onVM:      make(map[ident.VM]ident.Target, len(r.Targets)),
+			ofService: make(map[ident.Service][]Target, len(r.Services)),
+			ofHost:    map[string]ident.Service{},
 		}
-	}
-	return "", false
+		for _, name := range slices.Sorted(maps.Keys(r.Targets)) {
+			t := r.Targets[name]
+			r.index.onVM[t.VM] = name
+			r.index.ofService[t.Service] = append(r.index.ofService[t.Service], t)
+		}
+		for _, s := range r.Services {
+			for _, h := range s.Hosts {
+				r.index.ofHost[h] = s.Name
+			}
+		}
+	})
+	return &r.index
 }
 
 func (r *Release) clone() *Release {
--- a/internal/task/keeper/keeper.go
+++ b/internal/task/keeper/keeper.go
@@ -3,6 +3,7 @@
 import (
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
@@ -88,12 +89,7 @@
 	if o.Serial <= t.release.Head.Serial {
 		return
 	}
-	n, err := note.Parse(o.Text)
-	if err != nil {
-		t.refuse(o.Serial, []error{err})
-		return
-	}
-	next, mistakes := note.Apply(t.release, n)
+	next, mistakes := note.Check(t.release, o.Text)
 	if len(mistakes) > 0 {
 		t.refuse(o.Serial, mistakes)
 		return
@@ -104,10 +100,10 @@
 	t.announce(next)
 }
 
-func (t *Task) refuse(serial ident.Serial, mistakes []error) {
+func (t *Task) refuse(serial ident.Serial, mistakes form.Errors) {
 	for _, m := range mistakes {
-		event.NoteRefused.Log("serial", serial, "mistake", m.Error())
-		t.refusals = append(t.refusals, m.Error())
+		event.NoteRefused.Log("serial", serial, "mistake", m.String())
+		t.refusals = append(t.refusals, m.String())
 	}
 	if n := len(t.refusals); n > refusalsKept {
 		t.refusals = t.refusals[n-refusalsKept:]
