Decide how notes and the VM list travel between daemons

Cause: the keeper answered digests with its head only; nothing repaired a missed note. PlaceOf gives watchers and two trees per data centre. Age, Budget, Gate, Confirmation and List are pure too. A Digest names its sender and whether the note is accepted; PullListing asks for changes of the VM list. Conclusion: replicas that exchange digests end equal after losses, replays and conflicts.

--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -7,15 +7,18 @@
 	"time"
 )
 
-// A Message is what daemons tell each other of releases: Digest, Offer, Pull, Notes, Snapshot, Ack or Listing.
+// A Message is what daemons tell each other of releases: Digest, Offer, Pull, Notes, Snapshot, Ack, PullListing or Listing.
 type Message interface{ message() }
 
 // A Digest tells which release a daemon holds.
 type Digest struct {
+	VM             ident.VM
+	DataCentre     ident.DataCentre
 	Head           ident.Head
 	ServiceKnown   bool
 	ServiceAge     time.Duration
 	ListingVersion uint64
+	Accepted       bool
 }
 
 // An Offer carries one release note.
@@ -47,6 +50,9 @@
 	DataCentre ident.DataCentre
 }
 
+// A PullListing asks for the changes of the VM list after a version.
+type PullListing struct{ After uint64 }
+
 // A Listing carries the changes of the VM list since a version, or the whole list when Since is 0.
 type Listing struct {
 	Version uint64
@@ -72,10 +78,11 @@
 	Leaving ListedState = "Leaving"
 )
 
-func (Digest) message()   {}
-func (Offer) message()    {}
-func (Pull) message()     {}
-func (Notes) message()    {}
-func (Snapshot) message() {}
-func (Ack) message()      {}
-func (Listing) message()  {}
+func (Digest) message()      {}
+func (Offer) message()       {}
+func (Pull) message()        {}
+func (Notes) message()       {}
+func (Snapshot) message()    {}
+func (Ack) message()         {}
+func (PullListing) message() {}
+func (Listing) message()     {}
--- /dev/null
+++ b/internal/fleet/relay/place_test.go
@@ -0,0 +1,222 @@
+package relay_test
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+func nodes(n, sites int) []relay.Node {
+	var out []relay.Node
+	for i := range n {
+		out = append(out, relay.Node{
+			VM: ident.VM(fmt.Sprintf("vm-%d", i)), DataCentre: ident.DataCentre(fmt.Sprintf("d-%d", i%sites)),
+			Daemon: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 256), byte(i)}), 7000),
+		})
+	}
+	return out
+}
+
+// Guards against daemons that no tree reaches, against too many hops, children or watchers.
+func TestTreesReachAll(t *testing.T) {
+	tests := []struct{ count, sites, hops int }{{1, 1, 0}, {3, 1, 1}, {300, 2, 3}, {1800, 12, 3}}
+	for _, test := range tests {
+		c := quicktest.New(t)
+		all := nodes(test.count, test.sites)
+		places := map[ident.VM]relay.Place{}
+		watchers := 0
+		var reached []ident.VM
+		for _, n := range all {
+			p := relay.PlaceOf(n.VM, n.DataCentre, all)
+			places[n.VM] = p
+			c.Check(len(p.Children) <= 16, quicktest.IsTrue)
+			c.Check(len(p.Parents) <= 2, quicktest.IsTrue)
+			if p.Rank < relay.Watchers {
+				watchers++
+			}
+			if p.Rank == 0 {
+				reached = append(reached, n.VM)
+			}
+		}
+		c.Check(watchers, quicktest.Equals, min(test.count, test.sites*relay.Watchers))
+		seen := map[ident.VM]bool{}
+		for hops := 0; len(reached) > 0; hops++ {
+			c.Check(hops <= test.hops, quicktest.IsTrue, quicktest.Commentf("%d daemons, %d hops", test.count, hops))
+			var next []ident.VM
+			for _, vm := range reached {
+				seen[vm] = true
+				for _, child := range places[vm].Children {
+					if !seen[child.VM] {
+						next = append(next, child.VM)
+						seen[child.VM] = true
+					}
+				}
+			}
+			reached = next
+		}
+		c.Check(len(seen), quicktest.Equals, test.count)
+	}
+}
+
+// Guards against a data centre in which nobody reads the service after daemons
+// failed, and against direct reads above the budget.
+func TestSomeDaemonReadsTheService(t *testing.T) {
+	all := nodes(12, 1)
+	rapid.Check(t, func(t *rapid.T) {
+		live := rapid.SliceOfNDistinct(rapid.SampledFrom(all), 1, len(all), func(n relay.Node) ident.VM { return n.VM }).Draw(t, "live")
+		jitter := rapid.Float64Range(0, 1).Draw(t, "jitter")
+		age := time.Duration(len(all)) * 2 * time.Second
+		readers, gates := 0, map[ident.VM]*relay.Gate{}
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
+			reads := 0
+			for _, n := range live {
+				switch relay.DutyOf(relay.PlaceOf(n.VM, n.DataCentre, all).Rank, true, age+2*time.Second, jitter) {
+				case relay.Watch:
+					readers++
+				case relay.Direct:
+					if gates[n.VM] == nil {
+						gates[n.VM] = &relay.Gate{}
+					}
+					if gates[n.VM].Allow(now) {
+						readers++
+						reads++
+					}
+				case relay.Idle:
+				}
+			}
+			if reads > len(live) {
+				t.Fatalf("%d direct reads in one second", reads)
+			}
+		}
+		if readers == 0 {
+			t.Fatalf("no daemon reads the service with %d live", len(live))
+		}
+	})
+}
+
+// Guards against direct reads above one per 10 s.
+func TestGate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g, now, last := relay.Gate{}, start, time.Time{}
+		for _, ms := range rapid.SliceOf(rapid.IntRange(0, 15_000)).Draw(t, "pauses") {
+			now = now.Add(time.Duration(ms) * time.Millisecond)
+			if !g.Allow(now) {
+				continue
+			}
+			if now.Sub(last) < 10*time.Second {
+				t.Fatalf("two direct reads within %s", now.Sub(last))
+			}
+			last = now
+		}
+		if !g.Allow(now.Add(10 * time.Second)) {
+			t.Fatal("no direct read after 10 s")
+		}
+	})
+}
+
+// Guards against control bytes above the rate after the burst.
+func TestBudget(t *testing.T) {
+	c := quicktest.New(t)
+	b := relay.NewBudget(start)
+	sent := 0
+	for now := start; now.Before(start.Add(10 * time.Minute)); now = now.Add(100 * time.Millisecond) {
+		if b.Left(now) {
+			b.Use(10_000, now)
+			sent += 10_000
+		}
+	}
+	c.Assert(sent <= 1_000_000+600*5_000+10_000, quicktest.IsTrue, quicktest.Commentf("%d bytes", sent))
+	c.Assert(sent >= 600*5_000, quicktest.IsTrue)
+}
+
+// Guards against an age that grows younger by waiting on the way.
+func TestAgeAddsUp(t *testing.T) {
+	c := quicktest.New(t)
+	var a, b relay.Age
+	_, known := b.Since(start)
+	c.Assert(known, quicktest.IsFalse)
+	a.Read(start)
+	age, _ := a.Since(start.Add(3 * time.Second))
+	// The second clock differs by an hour.
+	there := start.Add(time.Hour)
+	b.Hear(relay.Digest{ServiceKnown: true, ServiceAge: age}, there)
+	b.Hear(relay.Digest{ServiceKnown: true, ServiceAge: 20 * time.Second}, there)
+	b.Hear(relay.Digest{ServiceAge: 0}, there)
+	b.Hear(relay.Digest{ServiceKnown: true, ServiceAge: -time.Hour}, there)
+	age, known = b.Since(there.Add(2 * time.Second))
+	c.Assert(known, quicktest.IsTrue)
+	c.Assert(age, quicktest.Equals, 5*time.Second)
+}
+
+// Guards against keyed calls before the head was compared with peers, and against a daemon that never serves them.
+func TestConfirmation(t *testing.T) {
+	own := ident.Head{Serial: 5}
+	tests := []struct {
+		name  string
+		heads []ident.Serial
+		peers int
+		after time.Duration
+		want  bool
+	}{
+		{"no answer", nil, 5, time.Second, false},
+		{"one of many", []ident.Serial{5}, 5, time.Second, false},
+		{"two", []ident.Serial{5, 4}, 5, time.Second, true},
+		{"two, one ahead", []ident.Serial{5, 6}, 5, time.Second, false},
+		{"the only one", []ident.Serial{5}, 1, time.Second, true},
+		{"alone", nil, 0, 0, true},
+		{"time is over", nil, 5, 1500 * time.Millisecond, true},
+	}
+	for _, test := range tests {
+		c := quicktest.New(t)
+		confirmation := relay.NewConfirmation(start)
+		for i, s := range test.heads {
+			confirmation.Answered(ident.VM(fmt.Sprint(i)), ident.Head{Serial: s}, own)
+		}
+		c.Check(confirmation.Done(test.peers, start.Add(test.after)), quicktest.Equals, test.want, quicktest.Commentf(test.name))
+	}
+}
+
+// Guards against a VM list that goes back to an older version or loses a removal on the way.
+func TestListsConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		lists := []*relay.List{relay.NewList(), relay.NewList(), relay.NewList()}
+		vms := rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 6, rapid.ID[int])
+		version := uint64(0)
+		var sent []relay.Listing
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			a, b := rapid.IntRange(0, 2).Draw(t, "from"), rapid.IntRange(0, 2).Draw(t, "to")
+			before := lists[b].Version()
+			if rapid.Bool().Draw(t, "read") {
+				version++
+				m := relay.Listing{Version: version}
+				for _, i := range vms.Draw(t, "vms") {
+					m.VMs = append(m.VMs, relay.ListedVM{VM: ident.VM(fmt.Sprint(i)), State: relay.Live})
+				}
+				lists[b].Take(m)
+			} else if len(sent) > 0 && rapid.Bool().Draw(t, "late") {
+				lists[b].Take(rapid.SampledFrom(sent).Draw(t, "message"))
+			} else {
+				m := lists[a].Since(before)
+				sent = append(sent, m)
+				lists[b].Take(m)
+				if lists[a].Version() > before && lists[b].Version() != lists[a].Version() {
+					t.Fatalf("version %d after taking %d", lists[b].Version(), lists[a].Version())
+				}
+			}
+			if lists[b].Version() < before {
+				t.Fatalf("version went from %d to %d", before, lists[b].Version())
+			}
+			if lists[a].Version() == lists[b].Version() && fmt.Sprint(lists[a].VMs()) != fmt.Sprint(lists[b].VMs()) {
+				t.Fatalf("lists of version %d differ: %v and %v", version, lists[a].VMs(), lists[b].VMs())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/fleet/relay/relay_test.go
@@ -0,0 +1,227 @@
+package relay_test
+
+import (
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
+	"os"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+)
+
+// TestMain fixes the seed of the properties, unless the command line names one.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = f.Value.Set("1")
+	}
+	os.Exit(m.Run())
+}
+
+// chain returns n valid notes. Each branch has other texts from serial fork on.
+func chain(n, fork int, branch string) []relay.Offer {
+	var offers []relay.Offer
+	previous := ""
+	for serial := 1; serial <= n; serial++ {
+		name := "service"
+		if serial >= fork {
+			name = branch
+		}
+		text := fmt.Sprintf("Serial = %d\nPrevious = %q\n[[AddService]]\nName = \"%s-%d\"\n", serial, previous, name, serial)
+		previous = fmt.Sprintf("%x", sha256.Sum256([]byte(text)))
+		offers = append(offers, relay.Offer{Serial: ident.Serial(serial), Text: []byte(text), Version: uint64(10 * serial)})
+	}
+	return offers
+}
+
+func replica(vm ident.VM, offers ...relay.Offer) *relay.Replica {
+	r := relay.NewReplica(vm, "d")
+	for _, o := range offers {
+		r.Offer(o)
+	}
+	return r
+}
+
+// exchange lets a send its digest to b, and what follows from the answers.
+func exchange(a, b *relay.Replica) {
+	var m relay.Message = a.Digest()
+	for range 5 {
+		answer, _ := b.Receive(m, true)
+		if answer == nil {
+			answer = b.Digest()
+		}
+		if m, _ = a.Receive(answer, true); m == nil {
+			return
+		}
+	}
+}
+
+// Guards against a note that is applied twice, out of order, damaged, too large or over the winner of its serial.
+func TestOffer(t *testing.T) {
+	main, other := chain(5, 9, ""), chain(5, 3, "other")
+	withVersion := func(o relay.Offer, v uint64) relay.Offer { o.Version = v; return o }
+	cut := main[3]
+	cut.Text = cut.Text[:len(cut.Text)-5]
+	large := main[3]
+	large.Text = make([]byte, note.MaxNoteSize+1)
+	wrong := main[3]
+	wrong.Text = main[4].Text
+	tests := []struct {
+		name   string
+		held   []relay.Offer
+		offer  relay.Offer
+		want   relay.Verdict
+		serial ident.Serial
+	}{
+		{"next", main[:3], main[3], relay.Applied, 4},
+		{"replayed", main[:3], main[1], relay.Known, 3},
+		{"repeated", main[:3], main[2], relay.Known, 3},
+		{"gap", main[:3], main[4], relay.Behind, 3},
+		{"cut", main[:3], cut, relay.Refused, 3},
+		{"too large", main[:3], large, relay.Refused, 3},
+		{"text of another serial", main[:3], wrong, relay.Refused, 3},
+		{"no serial", main[:3], relay.Offer{}, relay.Refused, 3},
+		{"later version of the serial", main[:3], withVersion(other[2], 31), relay.Conflict, 3},
+		{"unknown version of the serial", main[:3], withVersion(other[2], 0), relay.Conflict, 3},
+		{"earlier version of the serial", main[:3], withVersion(other[2], 29), relay.Replaced, 3},
+		{"earlier version of an older serial", main[:4], withVersion(other[2], 29), relay.Conflict, 4},
+		{"next of another branch", main[:3], other[3], relay.Behind, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			r := replica("a", test.held...)
+			c.Check(r.Offer(test.offer).Verdict, quicktest.Equals, test.want)
+			c.Check(r.Head().Serial, quicktest.Equals, test.serial)
+			if test.want == relay.Replaced {
+				c.Check(r.Head().Digest, quicktest.Equals, ident.Digest(sha256.Sum256(test.offer.Text)))
+			}
+		})
+	}
+}
+
+// Guards against a daemon that reads a refused note again at each replay and logs its mistakes each time.
+func TestRefusedNoteIsRememberedOnce(t *testing.T) {
+	c := quicktest.New(t)
+	r := replica("a", chain(1, 9, "")...)
+	bad := relay.Offer{Serial: 2, Text: fmt.Appendf(nil, "Serial = 2\nPrevious = %q\nColour = 1\n", r.Head().Digest)}
+	c.Assert(r.Offer(bad).Mistakes, quicktest.HasLen, 1)
+	again := r.Offer(bad)
+	c.Assert(again.Verdict, quicktest.Equals, relay.Refused)
+	c.Assert(again.Mistakes, quicktest.HasLen, 0)
+}
+
+// Guards against a daemon far behind that gets nothing, and against a chain that grows without bound.
+func TestPullAcrossTheChain(t *testing.T) {
+	all := chain(300, 999, "")
+	ahead := replica("a", all...)
+	tests := []struct {
+		held     int
+		snapshot bool
+	}{{0, true}, {10, true}, {43, true}, {44, false}, {290, false}, {299, false}}
+	for _, test := range tests {
+		c := quicktest.New(t)
+		behind := replica("b", all[:test.held]...)
+		answer := ahead.Next(behind.Head())
+		_, isSnapshot := answer.(relay.Snapshot)
+		// Many notes may be larger than the snapshot, which is then sent instead.
+		if test.snapshot || test.held > 200 {
+			c.Check(isSnapshot, quicktest.Equals, test.snapshot, quicktest.Commentf("held %d", test.held))
+		}
+		behind.Receive(answer, true)
+		c.Check(behind.Head(), quicktest.Equals, ahead.Head(), quicktest.Commentf("held %d", test.held))
+	}
+}
+
+// Guards against a damaged snapshot that replaces a release.
+func TestTakeRefusesDamage(t *testing.T) {
+	c := quicktest.New(t)
+	ahead := replica("a", chain(300, 999, "")...)
+	s := ahead.Next(ident.Head{Serial: 1}).(relay.Snapshot)
+	r := replica("b", chain(5, 999, "")...)
+	cut := s
+	cut.Text = s.Text[:len(s.Text)-1]
+	c.Check(r.Take(cut).Verdict, quicktest.Equals, relay.Refused)
+	other := s
+	other.Head.Serial++
+	c.Check(r.Take(other).Verdict, quicktest.Equals, relay.Refused)
+	c.Check(r.Head().Serial, quicktest.Equals, ident.Serial(5))
+	c.Check(r.Take(s).Verdict, quicktest.Equals, relay.Applied)
+	old := replica("c", chain(299, 999, "")...)
+	c.Check(r.Take(old.Next(ident.Head{Serial: 1}).(relay.Snapshot)).Verdict, quicktest.Equals, relay.Known)
+	c.Check(r.Head().Serial, quicktest.Equals, ident.Serial(300))
+}
+
+// Guards against a release that goes back, and against daemons that differ for good
+// after losses, duplicates, replays and two notes of one serial.
+func TestReplicasConverge(t *testing.T) {
+	main, other := chain(8, 99, ""), chain(8, 4, "other")
+	for i := range other {
+		other[i].Version += 5
+	}
+	pool := append(append([]relay.Offer{}, main...), other[3:]...)
+	pool = append(pool, relay.Offer{Serial: 5, Text: []byte("Serial = 5\nnot a note")})
+	rapid.Check(t, func(t *rapid.T) {
+		replicas := []*relay.Replica{replica("a"), replica("b"), replica("c")}
+		steps := rapid.SliceOfN(rapid.SampledFrom(pool), 0, 60).Draw(t, "offers")
+		for i, o := range steps {
+			r := replicas[rapid.IntRange(0, 2).Draw(t, "receiver")]
+			before := r.Head().Serial
+			r.Offer(o)
+			if r.Head().Serial < before {
+				t.Fatalf("offer %d moved the serial from %d to %d", i, before, r.Head().Serial)
+			}
+		}
+		highest := ident.Serial(0)
+		for _, r := range replicas {
+			highest = max(highest, r.Head().Serial)
+		}
+		for range 2 {
+			exchange(replicas[0], replicas[1])
+			exchange(replicas[1], replicas[2])
+			exchange(replicas[2], replicas[0])
+		}
+		for _, r := range replicas {
+			if r.Head() != replicas[0].Head() || r.Head().Serial != highest {
+				t.Fatalf("heads differ: %v and %v, highest %d", r.Head(), replicas[0].Head(), highest)
+			}
+			if string(r.Release().Snapshot()) != string(replicas[0].Release().Snapshot()) {
+				t.Fatalf("releases of head %v differ", r.Head())
+			}
+		}
+	})
+}
+
+// Guards against a note that counts as accepted while the loss of two VMs or of a data centre can erase it.
+func TestAcceptance(t *testing.T) {
+	sites := []ident.DataCentre{"d", "d", "d", "e"}
+	text := "Serial = 1\n[[AddService]]\nName = \"s\"\n"
+	for i, d := range sites {
+		text += fmt.Sprintf("[[AddTarget]]\nName = \"t%d\"\nService = \"s\"\nVM = \"vm%d\"\nDataCentre = %q\nDaemon = \"10.0.0.%d:1\"\nAddress = \"10.0.0.%d:2\"\nSlots = 1\n", i, i, d, i+1, i+1)
+	}
+	tests := []struct {
+		name    string
+		holders []int
+		want    bool
+	}{
+		{"alone", nil, false},
+		{"two", []int{3}, false},
+		{"three in one data centre", []int{1, 2}, false},
+		{"the same one twice", []int{3, 3}, false},
+		{"three in two data centres", []int{1, 3}, true},
+	}
+	for _, test := range tests {
+		c := quicktest.New(t)
+		r := replica("vm0", relay.Offer{Serial: 1, Text: []byte(text)})
+		c.Assert(r.Head().Serial, quicktest.Equals, ident.Serial(1))
+		for _, h := range test.holders {
+			r.Receive(relay.Ack{Head: r.Head(), VM: ident.VM(fmt.Sprintf("vm%d", h)), DataCentre: sites[h]}, true)
+		}
+		c.Check(r.Accepted(), quicktest.Equals, test.want, quicktest.Commentf(test.name))
+	}
+}
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -156,6 +156,7 @@
 		return relay.Digest{
 			Head: h, ServiceKnown: b.Digest.GetServiceKnown(),
 			ServiceAge: time.Duration(b.Digest.GetServiceAgeNanoseconds()), ListingVersion: b.Digest.GetListingVersion(),
+			VM: ident.VM(b.Digest.GetVM()), DataCentre: ident.DataCentre(b.Digest.GetDataCentre()), Accepted: b.Digest.GetAccepted(),
 		}, err
 	case *peerpb.Envelope_Offer:
 		return decodeOffer(b.Offer), nil
@@ -174,6 +175,8 @@
 	case *peerpb.Envelope_Ack:
 		h, err := decodeHead(b.Ack.GetHead())
 		return relay.Ack{Head: h, VM: ident.VM(b.Ack.GetVM()), DataCentre: ident.DataCentre(b.Ack.GetDataCentre())}, err
+	case *peerpb.Envelope_PullListing:
+		return relay.PullListing{After: b.PullListing.GetAfter()}, nil
 	case *peerpb.Envelope_Listing:
 		return decodeListing(b.Listing)
 	}
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -98,6 +98,7 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Digest{Digest: &peerpb.Digest{
 			Head: encodeHead(m.Head), ServiceKnown: m.ServiceKnown,
 			ServiceAgeNanoseconds: int64(m.ServiceAge), ListingVersion: m.ListingVersion,
+			VM: string(m.VM), DataCentre: string(m.DataCentre), Accepted: m.Accepted,
 		}}}
 	case relay.Offer:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Offer{Offer: encodeOffer(m)}}
@@ -117,6 +118,8 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Ack{Ack: &peerpb.Ack{
 			Head: encodeHead(m.Head), VM: string(m.VM), DataCentre: string(m.DataCentre),
 		}}}
+	case relay.PullListing:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_PullListing{PullListing: &peerpb.PullListing{After: m.After}}}
 	case relay.Listing:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Listing{Listing: encodeListing(m)}}
 	}
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -49,3 +49,8 @@
 	}
 	return decode(e, now)
 }
+
+// Size returns the number of bytes that Write writes for a message.
+func Size(m Message, now time.Time) int {
+	return lengthBytes + proto.Size(encode(m, now))
+}
