Decide the states of peer daemons

Cause: nothing said which peers are usable. Conclusion: links and the router can use Seen, Lost, Drained and the announced changes.

--- /dev/null
+++ b/internal/task/member/member.go
@@ -0,0 +1,118 @@
+// Package member is the task that owns the states of the peer daemons.
+package member
+
+import (
+	"jacinthcross/internal/base/clock"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/member"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/super/tree"
+	"net/netip"
+	"time"
+)
+
+// A Message is what the task receives.
+type Message interface{ message() }
+
+// A Seen says that a peer answered. Draining is what it told of itself.
+type Seen struct {
+	Peer     netip.AddrPort
+	Draining bool
+}
+
+// A Lost says that a peer did not answer or that its link failed.
+type Lost struct{ Peer netip.AddrPort }
+
+// A Drained says that the daemon on a VM announced its planned stop.
+type Drained struct{ VM ident.VM }
+
+// A Listed tells the VM list.
+type Listed struct{ VMs []relay.ListedVM }
+
+// A ReleaseChanged tells which release is in force.
+type ReleaseChanged struct{ Release *note.Release }
+
+// A StatusAsk asks for the states of all peers.
+type StatusAsk struct{ Reply *mail.Box[[]member.Change] }
+
+func (Seen) message()           {}
+func (Lost) message()           {}
+func (Drained) message()        {}
+func (Listed) message()         {}
+func (ReleaseChanged) message() {}
+func (StatusAsk) message()      {}
+
+// A Task owns the states of the peers.
+type Task struct {
+	*tree.Loop
+	inbox    *mail.Box[Message]
+	clock    clock.Clock
+	announce func([]member.Change)
+	table    *member.Table
+}
+
+// An Option sets a property of a Task.
+type Option func(*Task)
+
+// WithClock sets the clock.
+func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
+
+// New starts the task. announce is called with the peers whose states changed.
+func New(inbox *mail.Box[Message], announce func([]member.Change), options ...Option) *Task {
+	t := &Task{Loop: tree.NewLoop(), inbox: inbox, clock: clock.System{}, announce: announce, table: member.NewTable()}
+	for _, o := range options {
+		o(t)
+	}
+	go func() {
+		t.Run(t.loop)
+	}()
+	return t
+}
+
+func (t *Task) loop() error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case m := <-t.inbox.C():
+			t.tell(t.receive(m))
+		case <-timer.C:
+			t.tell(t.table.Tick(t.clock.Now()))
+		case <-t.Stopping():
+			return nil
+		}
+		now := t.clock.Now()
+		if next, ok := t.table.Next(now); ok {
+			timer.Reset(next.Sub(now))
+		} else {
+			timer.Stop()
+		}
+	}
+}
+
+func (t *Task) tell(changes []member.Change) {
+	if len(changes) > 0 {
+		t.announce(changes)
+	}
+}
+
+func (t *Task) receive(m Message) []member.Change {
+	now := t.clock.Now()
+	switch m := m.(type) {
+	case Seen:
+		return t.table.Seen(m.Peer, m.Draining, now)
+	case Lost:
+		return t.table.Lost(m.Peer, now)
+	case Drained:
+		return t.table.Drain(m.VM, now)
+	case Listed:
+		return t.table.SetList(m.VMs, now)
+	case ReleaseChanged:
+		return t.table.SetRelease(m.Release, now)
+	case StatusAsk:
+		m.Reply.TryPut(t.table.Peers())
+	}
+	return nil
+}
