Distribute releases and the VM list between daemons

Cause: each daemon read the configuration service by itself and got nothing from peers. Change: the keeper exchanges digests with a parent and with a peer of another data centre each second, sends notes down the trees, answers pulls, counts holders and control bytes, and confirms its head with peers at start and on request (Confirm, HeadSeen, Announce). Watchers read the VM list each 2 s.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -10,6 +10,9 @@
 	ReleaseInForce   = Event{2001, "ReleaseInForce", Info}
 	NoteRefused      = Event{2002, "NoteRefused", Error}
 	ServiceUnread    = Event{2003, "ConfigurationServiceUnreadable", Warning}
+	NoteAccepted     = Event{2004, "NoteAccepted", Info}
+	NoteConflict     = Event{2005, "NoteConflict", Error}
+	ListUnread       = Event{2006, "VMListUnreadable", Warning}
 	LinkOpened       = Event{3001, "LinkOpened", Info}
 	LinkFailed       = Event{3002, "LinkFailed", Warning}
 	PeerRefused      = Event{3003, "PeerMessageRefused", Warning}
@@ -22,7 +25,7 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
-		ReleaseInForce, NoteRefused, ServiceUnread,
+		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		LinkOpened, LinkFailed, PeerRefused,
 		TargetAdded, TargetWithdrawn, TargetConnFailed,
 	}
--- a/internal/fleet/relay/confirm.go
+++ b/internal/fleet/relay/confirm.go
@@ -41,7 +41,10 @@
 // Done reports whether enough peers of those that exist have answered, or the time is over. It stays true.
 func (c *Confirmation) Done(peers int, now time.Time) bool {
 	if !c.done {
-		c.done = len(c.answered) >= min(confirmPeers, peers) || now.Sub(c.started) >= c.timeout
+		c.done = c.Agreed(peers) || now.Sub(c.started) >= c.timeout
 	}
 	return c.done
 }
+
+// Agreed reports whether enough peers answered, whatever the time.
+func (c *Confirmation) Agreed(peers int) bool { return len(c.answered) >= min(confirmPeers, peers) }
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -5,7 +5,9 @@
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
+	fleet "jacinthcross/internal/fleet/member"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/admin"
@@ -14,8 +16,10 @@
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/task/watch"
+	"sync/atomic"
 )
 
 // Sizes of the mailboxes. Calls wait in them only while a task works on the message before;
@@ -31,6 +35,10 @@
 	local  *mail.Box[local.Message]
 	links  *mail.Box[links.Message]
 	keeper *mail.Box[keeper.Message]
+	watch  *mail.Box[watch.Message]
+	member *mail.Box[member.Message]
+	// announced is the serial that the tasks were told last. A restarted keeper may recover a lower one at first.
+	announced atomic.Uint64
 }
 
 func newBoxes() *boxes {
@@ -39,6 +47,8 @@
 		local:  mail.NewBox[local.Message](callMailbox),
 		links:  mail.NewBox[links.Message](callMailbox),
 		keeper: mail.NewBox[keeper.Message](controlMailbox),
+		watch:  mail.NewBox[watch.Message](controlMailbox),
+		member: mail.NewBox[member.Message](controlMailbox),
 	}
 }
 
@@ -47,8 +57,12 @@
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
 	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead)
 	control := tree.NewSupervisor("control", []tree.Child{
-		{Name: "keeper", Start: func() (tree.Task, error) { return keeper.New(b.keeper, b.announce), nil }},
-		{Name: "watch", Start: func() (tree.Task, error) { return watch.New(watch.NewHTTPReader(s.Config), b.keeper), nil }},
+		{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, b, m), nil }},
+		{Name: "watch", Start: func() (tree.Task, error) { return startWatch(s, b), nil }},
+		{Name: "member", Start: func() (tree.Task, error) {
+			b.keeper.TryPut(keeper.Announce{})
+			return member.New(b.member, func([]fleet.Change) {}), nil
+		}},
 	}, hook)
 	data := tree.NewSupervisor("data", []tree.Child{
 		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, b) }},
@@ -56,6 +70,7 @@
 			return links.New(b.links, links.WithMaxSize(s.MaxBody+messageOverhead), links.WithServe(server.Session)), nil
 		}},
 		{Name: "router", Start: func() (tree.Task, error) {
+			b.keeper.TryPut(keeper.Announce{})
 			return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}), nil
 		}},
 	}, hook)
@@ -78,10 +93,29 @@
 	return root
 }
 
+func startKeeper(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
+	return keeper.New(keeper.Config{
+		VM: s.VM, DataCentre: s.DataCentre, Daemon: s.Peers, Seeds: s.Seeds, Inbox: b.keeper, Links: b.links,
+		Announce: b.announce,
+		Duty:     func(d keeper.Duty) { b.watch.TryPut(watch.SetDuty{Duty: d}) },
+		Listed:   func(vms []relay.ListedVM) { b.member.TryPut(member.Listed{VMs: vms}) },
+		Bytes:    m.Control,
+	})
+}
+
+func startWatch(s *conf.Settings, b *boxes) tree.Task {
+	var options []watch.Option
+	if s.VMList != "" {
+		options = append(options, watch.WithList(watch.NewHTTPReader(s.VMList)))
+	}
+	return watch.New(b.watch, watch.NewHTTPReader(s.Config), b.keeper, options...)
+}
+
 // messageOverhead is the room for headers and fields beside the body in a message between daemons, in bytes.
 const messageOverhead = 1 << 20
 
 func startLocal(s *conf.Settings, b *boxes) (tree.Task, error) {
+	b.keeper.TryPut(keeper.Announce{})
 	return local.New(s.VM, b.local,
 		local.WithMaxBody(s.MaxBody),
 		local.WithLedgerLimits(ledger.Limits{EpochLength: s.KeyEpoch, MaxEntries: ledgerEntries, MaxBytes: ledgerBytes}),
@@ -97,6 +131,11 @@
 
 // announce tells the tasks that work by the release of a new one.
 func (b *boxes) announce(r *note.Release) {
+	if uint64(r.Head.Serial) < b.announced.Load() {
+		return
+	}
+	b.announced.Store(uint64(r.Head.Serial))
 	b.router.TryPut(router.ReleaseChanged{Release: r})
 	b.local.TryPut(local.ReleaseChanged{Release: r})
+	b.member.TryPut(member.ReleaseChanged{Release: r})
 }
--- a/internal/task/keeper/message.go
+++ b/internal/task/keeper/message.go
@@ -6,6 +6,8 @@
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/task/link"
+	"net/netip"
 	"time"
 )
 
@@ -21,17 +23,69 @@
 // A FromService is a note that was read from the configuration service.
 type FromService struct{ Offer relay.Offer }
 
+// A SnapshotRead is a snapshot that was read from the configuration service.
+type SnapshotRead struct{ Snapshot relay.Snapshot }
+
+// A ServiceRead says that the configuration service answers, or that a watch of it is pending.
+type ServiceRead struct{}
+
+// A ListRead is the VM list that was read from the platform.
+type ListRead struct{ Listing relay.Listing }
+
+// A HeadSeen tells the head that a peer reported with a load.
+type HeadSeen struct {
+	Head ident.Head
+	Peer netip.AddrPort
+}
+
+// A Confirm asks to compare the head with two peers now, as after a pause of the process.
+// Reply gets true when they answered and false when the time for it is over.
+type Confirm struct{ Reply *mail.Box[bool] }
+
+// An Announce asks to tell the release, the duty and the VM list again. A task that
+// was restarted sends it, because its state starts empty.
+type Announce struct{}
+
 // A StatusAsk asks for the state of the task.
 type StatusAsk struct{ Reply *mail.Box[Status] }
 
 // A Status is the state of the task.
 type Status struct {
-	Head     ident.Head
-	Since    time.Time
-	Release  *note.Release
-	Refusals []string
+	Head         ident.Head
+	Since        time.Time
+	Release      *note.Release
+	Refusals     []string
+	Accepted     bool
+	Holders      int
+	Confirmed    bool
+	Duty         relay.Duty
+	ServiceKnown bool
+	ServiceAge   time.Duration
+	ListVersion  uint64
+	Lagging      []ident.VM
+}
+
+// A Duty tells the watch task whether to read the configuration service, and from which head on.
+type Duty struct {
+	Kind        relay.Duty
+	Head        ident.Head
+	ListVersion uint64
+}
+
+// An answered is the end of an exchange with a peer.
+type answered struct {
+	peer   netip.AddrPort
+	hops   int
+	answer link.Answer
 }
 
-func (FromPeer) message()    {}
-func (FromService) message() {}
-func (StatusAsk) message()   {}
+func (FromPeer) message()     {}
+func (FromService) message()  {}
+func (SnapshotRead) message() {}
+func (ServiceRead) message()  {}
+func (ListRead) message()     {}
+func (HeadSeen) message()     {}
+func (Confirm) message()      {}
+func (Announce) message()     {}
+func (StatusAsk) message()    {}
+func (answered) message()     {}
--- /dev/null
+++ b/internal/task/watch/fleet_test.go
@@ -0,0 +1,299 @@
+package watch_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"flag"
+	"fmt"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/meter"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/links"
+	"jacinthcross/internal/task/watch"
+	"jacinthcross/internal/wire/codec"
+	"net/netip"
+	"os"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"k8s.io/klog/v2"
+)
+
+func TestMain(m *testing.M) {
+	klog.InitFlags(nil)
+	_ = flag.Set("logtostderr", "false")
+	_ = flag.Set("alsologtostderr", "false")
+	_ = flag.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(devNull{})
+	os.Exit(m.Run())
+}
+
+type devNull struct{}
+
+func (devNull) Write(b []byte) (int, error) { return len(b), nil }
+
+// A service is a fake of the configuration service. Its mode decides how it fails.
+type service struct {
+	mutex   sync.Mutex
+	values  map[string]watch.Value
+	version uint64
+	mode    string
+	reads   atomic.Int64
+	changed chan struct{}
+	last    string
+	serial  int
+}
+
+func newService() *service {
+	return &service{values: map[string]watch.Value{}, changed: make(chan struct{})}
+}
+
+func (s *service) set(change func()) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *service) put(key, text string) {
+	s.version++
+	s.values[key] = watch.Value{Text: []byte(text), Version: s.version}
+}
+
+func (s *service) publish(body string) {
+	s.set(func() {
+		s.serial++
+		text := fmt.Sprintf("Serial = %d\nPrevious = %q\n%s", s.serial, s.last, body)
+		s.last = fmt.Sprintf("%x", sha256.Sum256([]byte(text)))
+		s.put(fmt.Sprintf("note/%d", s.serial), text)
+		s.put("head", fmt.Sprintf("Serial = %d\nDigest = %q\n", s.serial, s.last))
+	})
+}
+
+// Read implements watch.Reader.
+func (s *service) Read(ctx context.Context, key string, after uint64, wait time.Duration) (watch.Value, error) {
+	s.reads.Add(1)
+	timeout := time.After(wait)
+	for {
+		s.mutex.Lock()
+		mode, changed := s.mode, s.changed
+		v, ok := s.values[key]
+		s.mutex.Unlock()
+		switch {
+		case mode == "down":
+			return watch.Value{}, errors.New("connection refused")
+		case mode == "silent":
+			select {
+			case <-time.After(wait + time.Second):
+				return watch.Value{}, errors.New("timeout")
+			case <-ctx.Done():
+				return watch.Value{}, ctx.Err()
+			}
+		case mode == "garbage":
+			return watch.Value{Text: []byte("<html>{{{"), Version: 1 << 40}, nil
+		case ok && v.Version > after:
+			return v, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			if ok {
+				return watch.Value{}, watch.ErrUnchanged
+			}
+			return watch.Value{}, errors.NotFoundf("value %q", key)
+		case <-ctx.Done():
+			return watch.Value{}, ctx.Err()
+		}
+	}
+}
+
+// A fleet is daemons that consist of a keeper and a watch task, on a network that the test can cut.
+type fleet struct {
+	mutex   sync.Mutex
+	service *service
+	members []*member
+	cut     func(from, to int) bool
+}
+
+type member struct {
+	n      int
+	inbox  *mail.Box[keeper.Message]
+	links  *mail.Box[links.Message]
+	watch  *mail.Box[watch.Message]
+	keeper *keeper.Task
+	reader *watch.Task
+	bytes  atomic.Int64
+	serial atomic.Uint64
+	lower  atomic.Bool
+	done   chan struct{}
+}
+
+const sites = 2
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+
+func vm(n int) ident.VM { return ident.VM(fmt.Sprintf("vm-%d", n)) }
+
+func site(n int) ident.DataCentre { return ident.DataCentre(fmt.Sprintf("d-%d", n%sites)) }
+
+func targets(count int) string {
+	var b strings.Builder
+	b.WriteString("[[AddService]]\nName = \"s\"\n")
+	for i := range count {
+		fmt.Fprintf(&b, "[[AddTarget]]\nName = \"t-%d\"\nService = \"s\"\nVM = %q\nDataCentre = %q\nDaemon = %q\nAddress = \"10.0.1.%d:80\"\nSlots = 1\n",
+			i, vm(i), site(i), address(i), i)
+	}
+	return b.String()
+}
+
+func newFleet(t *testing.T, count int) *fleet {
+	f := &fleet{service: newService(), cut: func(_, _ int) bool { return false }}
+	for n := range count {
+		f.members = append(f.members, &member{n: n})
+	}
+	for _, m := range f.members {
+		f.start(m)
+	}
+	t.Cleanup(func() {
+		for _, m := range f.members {
+			f.stop(m)
+		}
+	})
+	return f
+}
+
+// start starts a daemon with empty memory.
+func (f *fleet) start(m *member) {
+	f.mutex.Lock()
+	m.inbox, m.links, m.watch = mail.NewBox[keeper.Message](256), mail.NewBox[links.Message](256), mail.NewBox[watch.Message](256)
+	m.done = make(chan struct{})
+	f.mutex.Unlock()
+	f.startKeeper(m)
+	m.reader = watch.New(m.watch, f.service, m.inbox, watch.WithList(f.service))
+	go f.carry(m, m.links, m.done)
+}
+
+func (f *fleet) startKeeper(m *member) {
+	var seeds []netip.AddrPort
+	for n := range 3 {
+		seeds = append(seeds, address(n))
+	}
+	box := m.watch
+	m.serial.Store(0)
+	m.keeper = keeper.New(keeper.Config{
+		VM: vm(m.n), DataCentre: site(m.n), Daemon: address(m.n), Seeds: seeds, Inbox: m.inbox, Links: m.links,
+		Announce: func(r *note.Release) {
+			if uint64(r.Head.Serial) < m.serial.Swap(uint64(r.Head.Serial)) {
+				m.lower.Store(true)
+			}
+		},
+		Duty:  func(d keeper.Duty) { box.TryPut(watch.SetDuty{Duty: d}) },
+		Bytes: func(_ meter.Direction, n int) { m.bytes.Add(int64(n)) },
+	})
+}
+
+func (f *fleet) stop(m *member) {
+	close(m.done)
+	m.reader.Stop()
+	m.keeper.Stop()
+	<-m.reader.Done()
+	<-m.keeper.Done()
+}
+
+// carry delivers the messages of a daemon, encoded and decoded as on a connection.
+func (f *fleet) carry(m *member, box *mail.Box[links.Message], done chan struct{}) {
+	for {
+		select {
+		case message := <-box.C():
+			go f.deliver(m, message)
+		case <-done:
+			return
+		}
+	}
+}
+
+func (f *fleet) deliver(m *member, message links.Message) {
+	exchange := message.Message.(link.Exchange)
+	to := int(message.Peer.Addr().As4()[3])
+	f.mutex.Lock()
+	cut := f.cut(m.n, to) || f.cut(to, m.n)
+	inbox := f.members[to].inbox
+	f.mutex.Unlock()
+	reply := mail.NewBox[relay.Message](1)
+	if cut || !inbox.TryPut(keeper.FromPeer{Message: transfer(exchange.Message).Message, Reply: reply}) {
+		exchange.Reply.TryPut(link.Answer{Err: errors.New("unreachable")})
+		return
+	}
+	select {
+	case answer := <-reply.C():
+		exchange.Reply.TryPut(link.Answer{Message: transfer(codec.Control{Message: answer})})
+	case <-time.After(time.Second):
+		exchange.Reply.TryPut(link.Answer{Err: errors.New("timeout")})
+	}
+}
+
+func transfer(m codec.Message) codec.Control {
+	var b strings.Builder
+	if _, err := codec.Write(&b, m, time.Now()); err != nil {
+		panic(err)
+	}
+	back, _, err := codec.Read(strings.NewReader(b.String()), 2<<20, time.Now)
+	if err != nil {
+		panic(err)
+	}
+	return back.(codec.Control)
+}
+
+// wait waits until all daemons that are asked for hold the serial.
+func (f *fleet) wait(t *testing.T, serial uint64, limit time.Duration, who ...int) time.Duration {
+	t.Helper()
+	began := time.Now()
+	for {
+		missing := -1
+		for _, m := range f.members {
+			if m.serial.Load() != serial && (len(who) == 0 || slices.Contains(who, m.n)) {
+				missing = m.n
+			}
+		}
+		if missing < 0 {
+			return time.Since(began)
+		}
+		if time.Since(began) > limit {
+			t.Fatalf("daemon %d holds serial %d after %s, want %d", missing, f.members[missing].serial.Load(), limit, serial)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+func (f *fleet) status(t *testing.T, n int) keeper.Status {
+	t.Helper()
+	reply := mail.NewBox[keeper.Status](1)
+	f.members[n].inbox.TryPut(keeper.StatusAsk{Reply: reply})
+	select {
+	case s := <-reply.C():
+		return s
+	case <-time.After(5 * time.Second):
+		t.Fatalf("daemon %d tells no status", n)
+	}
+	return keeper.Status{}
+}
+
+func (f *fleet) setCut(cut func(from, to int) bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.cut = cut
+}
+
+func service2(n int) string { return fmt.Sprintf("[[AddService]]\nName = \"extra-%d\"\n", n) }
--- /dev/null
+++ b/internal/task/watch/follow.go
@@ -0,0 +1,142 @@
+package watch
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/task/keeper"
+	"math"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// notesBeforeBase is the number of missing notes from which on a snapshot is read instead, when there is one.
+const notesBeforeBase = 16
+
+// A follower reads the head and the notes up to it, and passes them on.
+type follower struct {
+	reader  Reader
+	after   ident.Head
+	version uint64
+	wait    time.Duration
+	pass    func(keeper.Message)
+}
+
+// A publishedHead is the value of the key "head".
+type publishedHead struct {
+	ident.Head
+	base ident.Serial
+}
+
+func parseHead(text []byte) (publishedHead, error) {
+	d := form.Parse(text)
+	t := d.Root()
+	var h publishedHead
+	h.Serial = ident.Serial(t.Number("Serial", 1, math.MaxInt64, 0))
+	h.base = ident.Serial(t.Number("Base", 1, math.MaxInt64, 0))
+	digest, err := ident.ParseDigest(t.Text("Digest"))
+	if err != nil || h.Serial == 0 {
+		t.Mistake("Digest", "Serial and Digest name no release")
+	}
+	h.Digest = digest
+	t.Done()
+	if m := d.Mistakes(); len(m) > 0 {
+		return h, errors.Annotate(m, "value head")
+	}
+	return h, nil
+}
+
+// follow waits for a new head and passes on what leads to it. It returns the version of the head.
+func (f *follower) follow(ctx context.Context) (uint64, error) {
+	v, err := f.reader.Read(ctx, "head", f.version, f.wait)
+	if err != nil {
+		return 0, err
+	}
+	head, err := parseHead(v.Text)
+	if err != nil {
+		return 0, err
+	}
+	// An older head means that the service is stale. The own release stays.
+	if head.Serial < f.after.Serial || head.Head == f.after {
+		return v.Version, nil
+	}
+	first := f.after.Serial + 1
+	if head.Serial == f.after.Serial {
+		first = head.Serial
+	}
+	if head.base >= first && head.base <= head.Serial && head.Serial-first >= notesBeforeBase {
+		if err := f.base(ctx, head.base); err != nil {
+			return 0, err
+		}
+		first = head.base + 1
+	}
+	for serial := first; serial <= head.Serial; serial++ {
+		n, digest, err := f.note(ctx, serial)
+		if err != nil {
+			return 0, err
+		}
+		if serial == head.Serial && digest != head.Digest {
+			return 0, errors.NotValidf("value note/%d: its SHA-256 differs from that of head", serial)
+		}
+		f.pass(keeper.FromService{Offer: n})
+	}
+	return v.Version, nil
+}
+
+func (f *follower) note(ctx context.Context, serial ident.Serial) (relay.Offer, ident.Digest, error) {
+	v, err := f.reader.Read(ctx, fmt.Sprintf("note/%d", serial), 0, 0)
+	if err != nil {
+		return relay.Offer{}, ident.Digest{}, err
+	}
+	return relay.Offer{Serial: serial, Text: v.Text, Version: v.Version}, sha256.Sum256(v.Text), nil
+}
+
+// base passes on a snapshot. Its version is that of its last note, which decides conflicts.
+func (f *follower) base(ctx context.Context, serial ident.Serial) error {
+	n, digest, err := f.note(ctx, serial)
+	if err != nil {
+		return err
+	}
+	v, err := f.reader.Read(ctx, fmt.Sprintf("base/%d", serial), 0, 0)
+	if err != nil {
+		return err
+	}
+	f.pass(keeper.SnapshotRead{Snapshot: relay.Snapshot{
+		Head: ident.Head{Serial: serial, Digest: digest}, Text: v.Text, Version: n.Version,
+	}})
+	return nil
+}
+
+// readList reads the VM list when its version differs from after.
+func readList(ctx context.Context, reader Reader, after uint64) (relay.Listing, error) {
+	v, err := reader.Read(ctx, "vms", after, 0)
+	if err != nil {
+		return relay.Listing{}, err
+	}
+	d := form.Parse(v.Text)
+	t := d.Root()
+	m := relay.Listing{Version: v.Version}
+	for _, e := range t.Tables("VM") {
+		vm := relay.ListedVM{
+			VM: ident.VM(e.Text("Name")), DataCentre: ident.DataCentre(e.Text("DataCentre")),
+			State: relay.ListedState(e.Text("State")), Daemon: e.Address("Daemon"),
+		}
+		if vm.VM == "" {
+			e.Mistake("Name", "is missing")
+		}
+		if vm.State != relay.Live && vm.State != relay.Leaving {
+			e.Mistake("State", "is %q, want Live or Leaving", vm.State)
+		}
+		m.VMs = append(m.VMs, vm)
+		e.Done()
+	}
+	t.Done()
+	if mistakes := d.Mistakes(); len(mistakes) > 0 {
+		return relay.Listing{}, errors.Annotate(mistakes, "value vms")
+	}
+	return m, nil
+}
--- a/internal/task/watch/watch.go
+++ b/internal/task/watch/watch.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"fmt"
+	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/event"
-	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/super/tree"
@@ -12,32 +11,78 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/pelletier/go-toml/v2"
 )
 
 const (
-	watchWait  = 30 * time.Second
+	// watchWait is how long one watch of the head waits for a change.
+	watchWait = 30 * time.Second
+	// retryDelay follows a failed read by a watcher.
 	retryDelay = time.Second
+	// listInterval is the time between two reads of the VM list.
+	listInterval = 2 * time.Second
+	// settleDelay lets the keeper tell its new head before the next watch, so that no note is read twice.
+	settleDelay = 50 * time.Millisecond
+	// reportInterval is the time between two reports that a watch is pending, which keep the service age low.
+	reportInterval = time.Second
 )
 
-// A Task watches the head in the configuration service and passes new notes to the keeper.
+// A Message is what the task receives.
+type Message interface{ message() }
+
+// A SetDuty tells whether and from which head on to read.
+type SetDuty struct{ Duty keeper.Duty }
+
+// A headRead is the end of a read of the head and the notes up to it.
+type headRead struct {
+	version uint64
+	passed  bool
+	err     error
+}
+
+// A listRead is the end of a read of the VM list.
+type listRead struct{ err error }
+
+func (SetDuty) message()  {}
+func (headRead) message() {}
+func (listRead) message() {}
+
+// A Task reads the configuration service and the VM list when the keeper says so.
 type Task struct {
 	*tree.Loop
-	reader  Reader
+	inbox   *mail.Box[Message]
 	keeper  *mail.Box[keeper.Message]
-	version uint64
-	serial  ident.Serial
+	service Reader
+	list    Reader
+	clock   clock.Clock
+	duty    keeper.Duty
+	gate    relay.Gate
+	// cancel ends the pending read of the head. It is nil when none is pending.
+	cancel   context.CancelFunc
+	listing  bool
+	version  uint64
+	healthy  bool
+	nextHead time.Time
+	nextList time.Time
 }
 
-// publishedHead is the value of the key "head".
-type publishedHead struct {
-	Serial ident.Serial
-	Digest string
-}
+// An Option sets a property of a Task.
+type Option func(*Task)
+
+// WithList sets the reader of the VM list.
+func WithList(r Reader) Option { return func(t *Task) { t.list = r } }
+
+// WithClock sets the clock.
+func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
 
 // New starts the task.
-func New(reader Reader, box *mail.Box[keeper.Message]) *Task {
-	t := &Task{Loop: tree.NewLoop(), reader: reader, keeper: box}
+func New(inbox *mail.Box[Message], service Reader, box *mail.Box[keeper.Message], options ...Option) *Task {
+	t := &Task{
+		Loop: tree.NewLoop(), inbox: inbox, keeper: box, service: service, clock: clock.System{},
+		duty: keeper.Duty{Kind: relay.Idle},
+	}
+	for _, o := range options {
+		o(t)
+	}
 	go func() {
 		t.Run(t.loop)
 	}()
@@ -47,45 +92,131 @@
 func (t *Task) loop() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go func() {
+	// The duty was told to an earlier run of this task, whose state is lost.
+	t.keeper.TryPut(keeper.Announce{})
+	timer := time.NewTimer(reportInterval)
+	defer timer.Stop()
+	for {
 		select {
+		case m := <-t.inbox.C():
+			t.receive(m)
+		case <-timer.C:
+			if t.cancel != nil && t.healthy {
+				t.keeper.TryPut(keeper.ServiceRead{})
+			}
 		case <-t.Stopping():
-			cancel()
-		case <-ctx.Done():
+			return nil
 		}
-	}()
-	for ctx.Err() == nil {
-		err := t.follow(ctx)
-		if err == nil || errors.Is(err, ErrUnchanged) || ctx.Err() != nil {
-			continue
+		t.start(ctx)
+		timer.Reset(t.pause())
+	}
+}
+
+func (t *Task) receive(m Message) {
+	switch m := m.(type) {
+	case SetDuty:
+		t.duty = m.Duty
+		if t.duty.Kind == relay.Idle && t.cancel != nil {
+			t.cancel()
 		}
-		event.ServiceUnread.Log("error", err.Error())
-		select {
-		case <-time.After(retryDelay):
-		case <-ctx.Done():
+	case headRead:
+		t.cancel()
+		t.cancel = nil
+		t.headDone(m)
+	case listRead:
+		t.listing = false
+		t.nextList = t.clock.Now().Add(listInterval)
+		if m.err != nil && !errors.Is(m.err, ErrUnchanged) {
+			t.healthy = false
+			event.ListUnread.Log("error", m.err.Error())
 		}
 	}
-	return nil
 }
 
-// follow waits for a new head and passes on the notes up to it.
-func (t *Task) follow(ctx context.Context) error {
-	v, err := t.reader.Read(ctx, "head", t.version, watchWait)
-	if err != nil {
-		return err
+func (t *Task) headDone(m headRead) {
+	switch {
+	case m.err == nil:
+		t.healthy, t.version = true, m.version
+		if m.passed {
+			t.nextHead = t.clock.Now().Add(settleDelay)
+		}
+	case errors.Is(m.err, ErrUnchanged):
+		// The next read does not wait for a higher version: a service that lost its state counts from 1 again.
+		t.healthy, t.version = true, 0
+	case errors.Is(m.err, context.Canceled):
+	default:
+		t.healthy = false
+		t.nextHead = t.clock.Now().Add(retryDelay)
+		event.ServiceUnread.Log("error", m.err.Error())
 	}
-	var head publishedHead
-	if err := toml.Unmarshal(v.Text, &head); err != nil {
-		return errors.Annotate(err, "read value head")
+	if t.healthy {
+		t.keeper.TryPut(keeper.ServiceRead{})
 	}
-	for t.serial < head.Serial {
-		n, err := t.reader.Read(ctx, fmt.Sprintf("note/%d", t.serial+1), 0, 0)
-		if err != nil {
-			return err
+}
+
+// start starts the reads that are due.
+func (t *Task) start(ctx context.Context) {
+	now := t.clock.Now()
+	if t.cancel == nil && !now.Before(t.nextHead) && t.mayRead(now) {
+		t.startHead(ctx)
+	}
+	if t.list != nil && !t.listing && t.duty.Kind == relay.Watch && !now.Before(t.nextList) {
+		t.startList(ctx)
+	}
+}
+
+func (t *Task) mayRead(now time.Time) bool {
+	switch t.duty.Kind {
+	case relay.Watch:
+		return true
+	case relay.Direct:
+		return t.gate.Allow(now)
+	case relay.Idle:
+	}
+	return false
+}
+
+func (t *Task) startHead(ctx context.Context) {
+	ctx, t.cancel = context.WithCancel(ctx)
+	passed := false
+	f := follower{reader: t.service, after: t.duty.Head, version: t.version, wait: watchWait, pass: func(m keeper.Message) {
+		passed = true
+		t.keeper.Put(m, t.Stopping())
+	}}
+	go func() {
+		version, err := f.follow(ctx)
+		t.inbox.Put(headRead{version: version, passed: passed, err: err}, t.Done())
+	}()
+}
+
+func (t *Task) startList(ctx context.Context) {
+	t.listing = true
+	after := t.duty.ListVersion
+	go func() {
+		m, err := readList(ctx, t.list, after)
+		if err == nil {
+			t.keeper.Put(keeper.ListRead{Listing: m}, t.Stopping())
 		}
-		t.serial++
-		t.keeper.Put(keeper.FromService{Offer: relay.Offer{Serial: t.serial, Text: n.Text, Version: n.Version}}, t.Stopping())
+		t.inbox.Put(listRead{err: err}, t.Done())
+	}()
+}
+
+// pause returns how long the loop may wait for a message.
+func (t *Task) pause() time.Duration {
+	now := t.clock.Now()
+	pause := reportInterval
+	if t.cancel == nil && t.duty.Kind != relay.Idle {
+		pause = min(pause, max(t.nextHead.Sub(now), t.gateWait(now)))
+	}
+	if t.list != nil && !t.listing && t.duty.Kind == relay.Watch {
+		pause = min(pause, t.nextList.Sub(now))
+	}
+	return max(pause, time.Millisecond)
+}
+
+func (t *Task) gateWait(now time.Time) time.Duration {
+	if t.duty.Kind == relay.Direct {
+		return t.gate.Wait(now)
 	}
-	t.version = v.Version
-	return nil
+	return 0
 }
