Add the operators' commands and check settings whole

Cause: operators had serve and version only, and settings were read up to the first mistake. Change: release check, release pack, status and config check; settings report every mistake with line and key and have Region, Profile and MaxBodyMemory.

--- /dev/null
+++ b/internal/cli/cmds/check.go
@@ -0,0 +1,47 @@
+package cmds
+
+import (
+	"fmt"
+	"jacinthcross/internal/fleet/note"
+	"os"
+)
+
+type releaseCheckCommand struct {
+	File    string `arg:"positional,required" help:"file with the release note" placeholder:"FILE"`
+	Against string `arg:"--against" help:"snapshot of the release before the note; without it, the note is the first one" placeholder:"FILE"`
+}
+
+func (c *releaseCheckCommand) run(env Env) int {
+	before := note.NewRelease()
+	if c.Against != "" {
+		var err error
+		if before, err = readSnapshot(c.Against); err != nil {
+			return exitFile(env, c.Against, err)
+		}
+	}
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return exitFile(env, c.File, err)
+	}
+	after, mistakes := note.Check(before, text)
+	if len(mistakes) > 0 {
+		return exitFile(env, c.File, mistakes)
+	}
+	for _, d := range note.Diff(before, after) {
+		fmt.Fprintf(env.Out, "%-9s %-7s %s", d.Kind, d.What, d.Name)
+		if d.Detail != "" {
+			fmt.Fprintf(env.Out, ": %s", d.Detail)
+		}
+		fmt.Fprintln(env.Out)
+	}
+	fmt.Fprintf(env.Out, "%s: valid release note %d with digest %s\n", c.File, after.Head.Serial, after.Head.Digest)
+	return exitSuccess
+}
+
+func readSnapshot(path string) (*note.Release, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return note.ParseSnapshot(text)
+}
--- /dev/null
+++ b/internal/cli/cmds/config.go
@@ -0,0 +1,19 @@
+package cmds
+
+import (
+	"fmt"
+	"jacinthcross/internal/cli/conf"
+)
+
+type configCheckCommand struct {
+	File string `arg:"positional,required" help:"file with the settings" placeholder:"FILE"`
+}
+
+func (c *configCheckCommand) run(env Env) int {
+	s, err := conf.Load(c.File)
+	if err != nil {
+		return exitFile(env, c.File, err)
+	}
+	fmt.Fprintf(env.Out, "%s: valid settings of VM %s in data centre %s\n", c.File, s.VM, s.DataCentre)
+	return exitSuccess
+}
--- /dev/null
+++ b/internal/cli/cmds/pack.go
@@ -0,0 +1,34 @@
+package cmds
+
+import (
+	"jacinthcross/internal/fleet/note"
+	"os"
+)
+
+type releasePackCommand struct {
+	Notes []string `arg:"positional,required" help:"release notes in the order of their serials" placeholder:"NOTE"`
+	Base  string   `arg:"--base" help:"snapshot before the first of the notes" placeholder:"FILE"`
+}
+
+func (c *releasePackCommand) run(env Env) int {
+	release := note.NewRelease()
+	if c.Base != "" {
+		var err error
+		if release, err = readSnapshot(c.Base); err != nil {
+			return exitFile(env, c.Base, err)
+		}
+	}
+	for _, path := range c.Notes {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return exitFile(env, path, err)
+		}
+		next, mistakes := note.Check(release, text)
+		if len(mistakes) > 0 {
+			return exitFile(env, path, mistakes)
+		}
+		release = next
+	}
+	_, err := env.Out.Write(release.Snapshot())
+	return exit(env, err)
+}
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -1,7 +1,6 @@
 package cmds
 
 import (
-	"fmt"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/daemon"
 	"os"
@@ -16,8 +15,7 @@
 func (c *serveCommand) run(env Env) int {
 	settings, err := conf.Load(c.Config)
 	if err != nil {
-		fmt.Fprintln(env.Err, "jacinthcross:", err)
-		return exitInvalid
+		return exitFile(env, c.Config, err)
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
--- /dev/null
+++ b/internal/cli/cmds/status.go
@@ -0,0 +1,161 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/task/admin"
+	"net/http"
+	"net/netip"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+type statusCommand struct {
+	Addresses []string      `arg:"positional,required" help:"addresses for operators (Listen.Admin) of daemons" placeholder:"ADDR"`
+	JSON      bool          `arg:"--json" help:"print JSON"`
+	Timeout   time.Duration `arg:"--timeout" default:"2s" help:"how long a daemon may take to answer"`
+}
+
+// A report is the state of one daemon, or why it is not known.
+type report struct {
+	Address netip.AddrPort
+	Error   string        `json:",omitempty"`
+	Lags    bool          `json:",omitempty"`
+	Status  *admin.Status `json:",omitempty"`
+}
+
+// maxStatus bounds the size of the status of a daemon in bytes.
+const maxStatus = 4 << 20
+
+func (c *statusCommand) run(env Env) int {
+	reports := make([]report, len(c.Addresses))
+	for i, text := range c.Addresses {
+		a, err := netip.ParseAddrPort(text)
+		if err != nil {
+			return exit(env, errors.NotValidf("address %q (want an IP address with a port, such as 10.0.0.1:7001)", text))
+		}
+		reports[i].Address = a
+	}
+	c.ask(reports)
+	code := exitSuccess
+	for _, r := range reports {
+		if r.Error != "" {
+			code = exitFailure
+		}
+	}
+	if err := c.print(env, reports); err != nil {
+		return exit(env, err)
+	}
+	return code
+}
+
+// ask asks all daemons at once and marks those whose release is older than that of another.
+func (c *statusCommand) ask(reports []report) {
+	ctx, cancel := context.WithTimeout(context.Background(), c.Timeout)
+	defer cancel()
+	done := make(chan struct{})
+	for i := range reports {
+		go func() {
+			s, err := readStatus(ctx, reports[i].Address)
+			if reports[i].Status = s; err != nil {
+				reports[i].Error = err.Error()
+			}
+			done <- struct{}{}
+		}()
+	}
+	highest := ident.Serial(0)
+	for range reports {
+		<-done
+	}
+	for _, r := range reports {
+		if r.Status != nil {
+			highest = max(highest, r.Status.Release.Serial)
+		}
+	}
+	for i, r := range reports {
+		reports[i].Lags = r.Status != nil && r.Status.Release.Serial < highest
+	}
+}
+
+func readStatus(ctx context.Context, at netip.AddrPort) (*admin.Status, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at.String()+"/status", nil)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, errors.Annotate(err, "no answer: check the address and that the daemon runs")
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", response.StatusCode)
+	}
+	s := &admin.Status{}
+	if err := json.NewDecoder(io.LimitReader(response.Body, maxStatus)).Decode(s); err != nil {
+		return nil, errors.Annotate(err, "read status")
+	}
+	return s, nil
+}
+
+func (c *statusCommand) print(env Env, reports []report) error {
+	if c.JSON {
+		e := json.NewEncoder(env.Out)
+		e.SetIndent("", "  ")
+		return errors.Trace(e.Encode(reports))
+	}
+	w := tabwriter.NewWriter(env.Out, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "ADDRESS\tVM\tDATACENTRE\tRELEASE\tSTATE\tTARGET\tINFLIGHT\tPEERS\tREMARKS")
+	for _, r := range reports {
+		if r.Status == nil {
+			fmt.Fprintf(w, "%s\t-\t-\t-\t-\t-\t-\t-\t%s\n", r.Address, r.Error)
+			continue
+		}
+		s := r.Status
+		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%s\t%s\t%d\t%s\t%s\n", r.Address, s.VM, s.DataCentre, s.Release.Serial,
+			s.Release.State, orDash(string(s.Target.Name)), s.Target.InFlight, peers(s), orDash(strings.Join(remarks(r), ", ")))
+	}
+	return errors.Trace(w.Flush())
+}
+
+// peers returns the number of peers that are alive and of all peers.
+func peers(s *admin.Status) string {
+	all := 0
+	for _, n := range s.Peers.Count {
+		all += n
+	}
+	return fmt.Sprintf("%d/%d", s.Peers.Count["Alive"], all)
+}
+
+func remarks(r report) []string {
+	s := r.Status
+	var out []string
+	if r.Lags {
+		out = append(out, "lags")
+	}
+	if s.Unconfirmed {
+		out = append(out, "unconfirmed")
+	}
+	if s.Target.Draining {
+		out = append(out, "draining")
+	}
+	if n := len(s.Release.Lagging); n > 0 {
+		out = append(out, fmt.Sprintf("%d peers lag", n))
+	}
+	if n := len(s.Release.Refusals); n > 0 {
+		out = append(out, "refused: "+s.Release.Refusals[n-1])
+	}
+	return out
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -2,20 +2,34 @@
 package conf
 
 import (
-	"bytes"
+	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
 	"net/netip"
+	"net/url"
 	"os"
+	"regexp"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/pelletier/go-toml/v2"
+)
+
+// A Profile weighs the tail of the latency against the cost of measuring.
+type Profile string
+
+// The profiles.
+const (
+	// Tail gives more weight to the tail latency.
+	Tail Profile = "Tail"
+	// Cost gives more weight to the cost of measuring load.
+	Cost Profile = "Cost"
 )
 
 // Settings are the checked settings of a daemon.
 type Settings struct {
 	VM         ident.VM
 	DataCentre ident.DataCentre
+	Region     ident.Region
+	Profile    Profile
 	Callers    netip.AddrPort
 	Peers      netip.AddrPort
 	Admin      netip.AddrPort
@@ -24,90 +38,148 @@
 	Seeds      []netip.AddrPort
 	MaxBody    int
 	MaxHeader  int
-	KeyEpoch   time.Duration
+	// MaxBodyMemory bounds the bytes of all request bodies under way.
+	MaxBodyMemory int
+	KeyEpoch      time.Duration
 }
 
-// file is the form of the settings file.
-type file struct {
-	VM         string
-	DataCentre string
-	Listen     struct {
-		Callers string
-		Peers   string
-		Admin   string
-	}
-	Platform struct {
-		Config string
-		VMList string
-		Seeds  []string
-	}
-	Limits struct {
-		MaxBody   int
-		MaxHeader int
-		KeyEpoch  string
-	}
-}
+// The limits and their defaults.
+const (
+	defaultMaxBody = 8 << 20
+	lowestMaxBody  = 1 << 10
+	highestMaxBody = 256 << 20
+	// defaultBodyMemory is half of the 64 MB that a daemon may use.
+	defaultBodyMemory = 32 << 20
+	highestBodyMemory = 4 << 30
+	defaultMaxHeader  = 64 << 10
+	lowestMaxHeader   = 1 << 10
+	highestMaxHeader  = 1 << 20
+	defaultKeyEpoch   = 5 * time.Minute
+	lowestKeyEpoch    = time.Second
+	highestKeyEpoch   = 24 * time.Hour
+	// maxName is the limit of names in release notes.
+	maxName = 128
+)
+
+var nameForm = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]*$`)
 
-// Load reads and checks the settings in a file.
+// Load reads and checks the settings in a file. Mistakes of the text are of type form.Errors.
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, errors.Annotate(err, "read settings")
 	}
-	s, err := Parse(text)
-	return s, errors.Annotatef(err, "%s", path)
+	return Parse(text)
 }
 
-// Parse reads and checks settings.
+// Parse reads and checks settings. The error is of type form.Errors.
 func Parse(text []byte) (*Settings, error) {
-	f := file{}
-	f.Limits.MaxBody = 8 << 20
-	f.Limits.MaxHeader = 64 << 10
-	f.Limits.KeyEpoch = "5m"
-	d := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := d.Decode(&f); err != nil {
-		return nil, errors.Annotate(err, "read settings")
+	d := form.Parse(text)
+	if m := d.Mistakes(); len(m) > 0 {
+		return nil, m
+	}
+	s := read(d.Root())
+	if m := d.Mistakes(); len(m) > 0 {
+		return nil, m
 	}
-	return f.check()
+	return s, nil
 }
 
-func (f *file) check() (*Settings, error) {
+func read(t *form.Table) *Settings {
+	listen, platform, limits := t.Table("Listen"), t.Table("Platform"), t.Table("Limits")
 	s := &Settings{
-		VM:         ident.VM(f.VM),
-		DataCentre: ident.DataCentre(f.DataCentre),
-		Config:     f.Platform.Config,
-		VMList:     f.Platform.VMList,
-		MaxBody:    f.Limits.MaxBody,
-		MaxHeader:  f.Limits.MaxHeader,
-	}
-	if s.VM == "" || s.DataCentre == "" {
-		return nil, errors.NotValidf("settings without VM or DataCentre")
-	}
-	for _, a := range []struct {
-		key  string
-		text string
-		to   *netip.AddrPort
-	}{
-		{"Listen.Callers", f.Listen.Callers, &s.Callers},
-		{"Listen.Peers", f.Listen.Peers, &s.Peers},
-		{"Listen.Admin", f.Listen.Admin, &s.Admin},
-	} {
-		p, err := netip.ParseAddrPort(a.text)
-		if err != nil {
-			return nil, errors.NotValidf("%s %q", a.key, a.text)
+		VM:            ident.VM(name(t, "VM", true)),
+		DataCentre:    ident.DataCentre(name(t, "DataCentre", true)),
+		Region:        ident.Region(name(t, "Region", false)),
+		Profile:       profile(t),
+		Callers:       listen.Address("Callers"),
+		Peers:         listen.Address("Peers"),
+		Admin:         listen.Address("Admin"),
+		Config:        address(platform, "Config", true),
+		VMList:        address(platform, "VMList", false),
+		Seeds:         seeds(platform),
+		MaxBody:       int(limits.Number("MaxBody", lowestMaxBody, highestMaxBody, defaultMaxBody)),
+		MaxHeader:     int(limits.Number("MaxHeader", lowestMaxHeader, highestMaxHeader, defaultMaxHeader)),
+		MaxBodyMemory: int(limits.Number("MaxBodyMemory", lowestMaxBody, highestBodyMemory, defaultBodyMemory)),
+		KeyEpoch:      limits.Duration("KeyEpoch", defaultKeyEpoch),
+	}
+	if s.KeyEpoch < lowestKeyEpoch || s.KeyEpoch > highestKeyEpoch {
+		limits.Mistake("KeyEpoch", "is %s, want %s to %s", s.KeyEpoch, lowestKeyEpoch, highestKeyEpoch)
+	}
+	if s.MaxBodyMemory < s.MaxBody {
+		limits.Mistake("MaxBodyMemory", "is %d, want at least MaxBody, %d", s.MaxBodyMemory, s.MaxBody)
+	}
+	checkListen(listen, s)
+	for _, table := range []*form.Table{t, listen, platform, limits} {
+		table.Done()
+	}
+	return s
+}
+
+// checkListen refuses addresses that collide, and an address for peers at which they cannot be sure to reach this daemon.
+func checkListen(t *form.Table, s *Settings) {
+	if s.Peers.IsValid() && s.Peers.Addr().IsUnspecified() {
+		t.Mistake("Peers", "is %s, want the address that the release notes name as Daemon", s.Peers)
+	}
+	if s.Callers.IsValid() && s.Callers == s.Peers {
+		t.Mistake("Peers", "is the same address as Listen.Callers")
+	}
+	if s.Admin.IsValid() && (s.Admin == s.Callers || s.Admin == s.Peers) {
+		t.Mistake("Admin", "is the same address as another of Listen")
+	}
+}
+
+func name(t *form.Table, key string, required bool) string {
+	text := t.Text(key)
+	switch {
+	case !t.Has(key):
+		if required {
+			t.Mistake(key, "is missing")
 		}
-		*a.to = p
+	case len(text) > maxName || !nameForm.MatchString(text):
+		t.Mistake(key, "is %q, want at most %d letters, digits, dots, dashes and underscores", text, maxName)
 	}
-	for _, text := range f.Platform.Seeds {
-		p, err := netip.ParseAddrPort(text)
-		if err != nil {
-			return nil, errors.NotValidf("Platform.Seeds %q", text)
+	return text
+}
+
+func profile(t *form.Table) Profile {
+	p := Profile(t.Text("Profile"))
+	if !t.Has("Profile") {
+		return Tail
+	}
+	if p != Tail && p != Cost {
+		t.Mistake("Profile", "is %q, want Tail or Cost", p)
+	}
+	return p
+}
+
+func address(t *form.Table, key string, required bool) string {
+	text := t.Text(key)
+	if !t.Has(key) {
+		if required {
+			t.Mistake(key, "is missing")
 		}
-		s.Seeds = append(s.Seeds, p)
+		return ""
 	}
-	var err error
-	if s.KeyEpoch, err = time.ParseDuration(f.Limits.KeyEpoch); err != nil || s.KeyEpoch <= 0 {
-		return nil, errors.NotValidf("Limits.KeyEpoch %q", f.Limits.KeyEpoch)
+	u, err := url.Parse(text)
+	if err == nil {
+		_, err = netip.ParseAddrPort(u.Host)
 	}
-	return s, nil
+	if err != nil || u.Scheme != "http" || u.Path != "" || u.RawQuery != "" {
+		t.Mistake(key, `is %q, want http:// with an IP address and port, such as "http://10.0.0.9:8500"`, text)
+	}
+	return text
+}
+
+func seeds(t *form.Table) []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, text := range t.Texts("Seeds") {
+		p, err := netip.ParseAddrPort(text)
+		if err != nil || p.Port() == 0 {
+			t.Mistake("Seeds", `%q is not an IP address with a port, such as "10.0.0.9:7000"`, text)
+			continue
+		}
+		out = append(out, p)
+	}
+	return out
 }
--- /dev/null
+++ b/internal/cli/conf/conf_test.go
@@ -0,0 +1,81 @@
+package conf_test
+
+import (
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/cli/conf"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+const valid = `VM = "vm-1"
+DataCentre = "catania-1"
+Region = "sicily"
+Profile = "Cost"
+
+[Listen]
+Callers = "10.0.0.1:8080"
+Peers = "10.0.0.1:7000"
+Admin = "127.0.0.1:7001"
+
+[Platform]
+Config = "http://10.0.0.9:8500"
+VMList = "http://10.0.0.9:8500"
+Seeds = ["10.0.0.2:7000"]
+
+[Limits]
+KeyEpoch = "1m"
+`
+
+// Guards against settings that are accepted though they cannot work, and mistakes without their line and key.
+func TestParse(t *testing.T) {
+	tests := []struct {
+		name string
+		old  string
+		new  string
+		want []string
+	}{
+		{"valid", "", "", nil},
+		{"no VM", "VM = \"vm-1\"\n", "", []string{"VM: is missing"}},
+		{"bad profile", "\"Cost\"", "\"Fast\"", []string{"line 4: Profile: is \"Fast\""}},
+		{"unspecified", "10.0.0.1:7000", "0.0.0.0:7000", []string{"line 8: Listen.Peers: is 0.0.0.0:7000"}},
+		{"host name", "10.0.0.1:8080", "here:8080", []string{"line 7: Listen.Callers: is \"here:8080\""}},
+		{"collision", "127.0.0.1:7001", "10.0.0.1:7000", []string{"line 9: Listen.Admin: is the same"}},
+		{"https", "Config = \"http:", "Config = \"https:", []string{"line 12: Platform.Config: is \"https:"}},
+		{"seed", "10.0.0.2:7000", "10.0.0.2", []string{"line 14: Platform.Seeds: \"10.0.0.2\""}},
+		{"epoch", "\"1m\"", "\"1ms\"", []string{"line 17: Limits.KeyEpoch: is 1ms"}},
+		{"several", "KeyEpoch = \"1m\"", "MaxBody = 1\nMaxHeader = \"x\"\nColour = 1", []string{
+			"line 17: Limits.MaxBody: is 1,", "line 18: Limits.MaxHeader: want an integer", "line 19: Limits.Colour: is unknown",
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := quicktest.New(t)
+			s, err := conf.Parse([]byte(strings.Replace(valid, test.old, test.new, 1)))
+			if len(test.want) == 0 {
+				c.Assert(err, quicktest.IsNil)
+				c.Check(s.Profile, quicktest.Equals, conf.Cost)
+				c.Check(s.KeyEpoch, quicktest.Equals, time.Minute)
+				c.Check(s.MaxBody, quicktest.Equals, 8<<20)
+				return
+			}
+			m, _ := err.(form.Errors)
+			c.Assert(m, quicktest.HasLen, len(test.want), quicktest.Commentf("%v", m))
+			for i, want := range test.want {
+				c.Check(strings.HasPrefix(m[i].String(), want), quicktest.IsTrue, quicktest.Commentf("%v, want %s", m[i], want))
+			}
+		})
+	}
+}
+
+// Guards against a settings file that makes the reader panic or that yields neither settings nor mistakes.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("Listen = 1\n[Platform.Config]\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s, err := conf.Parse(text)
+		quicktest.Assert(t, (s == nil) == (err != nil), quicktest.IsTrue)
+	})
+}
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -81,7 +81,7 @@
 		}},
 		{Name: "admin", Start: func() (tree.Task, error) {
 			return admin.New(s.Admin, admin.Config{
-				VM: s.VM, DataCentre: s.DataCentre, Version: version, Keeper: b.keeper, Router: b.router, Local: b.local,
+				VM: s.VM, DataCentre: s.DataCentre, Version: version, Keeper: b.keeper, Router: b.router, Local: b.local, Member: b.member,
 				Metrics: m.Handler(),
 			})
 		}},
