--- a/internal/task/watch/fleet_test.go
+++ b/internal/task/watch/fleet_test.go
@@ -229,10 +229,13 @@
 	to := int(message.Peer.Addr().As4()[3])
 	f.mutex.Lock()
 	cut := f.cut(m.n, to) || f.cut(to, m.n)
-	inbox := f.members[to].inbox
+	var inbox *mail.Box[keeper.Message]
+	if to < len(f.members) {
+		inbox = f.members[to].inbox
+	}
 	f.mutex.Unlock()
 	reply := mail.NewBox[relay.Message](1)
-	if cut || !inbox.TryPut(keeper.FromPeer{Message: transfer(exchange.Message).Message, Reply: reply}) {
+	if cut || inbox == nil || !inbox.TryPut(keeper.FromPeer{Message: transfer(exchange.Message).Message, Reply: reply}) {
 		exchange.Reply.TryPut(link.Answer{Err: errors.New("unreachable")})
 		return
 	}
--- a/internal/task/watch/follow.go
+++ b/internal/task/watch/follow.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/task/keeper"
 	"math"
@@ -69,13 +71,26 @@
 		first = head.Serial
 	}
 	if head.base >= first && head.base <= head.Serial && head.Serial-first >= notesBeforeBase {
-		if err := f.base(ctx, head.base); err != nil {
+		switch err := f.base(ctx, head.base); {
+		case err == nil:
+			first = head.base + 1
+		case errors.Is(err, errors.NotValid) || errors.Is(err, errors.NotFound):
+			// The notes lead to the same release.
+			event.ServiceUnread.Log("error", err.Error())
+		default:
 			return 0, err
 		}
-		first = head.base + 1
 	}
 	for serial := first; serial <= head.Serial; serial++ {
 		n, digest, err := f.note(ctx, serial)
+		if errors.Is(err, errors.NotFound) && head.base > serial && head.base <= head.Serial {
+			// Notes before a snapshot may be deleted.
+			if err := f.base(ctx, head.base); err != nil {
+				return 0, err
+			}
+			serial = head.base
+			continue
+		}
 		if err != nil {
 			return 0, err
 		}
@@ -105,6 +120,11 @@
 	if err != nil {
 		return err
 	}
+	if r, err := note.ParseSnapshot(v.Text); err != nil {
+		return errors.Annotatef(err, "value base/%d", serial)
+	} else if r.Head != (ident.Head{Serial: serial, Digest: digest}) {
+		return errors.NotValidf("value base/%d of another release", serial)
+	}
 	f.pass(keeper.SnapshotRead{Snapshot: relay.Snapshot{
 		Head: ident.Head{Serial: serial, Digest: digest}, Text: v.Text, Version: n.Version,
 	}})
--- a/internal/task/watch/watch_test.go
+++ b/internal/task/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
@@ -181,3 +182,147 @@
 		c.Check(pulled, quicktest.Equals, test.want, quicktest.Commentf(test.name))
 	}
 }
+
+// Guards against a daemon that cannot start from a snapshot, and against values that do not fit together.
+func TestServiceValues(t *testing.T) {
+	tests := []struct {
+		name   string
+		notes  int
+		change func(*service)
+		want   uint64
+	}{
+		{"notes", 5, func(*service) {}, 5},
+		{"snapshot, notes before it deleted", 30, func(s *service) { pack(s, 20); prune(s, 20) }, 30},
+		{"few notes missing, but deleted", 5, func(s *service) { pack(s, 3); prune(s, 3) }, 5},
+		{"damaged snapshot", 30, func(s *service) {
+			pack(s, 20)
+			v := s.values["base/20"]
+			v.Text = v.Text[1:]
+			s.values["base/20"] = v
+		}, 30},
+		{"snapshot of another release", 30, func(s *service) { pack(s, 20); other(s) }, 30},
+		{"head of another note", 5, func(s *service) { s.put("head", fmt.Sprintf("Serial = 5\nDigest = \"%064d\"\n", 1)) }, 4},
+		{"head that is not TOML", 5, func(s *service) { s.put("head", "Serial") }, 0},
+		{"note missing", 5, func(s *service) { delete(s.values, "note/3") }, 2},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			s := newService()
+			s.publish(targets(1))
+			for n := 2; n <= test.notes; n++ {
+				s.publish(service2(n))
+			}
+			s.set(func() { test.change(s) })
+			f := &fleet{service: s, cut: func(_, _ int) bool { return true }, members: []*member{{n: 0}}}
+			f.start(f.members[0])
+			defer f.stop(f.members[0])
+			f.wait(t, test.want, 20*time.Second)
+			time.Sleep(300 * time.Millisecond)
+			f.wait(t, test.want, 0)
+		})
+	}
+}
+
+// pack publishes the snapshot after a note.
+func pack(s *service, serial int) {
+	r := note.NewRelease()
+	for n := 1; n <= serial; n++ {
+		r, _ = note.Check(r, s.values[fmt.Sprintf("note/%d", n)].Text)
+	}
+	s.put(fmt.Sprintf("base/%d", serial), string(r.Snapshot()))
+	s.put("head", fmt.Sprintf("Serial = %d\nDigest = %q\nBase = %d\n", s.serial, s.last, serial))
+}
+
+// other replaces the snapshot after note 20 by the one after note 19.
+func other(s *service) {
+	head := s.values["head"]
+	pack(s, 19)
+	s.values["base/20"], s.values["head"] = s.values["base/19"], head
+}
+
+// prune deletes the notes before a serial.
+func prune(s *service, serial int) {
+	for n := 1; n < serial; n++ {
+		delete(s.values, fmt.Sprintf("note/%d", n))
+	}
+}
+
+// Guards against a VM list that stays with the watchers, or that goes back when the platform is stale.
+func TestListReachesAll(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFleet(t, 12)
+	f.service.publish(targets(12))
+	f.wait(t, 1, 20*time.Second)
+	listed := func(vm string) string {
+		return fmt.Sprintf("[[VM]]\nName = %q\nDataCentre = \"d-0\"\nState = \"Leaving\"\nDaemon = \"10.0.0.99:7000\"\n", vm)
+	}
+	var version uint64
+	f.service.set(func() {
+		f.service.put("vms", listed("vm-98"))
+		f.service.put("vms", listed("vm-99"))
+		version = f.service.version
+	})
+	await := func(want uint64) {
+		t.Helper()
+		for end := time.Now().Add(20 * time.Second); ; time.Sleep(20 * time.Millisecond) {
+			behind := -1
+			for n := range f.members {
+				if f.status(t, n).ListVersion != want {
+					behind = n
+				}
+			}
+			if behind < 0 {
+				return
+			}
+			c.Assert(time.Now().Before(end), quicktest.IsTrue, quicktest.Commentf("daemon %d has another list than version %d", behind, want))
+		}
+	}
+	await(version)
+	f.service.set(func() { f.service.values["vms"] = watch.Value{Text: []byte(listed("vm-98")), Version: version - 1} })
+	time.Sleep(2500 * time.Millisecond)
+	await(version)
+}
+
+// Guards against daemons that keep different notes when operators overwrote one, against the rule.
+func TestOverwrittenNote(t *testing.T) {
+	c := quicktest.New(t)
+	f := newFleet(t, 6)
+	f.service.publish(targets(6))
+	f.wait(t, 1, 20*time.Second)
+	f.setCut(func(_, _ int) bool { return true })
+	f.service.publish(service2(2))
+	f.wait(t, 2, 20*time.Second, watchers(t, f)...)
+	first := f.status(t, watchers(t, f)[0]).Head
+	f.service.set(func() {
+		f.service.serial, f.service.last = 1, fmt.Sprintf("%x", sha256.Sum256(f.service.values["note/1"].Text))
+	})
+	f.service.publish(service2(3))
+	f.setCut(func(_, _ int) bool { return false })
+	f.wait(t, 2, 20*time.Second)
+	time.Sleep(1500 * time.Millisecond)
+	for n := range f.members {
+		c.Check(f.status(t, n).Head, quicktest.Equals, first, quicktest.Commentf("daemon %d", n))
+	}
+}
+
+func watchers(t *testing.T, f *fleet) []int {
+	var out []int
+	for n := range f.members {
+		if f.status(t, n).Duty == relay.Watch {
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// Guards against a daemon that is no watcher and reads the service more often than once in 10 s.
+func TestDirectReadsAreLimited(t *testing.T) {
+	c := quicktest.New(t)
+	f := &fleet{service: newService(), cut: func(_, _ int) bool { return true }, members: []*member{{n: 0}}}
+	f.service.mode = "garbage"
+	f.start(f.members[0])
+	defer f.stop(f.members[0])
+	time.Sleep(2500 * time.Millisecond)
+	c.Assert(f.service.reads.Load(), quicktest.Equals, int64(1))
+}
