Sample the own data centre and another one

Change: the first sample is of the own data centre and the second is not. The model has a scenario with 80% of the slots busy.

TestDataCentre now has three targets in each data centre; it failed without either of the two rules.

--- a/internal/bench/policy/model.go
+++ b/internal/bench/policy/model.go
@@ -33,8 +33,6 @@
 	fixedWork = .003
 	// nearby is the one-way time within a data centre in seconds.
 	nearby = .0001
-	// utilisation is the part of all slots that the calls keep busy when no target is slow.
-	utilisation = .6
 	// entriesPerDataCentre is the number of daemons in a data centre at which calls enter.
 	entriesPerDataCentre = 2
 	// warmUp is in seconds of virtual time. Its calls are not counted.
@@ -191,7 +189,7 @@
 
 // arrive lets one call enter at a random daemon and schedules the next.
 func (m *model) arrive() {
-	rate := utilisation * float64(m.size.Targets*m.size.Slots) / meanWork
+	rate := m.scenario.utilisation() * float64(m.size.Targets*m.size.Slots) / meanWork
 	m.after(m.random.ExpFloat64()/rate, m.arrive)
 	m.calls++
 	e := m.entries[m.random.IntN(len(m.entries))]
--- a/internal/bench/policy/scenario.go
+++ b/internal/bench/policy/scenario.go
@@ -15,6 +15,8 @@
 const (
 	// Steady has targets of equal speed.
 	Steady Scenario = "steady"
+	// Busy is steady with more calls.
+	Busy Scenario = "busy"
 	// Straggler has one target at an eighth of the speed from 5 s to 15 s.
 	Straggler Scenario = "straggler"
 	// Noisy has one target at a quarter of the speed, another one every 5 ms.
@@ -26,7 +28,7 @@
 )
 
 // Scenarios lists all scenarios.
-func Scenarios() []Scenario { return []Scenario{Steady, Straggler, Noisy, ColdStart, Crash} }
+func Scenarios() []Scenario { return []Scenario{Steady, Busy, Straggler, Noisy, ColdStart, Crash} }
 
 const (
 	changeAt       = 5.
@@ -38,11 +40,19 @@
 	coldTime       = 2.
 )
 
+// utilisation returns the part of all slots that the calls keep busy when no target is slow.
+func (s Scenario) utilisation() float64 {
+	if s == Busy {
+		return .8
+	}
+	return .6
+}
+
 // begin schedules the events of the scenario. The first target is the one that changes.
 func (m *model) begin() {
 	first := m.targets[0]
 	switch m.scenario {
-	case Steady:
+	case Steady, Busy:
 	case Straggler:
 		m.after(changeAt, func() { m.setSpeed(0, stragglerSpeed) })
 		m.after(recoveryAt, func() { m.setSpeed(0, 1) })
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -173,10 +173,25 @@
 }
 
 // sample moves as many different random states as the profile says to the front and returns them.
+// The first is of the own data centre and the second is not, where there are such states. Otherwise
+// some calls would travel, and others stay at full targets, only because no other kind was sampled.
 func (t *Table) sample(states []*state) []*state {
-	n := min(t.profile.samples(), len(states))
+	n, near := min(t.profile.samples(), len(states)), 0
+	for i, s := range states {
+		if s.DataCentre == t.dataCentre {
+			states[i], states[near] = states[near], states[i]
+			near++
+		}
+	}
 	for i := range n {
-		j := i + t.random.IntN(len(states)-i)
+		low, high := i, len(states)
+		switch {
+		case i == 0 && near > 0:
+			high = near
+		case i == 1 && near > 0 && near < len(states):
+			low = near
+		}
+		j := low + t.random.IntN(high-low)
 		states[i], states[j] = states[j], states[i]
 	}
 	return states[:n]
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -84,7 +84,7 @@
 			return serve(table, "t1", 8, 60*ms, now)
 		}, "t1", 0, .01},
 		{"a straggler that is unused for long is tried again", func(table *Table, now time.Time) time.Time {
-			return serve(table, "t1", 8, 60*ms, now).Add(20 * time.Second)
+			return serve(table, "t1", 8, 60*ms, now).Add(5 * latencyDecay)
 		}, "t1", .2, .5},
 		{"others' load on a target counts", func(table *Table, now time.Time) time.Time {
 			table.Heard("t1", call.Load{Limit: 10, InFlight: 9, Incarnation: ident.Incarnation{1}}, now)
@@ -141,17 +141,28 @@
 		least    float64
 		most     float64
 	}{
-		{"idle own data centre keeps its calls", 0, .99, 1},
+		{"idle own data centre keeps its calls", 0, .99, 1.01},
 		{"full own data centre lets them go", 10, 0, .01},
 	} {
 		t.Run(test.name, func(t *testing.T) {
-			table, now := newTable(targets(3)), start
-			now = serve(table, "t0", 40, 8*time.Millisecond, now)
-			now = serve(table, "t1", 40, 11*time.Millisecond, now)
-			now = serve(table, "t2", 40, 11*time.Millisecond, now)
-			table.Heard("t0", call.Load{Limit: 10, InFlight: test.inFlight, Incarnation: ident.Incarnation{1}}, now)
-			got := shares(table, 1, now)["t0"]
-			qt.Assert(t, got >= test.least && got <= test.most, qt.IsTrue, qt.Commentf("share %v", got))
+			table, now := newTable(targets(9), WithProfile(Cost)), start
+			for _, c := range targets(9) {
+				latency := 8 * time.Millisecond
+				if c.DataCentre != "dc0" {
+					latency = 11 * time.Millisecond
+				}
+				now = serve(table, c.Target, 40, latency, now)
+			}
+			for _, c := range targets(9) {
+				load := call.Load{Limit: 10, Incarnation: ident.Incarnation{1}}
+				if c.DataCentre == "dc0" {
+					load.InFlight = test.inFlight
+				}
+				table.Heard(c.Target, load, now)
+			}
+			got := shares(table, 1, now)
+			own := got["t0"] + got["t3"] + got["t6"]
+			qt.Assert(t, own >= test.least && own <= test.most, qt.IsTrue, qt.Commentf("share %v", own))
 		})
 	}
 }
