Forget the latency of an unused target more slowly

Change: the latency of an unused target moves to that of the service with a time constant of 10 s instead of 2 s.

--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -14,7 +14,7 @@
 	// latencyWeight is the weight of a new latency in the smoothed one of a target.
 	latencyWeight = .1
 	// latencyDecay is the time constant with which the latency of an unused target moves to that of the service.
-	latencyDecay = 2 * time.Second
+	latencyDecay = 10 * time.Second
 	// stragglerFactor is how many times slower than its siblings a straggler is.
 	stragglerFactor = 4
 	// stragglerAge is the least age of a call that makes a straggler. Below it, scheduling noise would.
