Test that notes go down the trees and measure the design scale

Cause: the fleet tests pass by digests alone when the trees send nothing. Change: a test compares the offers of each daemon with its children.

--- a/internal/fleet/note/note_test.go
+++ b/internal/fleet/note/note_test.go
@@ -83,10 +83,8 @@
 	}
 }
 
-// Guards against a snapshot that exceeds a value of the configuration service at
-// the design scale, depends on map order, or loses a field.
-func TestSnapshotAtDesignScale(t *testing.T) {
-	c := quicktest.New(t)
+// atDesignScale returns a release of 1,800 targets in 220 services.
+func atDesignScale(c *quicktest.C) *note.Release {
 	r := note.NewRelease()
 	n := 0
 	for serial := 1; n < 1800; serial++ {
@@ -107,6 +105,14 @@
 		c.Assert(m, quicktest.HasLen, 0)
 		r = next
 	}
+	return r
+}
+
+// Guards against a snapshot that exceeds a value of the configuration service at
+// the design scale, depends on map order, or loses a field.
+func TestSnapshotAtDesignScale(t *testing.T) {
+	c := quicktest.New(t)
+	r := atDesignScale(c)
 	text := r.Snapshot()
 	t.Logf("%d services, %d targets: %d bytes", len(r.Services), len(r.Targets), len(text))
 	c.Assert(len(r.Services), quicktest.Equals, 220)
@@ -165,3 +171,21 @@
 		}
 	})
 }
+
+func BenchmarkDesignScale(b *testing.B) {
+	r := atDesignScale(quicktest.New(b))
+	text := fmt.Appendf(nil, "Serial = %d\nPrevious = %q\n[[AddService]]\nName = \"extra\"\n", r.Head.Serial+1, r.Head.Digest)
+	snapshot := r.Snapshot()
+	b.Run("Check", func(b *testing.B) {
+		for b.Loop() {
+			note.Check(r, text)
+		}
+	})
+	b.Run("ParseSnapshot", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := note.ParseSnapshot(snapshot); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/fleet/relay/place_test.go
+++ b/internal/fleet/relay/place_test.go
@@ -220,3 +220,10 @@
 		}
 	})
 }
+
+func BenchmarkPlaceOf(b *testing.B) {
+	all := nodes(1800, 12)
+	for b.Loop() {
+		relay.PlaceOf("vm-7", "d-7", all)
+	}
+}
--- a/internal/task/watch/watch_test.go
+++ b/internal/task/watch/watch_test.go
@@ -12,6 +12,7 @@
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/watch"
 	"jacinthcross/internal/wire/codec"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -326,3 +327,34 @@
 	time.Sleep(2500 * time.Millisecond)
 	c.Assert(f.service.reads.Load(), quicktest.Equals, int64(1))
 }
+
+// Guards against a note that is not sent down the trees and then only spreads by digests.
+func TestNoteGoesToChildren(t *testing.T) {
+	c := quicktest.New(t)
+	s := newService()
+	s.publish(targets(12))
+	first, m := note.Check(note.NewRelease(), s.values["note/1"].Text)
+	c.Assert(m, quicktest.HasLen, 0)
+	for n := range 12 {
+		place := relay.PlaceOf(vm(n), site(n), relay.Nodes(first, nil))
+		inbox, box := mail.NewBox[keeper.Message](8), mail.NewBox[links.Message](256)
+		k := keeper.New(keeper.Config{VM: vm(n), DataCentre: site(n), Daemon: address(n), Inbox: inbox, Links: box})
+		inbox.TryPut(keeper.FromService{Offer: relay.Offer{Serial: 1, Text: s.values["note/1"].Text, Version: 1}})
+		status := mail.NewBox[keeper.Status](1)
+		inbox.TryPut(keeper.StatusAsk{Reply: status})
+		<-status.C()
+		k.Stop()
+		<-k.Done()
+		offered := map[netip.AddrPort]bool{}
+		for len(box.C()) > 0 {
+			message := <-box.C()
+			if _, ok := message.Message.(link.Exchange).Message.(codec.Control).Message.(relay.Offer); ok {
+				offered[message.Peer] = true
+			}
+		}
+		c.Check(len(offered), quicktest.Equals, len(place.Children), quicktest.Commentf("daemon %d", n))
+		for _, child := range place.Children {
+			c.Check(offered[child.Daemon], quicktest.IsTrue, quicktest.Commentf("daemon %d, child %s", n, child.VM))
+		}
+	}
+}
