Tell a release again after a full mailbox and after a restart of the keeper

Cause: a release that met a full mailbox was never told again, and a keeper that was restarted without peers waited for the next change of the head. Change: the keeper repeats an announcement that did not fit at its next tick. The watch task reads the head at once when the keeper's head became lower. The fleet tests run in parallel. Conclusion: the tasks of a daemon learn each release within a tick of having room.

--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -129,13 +129,13 @@
 	ledgerBytes   = 16 << 20
 )
 
-// announce tells the tasks that work by the release of a new one.
-func (b *boxes) announce(r *note.Release) {
+// announce tells the tasks that work by the release of a new one. It reports whether all have room for it.
+func (b *boxes) announce(r *note.Release) bool {
 	if uint64(r.Head.Serial) < b.announced.Load() {
-		return
+		return true
 	}
 	b.announced.Store(uint64(r.Head.Serial))
-	b.router.TryPut(router.ReleaseChanged{Release: r})
-	b.local.TryPut(local.ReleaseChanged{Release: r})
-	b.member.TryPut(member.ReleaseChanged{Release: r})
+	toRouter := b.router.TryPut(router.ReleaseChanged{Release: r})
+	toLocal := b.local.TryPut(local.ReleaseChanged{Release: r})
+	return b.member.TryPut(member.ReleaseChanged{Release: r}) && toRouter && toLocal
 }
--- a/internal/task/keeper/keeper.go
+++ b/internal/task/keeper/keeper.go
@@ -36,6 +36,8 @@
 	pulls     map[netip.AddrPort]time.Time
 	heads     map[ident.VM]ident.Serial
 	ticks     int
+	// untold says that the release in force could not be told.
+	untold bool
 }
 
 // A Config names the daemon, the mailboxes, and what is told of the state. The functions must not block.
@@ -46,8 +48,9 @@
 	Seeds      []netip.AddrPort
 	Inbox      *mail.Box[Message]
 	Links      *mail.Box[links.Message]
-	// Announce is told each release that comes into force.
-	Announce func(*note.Release)
+	// Announce is told each release that comes into force. When it returns false, because a
+	// mailbox is full, it is told again at the next tick.
+	Announce func(*note.Release) bool
 	// Confirmed is told whether the head was compared with peers, so that keyed calls may be served.
 	Confirmed func(bool)
 	// Duty is told how the configuration service is to be read.
@@ -107,7 +110,7 @@
 
 func (c Config) complete() Config {
 	if c.Announce == nil {
-		c.Announce = func(*note.Release) {}
+		c.Announce = func(*note.Release) bool { return true }
 	}
 	if c.Confirmed == nil {
 		c.Confirmed = func(bool) {}
@@ -207,7 +210,7 @@
 	if head := t.replica.Head(); head != before {
 		t.since = t.clock.Now()
 		event.ReleaseInForce.Log("serial", head.Serial, "digest", head.Digest)
-		t.config.Announce(t.replica.Release())
+		t.announce()
 		t.findPlace()
 		t.spread()
 	}
@@ -245,11 +248,13 @@
 	t.place = relay.PlaceOf(t.config.VM, t.config.DataCentre, relay.Nodes(t.replica.Release(), leaving))
 }
 
+// announce tells the release. A restarted keeper holds none yet; the other tasks go on with the one that they have.
+func (t *Task) announce() {
+	t.untold = !t.replica.Head().IsZero() && !t.config.Announce(t.replica.Release())
+}
+
 func (t *Task) announceAll() {
-	// A restarted keeper holds no release yet. The other tasks go on with the one that they have.
-	if !t.replica.Head().IsZero() {
-		t.config.Announce(t.replica.Release())
-	}
+	t.announce()
 	t.config.Confirmed(t.confirmed)
 	t.config.Listed(t.list.VMs())
 	t.config.Duty(t.duty)
--- a/internal/task/keeper/peers.go
+++ b/internal/task/keeper/peers.go
@@ -35,6 +35,9 @@
 // another data centre, which repairs what no tree connects.
 func (t *Task) tick() {
 	t.ticks++
+	if t.untold {
+		t.announce()
+	}
 	switch {
 	case len(t.place.Parents) > 0:
 		t.send(t.place.Parents[t.ticks%len(t.place.Parents)].Daemon, t.digest(), 0)
--- a/internal/task/watch/fleet_test.go
+++ b/internal/task/watch/fleet_test.go
@@ -135,6 +135,7 @@
 	bytes  atomic.Int64
 	serial atomic.Uint64
 	lower  atomic.Bool
+	full   atomic.Bool
 	done   chan struct{}
 }
 
@@ -194,10 +195,14 @@
 	m.serial.Store(0)
 	m.keeper = keeper.New(keeper.Config{
 		VM: vm(m.n), DataCentre: site(m.n), Daemon: address(m.n), Seeds: seeds, Inbox: m.inbox, Links: m.links,
-		Announce: func(r *note.Release) {
+		Announce: func(r *note.Release) bool {
+			if m.full.Swap(false) {
+				return false
+			}
 			if uint64(r.Head.Serial) < m.serial.Swap(uint64(r.Head.Serial)) {
 				m.lower.Store(true)
 			}
+			return true
 		},
 		Duty:  func(d keeper.Duty) { box.TryPut(watch.SetDuty{Duty: d}) },
 		Bytes: func(_ meter.Direction, n int) { m.bytes.Add(int64(n)) },
--- a/internal/task/watch/watch.go
+++ b/internal/task/watch/watch.go
@@ -115,8 +115,13 @@
 func (t *Task) receive(m Message) {
 	switch m := m.(type) {
 	case SetDuty:
-		t.duty = m.Duty
-		if t.duty.Kind == relay.Idle && t.cancel != nil {
+		// A lower head means that the keeper was restarted with empty memory: the head is
+		// read again instead of waiting for a change of it.
+		restarted := m.Duty.Head.Serial < t.duty.Head.Serial
+		if t.duty = m.Duty; restarted {
+			t.version = 0
+		}
+		if (restarted || t.duty.Kind == relay.Idle) && t.cancel != nil {
 			t.cancel()
 		}
 	case headRead:
--- a/internal/task/watch/watch_test.go
+++ b/internal/task/watch/watch_test.go
@@ -22,6 +22,7 @@
 // Guards against a note that a reachable daemon never gets, with the service in order, and
 // against readings of the service that grow with the number of daemons.
 func TestNoteReachesAll(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := newFleet(t, 20)
 	f.service.publish(targets(20))
@@ -58,6 +59,7 @@
 
 // Guards against a release that is lost, goes back or stays behind while the service fails.
 func TestServiceFailures(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name string
 		fail func(*service)
@@ -100,6 +102,7 @@
 
 // Guards against a partition that is not repaired when it ends, and against a side without the service that goes back.
 func TestPartition(t *testing.T) {
+	t.Parallel()
 	f := newFleet(t, 8)
 	f.service.publish(targets(8))
 	f.wait(t, 1, 20*time.Second)
@@ -114,24 +117,45 @@
 	f.wait(t, 3, 20*time.Second)
 }
 
-// Guards against a keeper that does not recover its release from peers after it failed.
+// Guards against a keeper that does not recover its release from peers or from the service after it failed.
 func TestKeeperRestartsEmpty(t *testing.T) {
-	f := newFleet(t, 6)
-	f.service.publish(targets(6))
-	f.wait(t, 1, 20*time.Second)
-	f.service.set(func() { f.service.mode = "down" })
-	m := f.members[3]
-	m.keeper.Stop()
-	<-m.keeper.Done()
-	f.startKeeper(m)
-	f.wait(t, 1, 20*time.Second)
-	if s := f.status(t, 3); s.Head.Serial != 1 {
-		t.Fatalf("serial %d", s.Head.Serial)
+	t.Parallel()
+	tests := []struct {
+		name  string
+		count int
+		mode  string
+	}{{"from peers", 6, "down"}, {"from the service", 1, ""}}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, test.count)
+			f.service.publish(targets(test.count))
+			f.wait(t, 1, 20*time.Second)
+			f.service.set(func() { f.service.mode = test.mode })
+			m := f.members[test.count-1]
+			m.keeper.Stop()
+			<-m.keeper.Done()
+			f.startKeeper(m)
+			f.wait(t, 1, 20*time.Second)
+			if s := f.status(t, test.count-1); s.Head.Serial != 1 {
+				t.Fatalf("serial %d", s.Head.Serial)
+			}
+		})
 	}
 }
 
+// Guards against a release that the other tasks never learn because a mailbox was full.
+func TestReleaseIsToldAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, 1)
+	f.members[0].full.Store(true)
+	f.service.publish(targets(1))
+	f.wait(t, 1, 20*time.Second)
+}
+
 // Guards against a comparison after a pause that never ends, and one that reports peers that did not answer.
 func TestConfirm(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := newFleet(t, 4)
 	f.service.publish(targets(4))
@@ -186,6 +210,7 @@
 
 // Guards against a daemon that cannot start from a snapshot, and against values that do not fit together.
 func TestServiceValues(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name   string
 		notes  int
@@ -251,6 +276,7 @@
 
 // Guards against a VM list that stays with the watchers, or that goes back when the platform is stale.
 func TestListReachesAll(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := newFleet(t, 12)
 	f.service.publish(targets(12))
@@ -287,6 +313,7 @@
 
 // Guards against daemons that keep different notes when operators overwrote one, against the rule.
 func TestOverwrittenNote(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := newFleet(t, 6)
 	f.service.publish(targets(6))
@@ -319,6 +346,7 @@
 
 // Guards against a daemon that is no watcher and reads the service more often than once in 10 s.
 func TestDirectReadsAreLimited(t *testing.T) {
+	t.Parallel()
 	c := quicktest.New(t)
 	f := &fleet{service: newService(), cut: func(_, _ int) bool { return true }, members: []*member{{n: 0}}}
 	f.service.mode = "garbage"
