Measure the overhead of daemons and the distribution of releases

Cause: the added latency and the cost of a change decide the design scale, and nothing measured them.

Change: jcbench overhead (direct, one and two daemons at 50, 500 and 5,000 calls/s over 260 connections) and jcbench fleet (up to 200 daemon processes). Keyed calls of the load tool are no longer sent again by the client library, which made two killed daemons look like false refusals; cold starts apply to restarted targets only; failures in the warm-up are shown.

--- a/internal/bench/cmds/cmds.go
+++ b/internal/bench/cmds/cmds.go
@@ -26,12 +26,14 @@
 type command interface{ run(env Env) error }
 
 type arguments struct {
-	Demo    *demoCommand    `arg:"subcommand:demo" help:"show in a few seconds what the system does"`
-	Run     *runCommand     `arg:"subcommand:run" help:"run a scenario"`
-	Compare *compareCommand `arg:"subcommand:compare" help:"compare two results"`
-	Report  *reportCommand  `arg:"subcommand:report" help:"write an HTML page with the plots of results"`
-	Target  *targetCommand  `arg:"subcommand:target" help:"run a stand-in for a target"`
-	Config  *configCommand  `arg:"subcommand:config" help:"run a stand-in for the configuration service"`
+	Demo     *demoCommand     `arg:"subcommand:demo" help:"show in a few seconds what the system does"`
+	Run      *runCommand      `arg:"subcommand:run" help:"run a scenario"`
+	Compare  *compareCommand  `arg:"subcommand:compare" help:"compare two results"`
+	Report   *reportCommand   `arg:"subcommand:report" help:"write an HTML page with the plots of results"`
+	Overhead *overheadCommand `arg:"subcommand:overhead" help:"measure what one and two daemons add to a call"`
+	Fleet    *fleetCommand    `arg:"subcommand:fleet" help:"measure the distribution of releases to many daemons"`
+	Target   *targetCommand   `arg:"subcommand:target" help:"run a stand-in for a target"`
+	Config   *configCommand   `arg:"subcommand:config" help:"run a stand-in for the configuration service"`
 }
 
 // Description implements arg.Described.
--- /dev/null
+++ b/internal/bench/cmds/fleet.go
@@ -0,0 +1,39 @@
+package cmds
+
+import (
+	"jacinthcross/internal/bench/fleet"
+	"time"
+)
+
+type fleetCommand struct {
+	Daemons     []int         `arg:"--daemons" help:"numbers of daemons, at most 200 (default 10 30 100 200)"`
+	DataCentres int           `arg:"--data-centres" default:"4" help:"data centres over which the daemons are spread"`
+	Changes     int           `arg:"--changes" default:"5" help:"release notes that are published and measured"`
+	Idle        time.Duration `arg:"--idle" default:"5s" help:"length of the measurement without changes"`
+	Gap         time.Duration `arg:"--gap" default:"3s" help:"time between two changes"`
+	Daemon      string        `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
+}
+
+func (c *fleetCommand) run(env Env) error {
+	if len(c.Daemons) == 0 {
+		c.Daemons = []int{10, 30, 100, 200}
+	}
+	path, clean, err := daemonProgram(c.Daemon, false)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	f := fleet.Config{Program: path, DataCentres: c.DataCentres, Changes: c.Changes, Idle: c.Idle, Gap: c.Gap}
+	if err := f.Check(c.Daemons); err != nil {
+		return err
+	}
+	var rows []fleet.Row
+	for _, n := range c.Daemons {
+		row, err := fleet.Measure(f, n, env.Err)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, row)
+	}
+	return fleet.Print(env.Out, rows)
+}
--- /dev/null
+++ b/internal/bench/cmds/overhead.go
@@ -0,0 +1,24 @@
+package cmds
+
+import (
+	"jacinthcross/internal/bench/cost"
+	"time"
+)
+
+type overheadCommand struct {
+	Daemon string        `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
+	Each   time.Duration `arg:"--each" default:"5s" help:"length of each of the 18 measurements"`
+}
+
+func (c *overheadCommand) run(env Env) error {
+	path, clean, err := daemonProgram(c.Daemon, false)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	rows, err := cost.Run(path, c.Each, env.Err)
+	if err != nil {
+		return err
+	}
+	return cost.Print(env.Out, rows)
+}
--- /dev/null
+++ b/internal/bench/fleet/table.go
@@ -0,0 +1,85 @@
+package fleet
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+func middle(list []time.Duration) time.Duration {
+	s := slices.Clone(list)
+	slices.Sort(s)
+	return s[len(s)/2]
+}
+
+func largest(list []time.Duration) time.Duration { return slices.Max(list) }
+
+// A figure is one column of the table.
+type figure struct {
+	name  string
+	value func(Row) float64
+}
+
+func figures() []figure {
+	millis := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	const megabyte = 1 << 20
+	return []figure{
+		{"Start ms", func(r Row) float64 { return millis(r.Start) }},
+		{"In force ms, median", func(r Row) float64 { return millis(r.Median) }},
+		{"In force ms, slowest", func(r Row) float64 { return millis(r.Last) }},
+		{"Platform calls/s idle", func(r Row) float64 { return r.PlatformIdle }},
+		{"Platform calls/change", func(r Row) float64 { return r.PlatformChange }},
+		{"Idle CPU, % of a core/daemon", func(r Row) float64 { return 100 * r.IdleCPU }},
+		{"CPU ms/change/daemon", func(r Row) float64 { return millis(r.ChangeCPU) }},
+		{"Control B/s/daemon idle", func(r Row) float64 { return r.IdleBytes }},
+		{"Control B/change/daemon", func(r Row) float64 { return r.ChangeBytes }},
+		{"Resident MB, mean", func(r Row) float64 { return float64(r.Resident) / megabyte }},
+		{"Resident MB, largest", func(r Row) float64 { return float64(r.MaxResident) / megabyte }},
+	}
+}
+
+// Print writes a line for each figure, with its slope over the number of daemons.
+func Print(out io.Writer, rows []Row) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprint(w, "Daemons\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%d\t", r.Daemons)
+	}
+	fmt.Fprintln(w, "Slope per daemon\t")
+	for _, f := range figures() {
+		fmt.Fprintf(w, "%s\t", f.name)
+		points := make([]point, len(rows))
+		for i, r := range rows {
+			points[i] = point{float64(r.Daemons), f.value(r)}
+			fmt.Fprintf(w, "%.2f\t", points[i].y)
+		}
+		if s, ok := slope(points); ok {
+			fmt.Fprintf(w, "%.4f\t\n", s)
+		} else {
+			fmt.Fprint(w, "-\t\n")
+		}
+	}
+	return errors.Trace(w.Flush())
+}
+
+type point struct{ x, y float64 }
+
+// slope fits a line by least squares. There is none for points with one x only.
+func slope(points []point) (float64, bool) {
+	var mx, my float64
+	for _, p := range points {
+		mx, my = mx+p.x/float64(len(points)), my+p.y/float64(len(points))
+	}
+	var xy, xx float64
+	for _, p := range points {
+		xy, xx = xy+(p.x-mx)*(p.y-my), xx+(p.x-mx)*(p.x-mx)
+	}
+	if xx == 0 {
+		return 0, false
+	}
+	return xy / xx, true
+}
--- /dev/null
+++ b/internal/bench/fleet/table_test.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"bytes"
+	"jacinthcross/internal/bench/setup"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+)
+
+// A wrong slope would give wrong figures at the design scale.
+func TestSlope(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		points []point
+		want   float64
+		ok     bool
+	}{
+		{"rising", []point{{10, 1}, {30, 3}, {100, 10}}, 0.1, true},
+		{"flat", []point{{10, 4}, {200, 4}}, 0, true},
+		{"least squares", []point{{0, 0}, {1, 2}, {2, 2}}, 1, true},
+		{"one point", []point{{10, 1}}, 0, false},
+		{"none", nil, 0, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			got, ok := slope(test.points)
+			c.Assert(ok, qt.Equals, test.ok)
+			c.Assert(got-test.want < 1e-9 && test.want-got < 1e-9, qt.IsTrue, qt.Commentf("%v", got))
+		})
+	}
+}
+
+// A fleet of another size than asked for would falsify all figures per daemon.
+func TestLayoutSize(t *testing.T) {
+	for _, test := range []struct{ daemons, services int }{{1, 1}, {8, 1}, {10, 2}, {200, 25}} {
+		l := layout(test.daemons, 4)
+		qt.Check(t, l.Seats(), qt.HasLen, test.daemons)
+		qt.Check(t, l.Services, qt.HasLen, test.services)
+		perDataCentre := map[any][]setup.Seat{}
+		for _, s := range l.Seats() {
+			perDataCentre[s.DataCentre] = append(perDataCentre[s.DataCentre], s)
+		}
+		qt.Check(t, len(perDataCentre) <= 4, qt.IsTrue)
+	}
+}
+
+// More processes than the machine allows must be refused before the first one starts.
+func TestCheck(t *testing.T) {
+	good := Config{DataCentres: 1, Changes: 1, Idle: 1, Gap: 1}
+	for _, test := range []struct {
+		name    string
+		config  Config
+		daemons []int
+		valid   bool
+	}{
+		{"good", good, []int{1, 200}, true},
+		{"too many", good, []int{10, 201}, false},
+		{"none", good, []int{0}, false},
+		{"no changes", Config{DataCentres: 1, Idle: 1, Gap: 1}, []int{1}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			err := test.config.Check(test.daemons)
+			qt.Assert(t, err == nil, qt.Equals, test.valid)
+			qt.Assert(t, err == nil || errors.Is(err, errors.NotValid), qt.IsTrue)
+		})
+	}
+}
+
+// Means and medians of the wrong changes would hide a slow one.
+func TestPrint(t *testing.T) {
+	c := qt.New(t)
+	spread := []time.Duration{30 * time.Millisecond, 10 * time.Millisecond, 20 * time.Millisecond}
+	var out bytes.Buffer
+	c.Assert(Print(&out, []Row{{Daemons: 10, Median: middle(spread), Last: largest(spread)}}), qt.IsNil)
+	c.Assert(out.String(), qt.Matches, `(?s).*In force ms, median +20.00 .*In force ms, slowest +30.00 .*`)
+}
--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -168,7 +168,13 @@
 	if j.keyed {
 		method = http.MethodPost
 	}
-	return http.NewRequestWithContext(ctx, method, "http://"+at.String()+j.path(c.prefix), strings.NewReader(marker))
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+at.String()+j.path(c.prefix), strings.NewReader(marker))
+	if err == nil && j.keyed {
+		// Without GetBody the client library does not send a keyed call again on its own. When it
+		// did and the second connection was refused, the first send would look like it never happened.
+		r.GetBody = nil
+	}
+	return r, err
 }
 
 func (c *caller) key(ctx context.Context, at netip.AddrPort, service string) (string, error) {
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -69,9 +69,10 @@
 	}{
 		{"good", finished{finish: answered{ok: true}, warm: true}, Tally{All: 1, Calls: 1, Answered: 1, Good: 1}},
 		{"late", finished{finish: answered{ok: true}, warm: true, latency: 2 * deadline}, Tally{All: 1, Calls: 1, Answered: 1}},
-		{"failed", finished{finish: answered{}, warm: true}, Tally{All: 1, Calls: 1, Answered: 1, Failed: 1}},
+		{"failed", finished{finish: answered{}, warm: true}, Tally{Calls: 1, Answered: 1, Failed: 1}},
 		{"foreign", finished{finish: answered{ok: true, foreign: true}}, Tally{All: 1, Foreign: 1}},
-		{"warm-up", finished{finish: unknown{"PeerLost"}}, Tally{}},
+		{"failed in the warm-up", finished{finish: answered{}}, Tally{Early: map[string]int{"Failed": 1}}},
+		{"warm-up", finished{finish: unknown{"PeerLost"}}, Tally{Early: map[string]int{"PeerLost": 1}}},
 		{"refused", finished{finish: refused{kind: "Busy"}, warm: true}, Tally{Calls: 1, Refused: map[string]int{"Busy": 1}}},
 		{"unknown", finished{finish: unknown{"PeerLost"}, warm: true}, Tally{Calls: 1, Unknown: map[string]int{"PeerLost": 1}}},
 	} {
@@ -88,6 +89,9 @@
 			if test.want.Unknown == nil {
 				test.want.Unknown = map[string]int{}
 			}
+			if test.want.Early == nil {
+				test.want.Early = map[string]int{}
+			}
 			c.Assert(got, qt.DeepEquals, test.want)
 		})
 	}
--- a/internal/bench/load/record.go
+++ b/internal/bench/load/record.go
@@ -54,7 +54,7 @@
 
 // A Tally is what happened to the calls of one load after the warm-up.
 type Tally struct {
-	// All are the answers including the warm-up.
+	// All are the answers with status 200 including the warm-up.
 	All      int
 	Calls    int
 	Answered int
@@ -65,6 +65,8 @@
 	Sends   int
 	Refused map[string]int
 	Unknown map[string]int
+	// Early are the refusals, unknown outcomes and answers without status 200 of the warm-up.
+	Early map[string]int
 	// Latency counts microseconds from the scheduled time to the end of an answer.
 	Latency *hdrhistogram.Histogram
 }
@@ -96,7 +98,7 @@
 	r.state.refused = map[string]bool{}
 	for range loads {
 		r.state.tallies = append(r.state.tallies, Tally{
-			Refused: map[string]int{}, Unknown: map[string]int{}, Latency: hdrhistogram.New(lowest, highest, figures),
+			Refused: map[string]int{}, Unknown: map[string]int{}, Early: map[string]int{}, Latency: hdrhistogram.New(lowest, highest, figures),
 		})
 	}
 	go func() {
@@ -152,13 +154,23 @@
 	if f, ok := m.finish.(refused); ok && !f.earlier && m.marker != "" {
 		r.state.refused[m.marker] = true
 	}
-	if f, ok := m.finish.(answered); ok {
+	if f, ok := m.finish.(answered); ok && f.ok {
 		t.All++
 		if f.foreign {
 			t.Foreign++
 		}
 	}
 	if !m.warm {
+		switch f := m.finish.(type) {
+		case refused:
+			t.Early[f.kind]++
+		case unknown:
+			t.Early[f.kind]++
+		case answered:
+			if !f.ok {
+				t.Early["Failed"]++
+			}
+		}
 		return
 	}
 	t.Calls++
--- a/internal/bench/report/html.go
+++ b/internal/bench/report/html.go
@@ -120,7 +120,7 @@
 }).Parse(`<!DOCTYPE html>
 <html lang="en"><head><meta charset="utf-8"><title>jcbench results</title>
 <style>
-body{font:15px/1.5 sans-serif;margin:2em auto;max-width:70em;padding:0 1em;color:#222;background:#fff}
+body{font:15px/1.5 sans-serif;margin:2em auto;max-width:70em;padding:0 1em}
 table{border-collapse:collapse;margin:1em 0}td,th{padding:.2em .7em;text-align:right;border-bottom:1px solid #ddd}
 td:first-child,th:first-child,td:nth-child(2),th:nth-child(2){text-align:left}
 svg text{font:12px sans-serif;fill:#222}figure{margin:1em 0}
--- a/internal/bench/report/result.go
+++ b/internal/bench/report/result.go
@@ -50,6 +50,7 @@
 	Sends    int
 	Refused  map[string]int
 	Unknown  map[string]int
+	Early    map[string]int
 	Goodput  float64
 	P50      float64
 	P99      float64
@@ -86,7 +87,7 @@
 	millis := func(percent float64) float64 { return float64(t.Latency.ValueAtQuantile(percent)) / 1000 }
 	v := Load{
 		Name: l.Name, Service: l.Service, Rate: l.Rate, Calls: t.Calls, Answered: t.Answered, Good: t.Good, Failed: t.Failed,
-		Sends: t.Sends, Refused: t.Refused, Unknown: t.Unknown, P50: millis(50), P99: millis(99), P999: millis(99.9),
+		Sends: t.Sends, Refused: t.Refused, Unknown: t.Unknown, Early: t.Early, P50: millis(50), P99: millis(99), P999: millis(99.9),
 	}
 	if measured := l.Until - max(l.From, s.WarmUp); measured > 0 {
 		v.Goodput = float64(t.Good) / measured.Seconds()
--- a/internal/bench/report/table.go
+++ b/internal/bench/report/table.go
@@ -47,7 +47,7 @@
 		for _, v := range []struct {
 			name   string
 			counts map[string]int
-		}{{"refused", l.Refused}, {"unknown", l.Unknown}} {
+		}{{"refused", l.Refused}, {"unknown", l.Unknown}, {"not answered in the warm-up", l.Early}} {
 			if len(v.counts) > 0 {
 				fmt.Fprintf(out, "%s, %s, %s: %s\n", r.Balancer, l.Name, v.name, reasons(v.counts))
 			}
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -56,10 +56,15 @@
 	return m, nil
 }
 
-// entry returns the entry of the member in a release note.
-func (m *Member) entry() string {
-	return fmt.Sprintf("[[AddTarget]]\nName = %q\nService = %q\nVM = %q\nDataCentre = %q\nDaemon = %q\nAddress = %q\nSlots = %d\n",
-		m.Seat.Target, m.Service.Name, string(m.VM), string(m.DataCentre), m.Relay, m.Address, m.Service.Slots)
+// entry returns the entry that adds the member in a release note.
+func (m *Member) entry() string { return "[[AddTarget]]\n" + m.fields(m.Service.Slots) }
+
+// Change returns the entry that changes the number of slots in a release note.
+func (m *Member) Change(slots int) string { return "[[ChangeTarget]]\n" + m.fields(slots) }
+
+func (m *Member) fields(slots int) string {
+	return fmt.Sprintf("Name = %q\nService = %q\nVM = %q\nDataCentre = %q\nDaemon = %q\nAddress = %q\nSlots = %d\n",
+		m.Seat.Target, m.Service.Name, string(m.VM), string(m.DataCentre), m.Relay, m.Address, slots)
 }
 
 // settingsFile returns the settings of the daemon as a file.
@@ -98,13 +103,21 @@
 }
 
 func (s *Stage) targetChild(i int, m *Member) tree.Child {
+	first := true
 	v := target.Settings{
 		Name: m.Seat.Target, Address: m.Address, Slots: m.Service.Slots,
 		Times: target.LogNormal{Median: m.Service.Median, Sigma: m.Service.Sigma},
-		Seed:  s.config.Seed + uint64(i), Noise: s.config.Noise, Cold: s.config.Cold,
+		Seed:  s.config.Seed + uint64(i), Noise: s.config.Noise,
 		ShedAbove: s.config.ShedAbove, CrashMarker: CrashMarker, Next: m.Service.Next, Daemon: m.Settings.Callers,
 	}
-	return tree.Child{Name: m.Seat.Target, Start: restarts(func() (tree.Task, error) { return target.New(v, m.Target, s.Tally) })}
+	return tree.Child{Name: m.Seat.Target, Start: restarts(func() (tree.Task, error) {
+		// Only a target that restarts is cold: the deployment has run for long when an experiment begins.
+		if !first {
+			v.Cold = s.config.Cold
+		}
+		first = false
+		return target.New(v, m.Target, s.Tally)
+	})}
 }
 
 // CrashMarker is the text in a request that crashes the target that runs it.
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -51,6 +51,8 @@
 	ShedAbove int
 	// NoTargets lists targets in the release that do not run.
 	NoTargets bool
+	// NoRelays connects the daemons without a relay.
+	NoRelays bool
 }
 
 // A Stage is a deployment that runs.
@@ -117,16 +119,21 @@
 		}
 		s.Members = append(s.Members, m)
 	}
+	s.seed()
 	var platform, daemons []tree.Child
 	for i, m := range s.Members {
 		if !s.config.NoTargets {
 			platform = append(platform, s.targetChild(i, m))
 		}
-		relays, err := s.relayChildren(m)
-		if err != nil {
-			return err
+		if s.config.NoRelays {
+			m.Relay = m.Settings.Peers
+		} else {
+			relays, err := s.relayChildren(m)
+			if err != nil {
+				return err
+			}
+			platform = append(platform, relays...)
 		}
-		platform = append(platform, relays...)
 		d, ok, err := s.daemonChild(m)
 		if err != nil {
 			return err
@@ -144,6 +151,20 @@
 	return s.WaitInForce(s.serial, startTimeout)
 }
 
+// seeds is the number of peers in the settings of each daemon.
+const seeds = 3
+
+// seed gives each daemon the addresses of the daemons that follow it in the list.
+func (s *Stage) seed() {
+	n := len(s.Members)
+	for i, m := range s.Members {
+		m.Settings.VMList = s.Platform.URL() + "/v1/values/" + config.VMList
+		for j := 1; j <= min(seeds, n-1); j++ {
+			m.Settings.Seeds = append(m.Settings.Seeds, s.Members[(i+j)%n].Settings.Peers)
+		}
+	}
+}
+
 // startTimeout allows for the start of 200 processes on a busy machine.
 const startTimeout = 60 * time.Second
 
--- a/internal/bench/target/http.go
+++ b/internal/bench/target/http.go
@@ -49,15 +49,16 @@
 	}
 }
 
-// marker names a call that must not run twice: by its body, else by its key.
+// marker names a call whose runs are counted: by its body, else by its key. Calls that may
+// run more than once have neither, unless a test wants their runs counted.
 func marker(r *http.Request, body []byte) string {
+	if len(body) > 0 {
+		return string(body[:min(len(body), maxMarker)])
+	}
 	switch r.Method {
 	case http.MethodGet, http.MethodHead, http.MethodOptions:
 		return ""
 	}
-	if len(body) > 0 {
-		return string(body[:min(len(body), maxMarker)])
-	}
 	return r.Header.Get(header.Key)
 }
 
