--- /dev/null
+++ b/internal/bench/fail/fail_test.go
@@ -0,0 +1,284 @@
+// Package fail_test checks the promises of the system while its processes fail.
+package fail_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/proc"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
+	"jacinthcross/internal/wire/header"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// programs builds the daemon and the load tool once for all tests. The folder is removed by TestMain.
+var programs = sync.OnceValues(func() (string, error) {
+	for _, p := range []struct{ name, path string }{{"jacinthcross", "jacinthcross"}, {"jcbench", "jacinthcross/cmd/jcbench"}} {
+		out, err := exec.Command("go", "build", "-o", filepath.Join(folder, p.name), p.path).CombinedOutput()
+		if err != nil {
+			return "", fmt.Errorf("build %s: %w: %s", p.name, err, out)
+		}
+	}
+	return folder, nil
+})
+
+var folder string
+
+func TestMain(m *testing.M) {
+	var err error
+	if folder, err = os.MkdirTemp("", "jcbench-fail"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	os.RemoveAll(folder)
+	os.Exit(code)
+}
+
+func start(c *qt.C, s stage.Config) *stage.Stage {
+	if testing.Short() {
+		c.Skip("starts processes")
+	}
+	dir, err := programs()
+	c.Assert(err, qt.IsNil)
+	s.Daemons = stage.Processes{Path: filepath.Join(dir, "jacinthcross")}
+	st, err := stage.Start(s)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(st.Close)
+	return st
+}
+
+// layout has one service of bookings and one of summaries.
+func layout(targets int) setup.Layout {
+	l := setup.Perizia()
+	l.OneWay = time.Millisecond
+	l.Services = l.Services[:2]
+	for i := range l.Services {
+		l.Services[i].Targets, l.Services[i].Median = targets, 5*time.Millisecond
+	}
+	return l
+}
+
+type reply struct {
+	status  int
+	outcome errs.Outcome
+	kind    errs.Kind
+	body    string
+}
+
+// send sends a call through a daemon. Without an answer within the timeout the reply is empty.
+func send(c *qt.C, m *stage.Member, service, key, body string, deadline, timeout time.Duration) reply {
+	method := http.MethodGet
+	if key != "" {
+		method = http.MethodPost
+	}
+	r, err := http.NewRequest(method, "http://"+m.Settings.Callers.String()+"/x", strings.NewReader(body))
+	c.Assert(err, qt.IsNil)
+	r.Header.Set(header.Service, service)
+	r.Header.Set(header.Deadline, fmt.Sprint(deadline.Milliseconds()))
+	if key != "" {
+		r.Header.Set(header.Key, key)
+	}
+	response, err := (&http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}).Do(r)
+	if err != nil {
+		return reply{}
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		return reply{}
+	}
+	return reply{
+		response.StatusCode, errs.Outcome(response.Header.Get(header.Outcome)),
+		errs.Kind(response.Header.Get(header.Error)), string(text),
+	}
+}
+
+func newKey(c *qt.C, m *stage.Member, service string) string {
+	r, err := http.Get("http://" + m.Settings.Callers.String() + header.KeyPath + "?service=" + service)
+	c.Assert(err, qt.IsNil)
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	c.Assert(err, qt.IsNil)
+	c.Assert(r.StatusCode, qt.Equals, http.StatusOK, qt.Commentf("%s", text))
+	return string(text)
+}
+
+func memberOf(c *qt.C, st *stage.Stage, name string) *stage.Member {
+	m, ok := st.MemberOf(name)
+	c.Assert(ok, qt.IsTrue)
+	return m
+}
+
+// waitFor waits until a condition holds. The timeout only ends a test that cannot pass.
+func waitFor(c *qt.C, what string, condition func() bool) {
+	until := time.Now().Add(15 * time.Second)
+	for !condition() {
+		c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("no %s", what))
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+// A daemon that dispatches what it read before or during a pause runs calls whose callers have long given up.
+func TestPausedDaemonDispatchesNothingPastItsDeadline(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		entry string
+	}{
+		{"calls that wait at its own socket for callers", "summaries-0"},
+		{"calls that another daemon sent to it", "bookings-0"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			st := start(c, stage.Config{Layout: layout(1), Seed: 1, NoRelays: true})
+			paused, entry := memberOf(c, st, "summaries-0"), memberOf(c, st, test.entry)
+			before := send(c, entry, "summaries", "", "before", 2*time.Second, 2*time.Second)
+			c.Assert(before.outcome, qt.Equals, errs.Answered)
+			paused.Daemon.TryPut(proc.Pause{})
+			waitFor(c, "pause", func() bool { return state(c, paused) == "T" })
+			var calls sync.WaitGroup
+			for range 10 {
+				calls.Go(func() { send(c, entry, "summaries", "", "expired", 300*time.Millisecond, 500*time.Millisecond) })
+			}
+			calls.Wait()
+			time.Sleep(time.Second)
+			c.Assert(st.Tally.Counts().Markers, qt.DeepEquals, map[string]int{"before": 1})
+			paused.Daemon.TryPut(proc.Continue{})
+			waitFor(c, "answer after the pause", func() bool {
+				return send(c, entry, "summaries", "", "after", 2*time.Second, 2*time.Second).outcome == errs.Answered
+			})
+			time.Sleep(500 * time.Millisecond)
+			markers := st.Tally.Counts().Markers
+			c.Assert(markers["after"] > 0, qt.IsTrue)
+			c.Assert(markers["expired"], qt.Equals, 0, qt.Commentf("calls ran after their deadline"))
+		})
+	}
+}
+
+// state returns the state of a daemon process as in /proc/PID/stat; T is stopped.
+func state(c *qt.C, m *stage.Member) string {
+	pid, ok := m.PID()
+	c.Assert(ok, qt.IsTrue)
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	c.Assert(err, qt.IsNil)
+	return strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))[0]
+}
+
+// A resend that runs a booking again after the target died in the first run books twice.
+func TestCrashedTargetLeavesBookingUnknown(t *testing.T) {
+	c := qt.New(t)
+	st := start(c, stage.Config{Layout: layout(1), Seed: 1, NoRelays: true, NoTargets: true})
+	m, other := memberOf(c, st, "bookings-0"), memberOf(c, st, "summaries-0")
+	first := startTarget(c, m)
+	const marker = stage.CrashMarker + " booking 1"
+	key := newKey(c, other, "bookings")
+	r := send(c, m, "bookings", key, marker, 5*time.Second, 5*time.Second)
+	c.Assert(r.outcome, qt.Equals, errs.Unknown, qt.Commentf("%+v", r))
+	<-first.Done()
+	c.Assert(first.Err(), qt.ErrorIs, proc.ErrExited)
+	startTarget(c, m)
+	for _, entry := range []*stage.Member{m, other} {
+		r = send(c, entry, "bookings", key, marker, 5*time.Second, 5*time.Second)
+		c.Assert(r.outcome, qt.Equals, errs.Unknown, qt.Commentf("%+v", r))
+	}
+	// Another booking shows that the new target process does run bookings.
+	waitFor(c, "answer of the new target", func() bool {
+		r = send(c, other, "bookings", newKey(c, other, "bookings"), "booking 2", 5*time.Second, 5*time.Second)
+		return r.outcome == errs.Answered
+	})
+	c.Assert(runs(c, m).Markers, qt.DeepEquals, map[string]int{"booking 2": 1})
+}
+
+func startTarget(c *qt.C, m *stage.Member) *proc.Task {
+	dir, err := programs()
+	c.Assert(err, qt.IsNil)
+	p, err := proc.New(proc.NewBox(), filepath.Join(c.TempDir(), "log"), filepath.Join(dir, "jcbench"), "target",
+		"--name", m.Seat.Target, "--address", m.Address.String(), "--crash-marker", stage.CrashMarker)
+	c.Assert(err, qt.IsNil)
+	c.Cleanup(func() {
+		p.Stop()
+		<-p.Done()
+	})
+	waitFor(c, "target", func() bool {
+		r, err := http.Get("http://" + m.Address.String() + target.LoadPath)
+		if err == nil {
+			r.Body.Close()
+		}
+		return err == nil
+	})
+	return p
+}
+
+func runs(c *qt.C, m *stage.Member) tally.Counts {
+	r, err := http.Get("http://" + m.Address.String() + target.RunsPath)
+	c.Assert(err, qt.IsNil)
+	defer r.Body.Close()
+	var counts tally.Counts
+	c.Assert(json.NewDecoder(r.Body).Decode(&counts), qt.IsNil)
+	return counts
+}
+
+// A daemon that needs the configuration service to start would turn its outage into an outage of the services.
+func TestDaemonRestartsWhileServiceIsDown(t *testing.T) {
+	c := qt.New(t)
+	st := start(c, stage.Config{Layout: layout(2), Seed: 1, NoRelays: true})
+	m := memberOf(c, st, "summaries-0")
+	before, err := st.Status(m)
+	c.Assert(err, qt.IsNil)
+	st.Platform.Send(config.Behave{Mode: config.Down{}})
+	m.Daemon.TryPut(proc.Kill{})
+	waitFor(c, "new process with the release in force", func() bool {
+		s, err := st.Status(m)
+		return err == nil && s.Target.Incarnation != before.Target.Incarnation && s.Release.Serial == before.Release.Serial
+	})
+	r := send(c, m, "summaries", "", "", 2*time.Second, 2*time.Second)
+	c.Assert(r.outcome, qt.Equals, errs.Answered, qt.Commentf("%+v", r))
+}
+
+// A restarted daemon that accepts a key of its earlier process, or a refusal that is wrong, books twice.
+func TestNoSecondRunsWhileDaemonsRestart(t *testing.T) {
+	c := qt.New(t)
+	const duration = 6 * time.Second
+	s := &setup.Scenario{Name: "restarts", Layout: layout(3), Seed: 11, Loads: []setup.Load{{
+		Name: "bookings", Service: "bookings", Rate: 150, Until: duration, Resends: 4, Lost: 0.2,
+		Patience: 100 * time.Millisecond, Deadline: 3 * time.Second,
+	}}}
+	for i, v := range []struct {
+		kind   setup.FaultKind
+		target ident.Target
+	}{
+		{setup.KillDaemon, "bookings-0"},
+		{setup.RestartDaemon, "bookings-1"},
+		{setup.CrashTarget, "bookings-2"},
+		{setup.KillDaemon, "summaries-0"},
+		{setup.KillDaemon, "bookings-2"},
+	} {
+		s.Faults = append(s.Faults, setup.Fault{At: time.Duration(i+1) * time.Second, Kind: v.kind, Target: string(v.target)})
+	}
+	st := start(c, stage.Config{Layout: s.Layout, Seed: s.Seed})
+	o := load.Run(s, setup.Daemon, st, io.Discard)
+	v := o.Tallies[0]
+	c.Logf("sent %d, answered %d, sends %d, refused %v, unknown %v", o.Sent, v.Answered, v.Sends, v.Refused, v.Unknown)
+	c.Assert(o.SecondRuns, qt.Equals, 0)
+	c.Assert(o.FalseRefusals, qt.Equals, 0)
+	c.Assert(v.Foreign, qt.Equals, 0)
+	// The run tests nothing when the bookings or the resends are missing.
+	c.Assert(v.Answered > o.Sent/2, qt.IsTrue, qt.Commentf("%d of %d answered", v.Answered, o.Sent))
+	c.Assert(v.Sends > v.Calls+v.Calls/10, qt.IsTrue, qt.Commentf("%d sends of %d calls", v.Sends, v.Calls))
+}
