Give the stage's daemons the address of the VM list as the settings want it

Cause: the stage wrote the path of the value into Platform.VMList, which is the address of a service, so its daemons refused their settings and tests of bench/fail failed. Change: the stage writes the address only.

--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -158,7 +158,7 @@
 func (s *Stage) seed() {
 	n := len(s.Members)
 	for i, m := range s.Members {
-		m.Settings.VMList = s.Platform.URL() + "/v1/values/" + config.VMList
+		m.Settings.VMList = s.Platform.URL()
 		for j := 1; j <= min(seeds, n-1); j++ {
 			m.Settings.Seeds = append(m.Settings.Seeds, s.Members[(i+j)%n].Settings.Peers)
 		}
