Run calls on the target with truthful ends, crash evidence and pauses

Cause: a target that was withdrawn and returned got an empty ledger under the same incarnation, so its old keys ran again. Chunked responses were taken as cut, since the library leaves the encoding in the header. HEAD responses with a Content-Length hung until the deadline. The loop could lock up: closing a connection waits for the library's lock, which a delivery to a full mailbox holds. Queued calls ran after a withdrawal. A resend for a replaced target was told Withdrawn (not run) although its call may have run.

HEAD and conditional calls use a connection of the standard library. Closing is a context. Withdrawal, drain and a refused dial answer the queue as not run. Reset connections with a refused probe, or of which none is left, are a crash and blame the calls in flight. Pauses are detected before each message.

Conclusion: each end of a call is answered by what is known of it.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -19,6 +19,9 @@
 	TargetAdded      = Event{4001, "TargetAdded", Info}
 	TargetWithdrawn  = Event{4002, "TargetWithdrawn", Info}
 	TargetConnFailed = Event{4003, "TargetConnectionFailed", Warning}
+	TargetDown       = Event{4004, "TargetDown", Warning}
+	TargetUp         = Event{4005, "TargetUp", Info}
+	TargetCrashed    = Event{4006, "TargetCrashed", Warning}
 )
 
 // All lists every event.
@@ -28,5 +31,6 @@
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		LinkOpened, LinkFailed, PeerRefused,
 		TargetAdded, TargetWithdrawn, TargetConnFailed,
+		TargetDown, TargetUp, TargetCrashed,
 	}
 }
--- /dev/null
+++ b/internal/task/local/answer.go
@@ -0,0 +1,93 @@
+package local
+
+import (
+	"fmt"
+	"io"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/wire/header"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/lesismal/nbio/nbhttp"
+)
+
+// completed turns what the library reports into the end of a call.
+func (c *conn) completed(j job, response *http.Response, err error, reusable bool) completed {
+	m := completed{id: j.id, conn: c}
+	switch {
+	case errors.Is(err, nbhttp.ErrClientClosed):
+		// The library reports this only for a connection that ended before the call was written.
+		m.unsent = true
+	case refusedDial(err):
+		m.outcome, m.refused = call.Refused{Kind: errs.TargetDown, Detail: err.Error()}, true
+	case errors.Is(err, nbhttp.ErrTooLong):
+		m.outcome = call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("more than %d bytes", c.limit)}
+	case err != nil:
+		m.outcome, m.broken = call.Unknown{Kind: errs.TargetFailed, Detail: fmt.Sprintf("target %s: %v", c.target, err)}, true
+	default:
+		m.outcome = c.outcome(j.request.Method, response)
+		_, cut := m.outcome.(call.Unknown)
+		m.reusable = reusable && !cut && !response.Close
+	}
+	return m
+}
+
+// outcome checks that the response is whole.
+func (c *conn) outcome(method string, r *http.Response) call.Outcome {
+	// The library reports a response of unknown length as complete and empty, and an interim one as final.
+	if !framed(method, r) {
+		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("target %s: the response has neither Content-Length nor chunked encoding", c.target)}
+	}
+	var body []byte
+	if r.Body != nil {
+		var err error
+		if body, err = io.ReadAll(io.LimitReader(r.Body, int64(c.limit)+1)); err != nil {
+			return call.Unknown{Kind: errs.AnswerCut, Detail: err.Error()}
+		}
+	}
+	if len(body) > c.limit {
+		return call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("more than %d bytes", c.limit)}
+	}
+	if !bodiless(method, r) && r.ContentLength >= 0 && int64(len(body)) != r.ContentLength {
+		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("%d of %d bytes", len(body), r.ContentLength)}
+	}
+	if r.StatusCode == http.StatusServiceUnavailable && r.Header.Get(header.NotRun) == "true" {
+		return call.Refused{Kind: errs.TargetShed, RetryAfter: retryAfter(r)}
+	}
+	return call.Answered{Status: r.StatusCode, Header: header.EndToEnd(r.Header), Body: body}
+}
+
+// framed reports whether the end of the response is known.
+func framed(method string, r *http.Response) bool {
+	if r.StatusCode < http.StatusOK {
+		return false
+	}
+	// The library's client leaves the encoding in the header; the standard library moves it to its field.
+	chunked := slices.Contains(r.TransferEncoding, "chunked") || strings.EqualFold(r.Header.Get("Transfer-Encoding"), "chunked")
+	return bodiless(method, r) || r.ContentLength >= 0 || chunked
+}
+
+// bodiless reports whether a response has no body whatever its header says.
+func bodiless(method string, r *http.Response) bool {
+	return method == http.MethodHead || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified
+}
+
+func retryAfter(r *http.Response) time.Duration {
+	n, err := strconv.Atoi(r.Header.Get("Retry-After"))
+	if err != nil || n < 0 {
+		return errs.AnswerTo(errs.TargetShed).RetryAfter
+	}
+	return time.Duration(n) * time.Second
+}
+
+// refusedDial reports whether the connection could not be opened, so that nothing was sent.
+func refusedDial(err error) bool {
+	var e *net.OpError
+	return errors.As(err, &e) && e.Op == "dial"
+}
--- /dev/null
+++ b/internal/task/local/answer_test.go
@@ -0,0 +1,133 @@
+package local
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/fleet/note"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// summary gives the parts of an outcome that callers act on.
+func summary(o call.Outcome) string {
+	switch o := o.(type) {
+	case call.Answered:
+		text := fmt.Sprintf("Answered %d %q", o.Status, o.Body)
+		if o.Remembered {
+			text += " remembered"
+		}
+		return text
+	case call.Refused:
+		return "Refused " + string(o.Kind)
+	case call.Unknown:
+		return "Unknown " + string(o.Kind)
+	}
+	return "none"
+}
+
+// TestAnswers guards against an answer that is taken as whole although it may be cut, and against
+// a claim that a call was not run although the target had read it.
+func TestAnswers(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	tests := []struct {
+		name   string
+		method string
+		header []call.Field
+		answer string
+		keep   bool // the target keeps the connection open after its answer
+		want   string
+	}{
+		{name: "Content-Length", answer: head + "Content-Length: 5\r\n\r\nhello", keep: true, want: `Answered 200 "hello"`},
+		{name: "Content-Length, then closed", answer: head + "Content-Length: 5\r\n\r\nhello", want: `Answered 200 "hello"`},
+		{name: "chunked", answer: head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n", keep: true, want: `Answered 200 "hello"`},
+		{name: "no body", answer: "HTTP/1.1 204 No Content\r\n\r\n", keep: true, want: `Answered 204 ""`},
+		{name: "neither Content-Length nor chunked", answer: head + "\r\nhello", want: "Unknown AnswerCut"},
+		{name: "neither, and open", answer: head + "\r\nhello", keep: true, want: "Unknown AnswerCut"},
+		{name: "interim response only", answer: "HTTP/1.1 103 Early Hints\r\n\r\n", keep: true, want: "Unknown AnswerCut"},
+		{name: "interim and final response", answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "Content-Length: 2\r\n\r\nok", keep: true, want: "Unknown AnswerCut"},
+		{name: "cut body", answer: head + "Content-Length: 10\r\n\r\nhello", want: "Unknown TargetFailed"},
+		{name: "cut chunk", answer: head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhel", want: "Unknown TargetFailed"},
+		{name: "chunks without an end", answer: head + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", want: "Unknown TargetFailed"},
+		{name: "cut header", answer: "HTTP/1.1 200 OK\r\nContent-Le", want: "Unknown TargetFailed"},
+		{name: "closed without an answer", answer: "", want: "Unknown TargetFailed"},
+		{name: "no HTTP", answer: "hello\r\n\r\n", want: "Unknown TargetFailed"},
+		{name: "silence", answer: "", keep: true, want: "Unknown DeadlineInFlight"},
+		{name: "body above the limit", answer: head + "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), keep: true, want: "Unknown AnswerTooLarge"},
+		{name: "HEAD with a Content-Length", method: http.MethodHead, answer: head + "Content-Length: 10\r\n\r\n", keep: true, want: `Answered 200 ""`},
+		{name: "HEAD, chunked", method: http.MethodHead, answer: head + "Transfer-Encoding: chunked\r\n\r\n", keep: true, want: `Answered 200 ""`},
+		{name: "HEAD after an interim response", method: http.MethodHead, answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "\r\n", keep: true, want: `Answered 200 ""`},
+		{name: "HEAD, cut header", method: http.MethodHead, answer: head + "Conte", want: "Unknown TargetFailed"},
+		{
+			name: "not modified with a Content-Length", header: []call.Field{{Name: "If-None-Match", Value: `"1"`}},
+			answer: "HTTP/1.1 304 Not Modified\r\nContent-Length: 10\r\n\r\n", keep: true, want: `Answered 304 ""`,
+		},
+		{
+			name: "conditional, cut body", header: []call.Field{{Name: "If-None-Match", Value: `"1"`}},
+			answer: head + "Content-Length: 10\r\n\r\nhello", want: "Unknown AnswerCut",
+		},
+		{name: "shed with proof", answer: "HTTP/1.1 503 S\r\nJacinth-Not-Run: true\r\nContent-Length: 0\r\n\r\n", keep: true, want: "Refused TargetShed"},
+		{name: "503 without proof", answer: "HTTP/1.1 503 S\r\nContent-Length: 0\r\n\r\n", keep: true, want: `Answered 503 ""`},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			target := newRawTarget(t, "127.0.0.1:0", func(w net.Conn, _ *http.Request, _ []byte) bool {
+				_, _ = w.Write([]byte(test.answer))
+				return test.keep
+			})
+			b := newBench(t, note.Target{Name: "b1", Address: target.address()}, WithMaxBody(100))
+			deadline := time.Now().Add(time.Second)
+			if test.want == "Unknown DeadlineInFlight" {
+				deadline = time.Now().Add(100 * time.Millisecond)
+			}
+			o := b.do(call.Request{Method: test.method, Header: test.header, Deadline: deadline})
+			qt.Assert(t, summary(o), qt.Equals, test.want)
+			qt.Assert(t, target.runs.Load(), qt.Equals, int64(1))
+		})
+	}
+}
+
+// TestHeaders guards against a target that does not learn how long it may work, for whom, and for which key.
+func TestHeaders(t *testing.T) {
+	got := make(chan http.Header, 1)
+	target := newRawTarget(t, "127.0.0.1:0", func(w net.Conn, r *http.Request, _ []byte) bool {
+		got <- r.Header
+		_, _ = w.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+		return true
+	})
+	b := newBench(t, note.Target{Name: "b1", Address: target.address()})
+	key := b.key()
+	b.do(call.Request{Method: http.MethodPost, Key: key, Header: []call.Field{{Name: "Jacinth-Rank", Value: "Deferred"}}})
+	h := <-got
+	qt.Assert(t, h.Get("Idempotency-Key"), qt.Equals, key)
+	qt.Assert(t, h["Jacinth-Rank"], qt.DeepEquals, []string{"Urgent"})
+	qt.Assert(t, h.Get("Jacinth-Context"), qt.Not(qt.Equals), "")
+	qt.Assert(t, h.Get("Jacinth-Deadline"), qt.Matches, "2[0-9]{3}")
+	qt.Assert(t, h["User-Agent"], qt.IsNil)
+}
+
+// TestRefusedDial guards against a call that is called unknown, or sent as a probe, when nothing listens.
+func TestRefusedDial(t *testing.T) {
+	target := newRawTarget(t, "127.0.0.1:0", answerOK)
+	address := target.address()
+	target.crash()
+	b := newBench(t, note.Target{Name: "b1", Address: address})
+	qt.Assert(t, summary(b.do(call.Request{})), qt.Equals, "Refused TargetDown")
+	again := newRawTarget(t, address.String(), answerOK)
+	b.until("the target is used again", func() bool {
+		_, refused := b.do(call.Request{}).(call.Refused)
+		return !refused
+	})
+	qt.Assert(t, again.runs.Load(), qt.Equals, int64(1))
+	qt.Assert(t, errs.AnswerTo(errs.TargetDown).Outcome, qt.Equals, errs.NotRun)
+}
+
+func answerOK(w net.Conn, _ *http.Request, body []byte) bool {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	return err == nil
+}
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -1,9 +1,9 @@
 package local
 
 import (
+	"bufio"
 	"bytes"
-	"fmt"
-	"io"
+	"context"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/mail"
@@ -11,21 +11,25 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"slices"
 	"strconv"
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
 )
 
+// dialTimeout bounds the opening of a connection to the target, which takes about 1 ms.
+const dialTimeout = time.Second
+
 // A conn is one connection to the target. It carries one call at a time.
 type conn struct {
-	client *nbhttp.ClientConn
-	target netip.AddrPort
-	jobs   *mail.Box[job]
-	owner  *mail.Box[Message]
-	stop   chan struct{}
-	limit  int
+	ctx       context.Context // done when the connection is closed from this side
+	cancel    context.CancelFunc
+	client    *nbhttp.ClientConn
+	target    netip.AddrPort
+	jobs      *mail.Box[job]
+	owner     *mail.Box[Message]
+	limit     int
+	idleSince time.Time
 }
 
 // A job is one call for a conn.
@@ -36,24 +40,21 @@
 }
 
 // newConn starts the goroutine of a connection. It dials on its first job, since dialling blocks.
-func newConn(engine *nbhttp.Engine, target netip.AddrPort, owner *mail.Box[Message], limit int, done <-chan struct{}) *conn {
+func newConn(engine *nbhttp.Engine, target netip.AddrPort, owner *mail.Box[Message], limit int) *conn {
+	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{
-		client: &nbhttp.ClientConn{Engine: engine, IdleConnTimeout: time.Hour},
-		target: target,
-		jobs:   mail.NewBox[job](1),
-		owner:  owner,
-		stop:   make(chan struct{}),
-		limit:  limit,
+		ctx: ctx, cancel: cancel, target: target, owner: owner, limit: limit,
+		jobs: mail.NewBox[job](1),
 	}
+	c.client = &nbhttp.ClientConn{Engine: engine, IdleConnTimeout: time.Hour, Dial: c.dial}
+	c.client.OnClose(func() { c.tell(lost{conn: c}) })
 	go func() {
 		defer c.client.Close()
 		for {
 			select {
 			case j := <-c.jobs.C():
-				c.do(j, done)
-			case <-c.stop:
-				return
-			case <-done:
+				c.do(j)
+			case <-ctx.Done():
 				return
 			}
 		}
@@ -61,29 +62,82 @@
 	return c
 }
 
-// close ends the connection. A call that it carries ends with an unknown outcome.
-func (c *conn) close() {
-	close(c.stop)
-	c.client.Close()
+// close ends the connection; nothing that arrives on it later reaches the task. It does not
+// block: the library's own Close waits while a call is written or a result delivered.
+func (c *conn) close() { c.cancel() }
+
+// tell sends a message to the task, unless the task has closed the connection.
+func (c *conn) tell(m Message) {
+	if c.ctx.Err() == nil {
+		c.owner.Put(m, c.ctx.Done())
+	}
+}
+
+func (c *conn) dial(network, address string) (net.Conn, error) {
+	return (&net.Dialer{Timeout: dialTimeout}).DialContext(c.ctx, network, address)
 }
 
-func (c *conn) do(j job, done <-chan struct{}) {
+func (c *conn) do(j job) {
 	request, err := newRequest(c.target, j)
 	if err != nil {
-		c.owner.Put(completed{id: j.id, conn: c, reusable: true, outcome: call.Refused{Kind: errs.BadRequest, Detail: err.Error()}}, done)
+		c.tell(completed{id: j.id, conn: c, outcome: call.Refused{Kind: errs.BadRequest, Detail: err.Error()}})
+		return
+	}
+	if mayLackBody(j.request) {
+		c.tell(c.exchange(j, request))
 		return
 	}
 	c.client.Do(request, func(response *http.Response, _ net.Conn, err error) {
-		outcome, reusable := c.outcome(j, response, err)
-		c.owner.Put(completed{id: j.id, conn: c, outcome: outcome, reusable: reusable}, done)
+		c.tell(c.completed(j, response, err, true))
 	})
 }
 
+// mayLackBody reports whether the response may have a Content-Length and no body. The library's
+// client would wait for the body, so these calls use a connection of the standard library.
+func mayLackBody(r call.Request) bool {
+	if r.Method == http.MethodHead {
+		return true
+	}
+	for _, f := range r.Header {
+		if f.Name == "If-None-Match" || f.Name == "If-Modified-Since" {
+			return true
+		}
+	}
+	return false
+}
+
+// exchange runs a call on a connection of its own.
+func (c *conn) exchange(j job, request *http.Request) completed {
+	stream, err := c.dial("tcp", c.target.String())
+	if err != nil {
+		return c.completed(j, nil, err, false)
+	}
+	defer stream.Close()
+	defer context.AfterFunc(c.ctx, func() { _ = stream.Close() })()
+	if err := request.Write(stream); err != nil {
+		return c.completed(j, nil, err, false)
+	}
+	reader := bufio.NewReader(stream)
+	for {
+		response, err := http.ReadResponse(reader, request)
+		if err != nil {
+			return c.completed(j, nil, err, false)
+		}
+		defer response.Body.Close()
+		// Interim responses come before the final one.
+		if response.StatusCode >= http.StatusOK {
+			return c.completed(j, response, nil, false)
+		}
+	}
+}
+
 func newRequest(target netip.AddrPort, j job) (*http.Request, error) {
 	r, err := http.NewRequest(j.request.Method, "http://"+target.String()+j.request.URI, bytes.NewReader(j.request.Body))
 	if err != nil {
 		return nil, err
 	}
+	// Without a value the library would add its own name.
+	r.Header["User-Agent"] = nil
 	for _, f := range j.request.Header {
 		if f.Name == "Host" {
 			r.Host = f.Value
@@ -94,65 +148,9 @@
 	r.ContentLength = int64(len(j.request.Body))
 	r.Header.Set(header.Context, j.token)
 	r.Header.Set(header.Rank, string(j.request.Rank))
-	r.Header.Set(header.Deadline, strconv.FormatInt(time.Until(j.request.Deadline).Milliseconds(), 10))
+	r.Header.Set(header.Deadline, strconv.FormatInt(max(0, time.Until(j.request.Deadline).Milliseconds()), 10))
 	if j.request.Key != "" {
 		r.Header.Set(header.Key, j.request.Key)
 	}
 	return r, nil
 }
-
-// outcome turns what the library reports into an outcome, and tells whether the connection may be used again.
-func (c *conn) outcome(j job, response *http.Response, err error) (call.Outcome, bool) {
-	if err != nil {
-		if refusedDial(err) {
-			return call.Refused{Kind: errs.TargetDown, Detail: err.Error()}, false
-		}
-		return call.Unknown{Kind: errs.TargetFailed, Detail: fmt.Sprintf("target %s: %v", c.target, err)}, false
-	}
-	// The library reports a response of unknown length as complete and empty, and an interim one as final.
-	if !framed(j.request.Method, response) {
-		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("target %s: the response has neither Content-Length nor chunked encoding", c.target)}, false
-	}
-	var body []byte
-	if response.Body != nil {
-		body, err = io.ReadAll(io.LimitReader(response.Body, int64(c.limit)+1))
-	}
-	if err != nil {
-		return call.Unknown{Kind: errs.AnswerCut, Detail: err.Error()}, false
-	}
-	if len(body) > c.limit {
-		return call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("more than %d bytes", c.limit)}, false
-	}
-	if response.ContentLength >= 0 && j.request.Method != http.MethodHead && int64(len(body)) != response.ContentLength {
-		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("%d of %d bytes", len(body), response.ContentLength)}, false
-	}
-	reusable := !response.Close
-	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(header.NotRun) == "true" {
-		return call.Refused{Kind: errs.TargetShed, RetryAfter: retryAfter(response)}, reusable
-	}
-	return call.Answered{Status: response.StatusCode, Header: header.EndToEnd(response.Header), Body: body}, reusable
-}
-
-func framed(method string, r *http.Response) bool {
-	if r.StatusCode < http.StatusOK {
-		return false
-	}
-	if method == http.MethodHead || r.StatusCode == http.StatusNoContent || r.StatusCode == http.StatusNotModified {
-		return true
-	}
-	return r.ContentLength >= 0 || slices.Contains(r.TransferEncoding, "chunked")
-}
-
-func retryAfter(r *http.Response) time.Duration {
-	n, err := strconv.Atoi(r.Header.Get("Retry-After"))
-	if err != nil || n < 0 {
-		return 0
-	}
-	return time.Duration(n) * time.Second
-}
-
-// refusedDial reports whether the connection could not be opened, so that nothing was sent.
-func refusedDial(err error) bool {
-	e, ok := err.(*net.OpError)
-	return ok && e.Op == "dial"
-}
--- /dev/null
+++ b/internal/task/local/end.go
@@ -0,0 +1,100 @@
+package local
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/policy/admit"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+func (t *Task) reply(id call.ID, to *mail.Box[call.Result], o call.Outcome, retries int) {
+	to.Put(call.Result{Attempt: id, Outcome: o, Load: t.load(), RetriesUsed: retries}, t.Stopping())
+}
+
+func (t *Task) refuse(m Run, kind errs.Kind, detail string) {
+	t.reply(m.ID, m.Reply, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail}, 0)
+}
+
+// refuseRun answers a call that was not dispatched and frees its key.
+func (t *Task) refuseRun(r *run, kind errs.Kind) {
+	t.end(r, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter})
+}
+
+// end answers a call and those that joined it, and settles its key.
+func (t *Task) end(r *run, o call.Outcome) {
+	delete(t.runs, r.ID)
+	t.alarms.Clear(r.ID)
+	if r.token != "" {
+		delete(t.tokens, r.token)
+		t.notify(Context{Token: r.token, Closed: true})
+	}
+	t.reply(r.ID, r.Reply, o, r.retries)
+	if r.ledger != nil {
+		r.ledger.Finish(r.key, o)
+		for _, w := range t.waiters[r.key] {
+			t.reply(w.id, w.reply, o, 0)
+			delete(t.joined, w.id)
+		}
+		delete(t.waiters, r.key)
+	}
+	t.checkEmpty()
+}
+
+// flush answers all queued calls as not run.
+func (t *Task) flush(kind errs.Kind) {
+	if t.gate != nil {
+		t.step(t.gate.Flush(kind), t.clock.Now())
+	}
+}
+
+func (t *Task) advanceGate(now time.Time) {
+	// A step that the task refuses leaves room for the next.
+	for steps := t.gate.Steps(now); len(steps) > 0; steps = t.gate.Steps(now) {
+		t.step(steps, now)
+	}
+	if at, ok := t.gate.Next(); ok {
+		t.alarms.Set(gateAlarm{}, at)
+		return
+	}
+	t.alarms.Clear(gateAlarm{})
+}
+
+func (t *Task) step(steps []admit.Step, now time.Time) {
+	for _, s := range steps {
+		switch s := s.(type) {
+		case admit.Dispatch:
+			if r, ok := t.runs[s.Call]; ok {
+				t.dispatch(r, now)
+			}
+		case admit.Drop:
+			if r, ok := t.runs[s.Call]; ok {
+				t.end(r, call.Refused{Kind: s.Kind, RetryAfter: s.RetryAfter})
+			}
+		}
+	}
+}
+
+// endOf returns what the end of a call tells of the target's load.
+func endOf(o call.Outcome) admit.End {
+	switch o := o.(type) {
+	case call.Answered:
+		return admit.Completed
+	case call.Refused:
+		if o.Kind == errs.TargetShed {
+			return admit.Shed
+		}
+	case call.Unknown:
+	}
+	return admit.Failed
+}
+
+// dialError returns why a connection could not be opened.
+func dialError(o call.Outcome) error {
+	if r, ok := o.(call.Refused); ok {
+		return errors.New(r.Detail)
+	}
+	return nil
+}
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -5,12 +5,13 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/admit"
+	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/policy/ledger"
+	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/super/tree"
 	"time"
 
@@ -21,47 +22,47 @@
 // A Task owns the admission to the target on its VM, the ledger of keys and the target connections.
 type Task struct {
 	*tree.Loop
-	vm       ident.VM
-	inbox    *mail.Box[Message]
-	clock    clock.Clock
-	notify   func(Context)
-	limits   ledger.Limits
-	maxBody  int
-	engine   *nbhttp.Engine
-	alarms   *alarm.Queue[any]
+	vm      ident.VM
+	inbox   *mail.Box[Message]
+	clock   clock.Clock
+	notify  func(Context)
+	onPause func(time.Duration)
+	onBlame func(ident.Service, []crash.Blame)
+	limits  ledger.Limits
+	maxBody int
+	engine  *nbhttp.Engine
+	alarms  *alarm.Queue[any]
+	pauses  pause.Detector
+
 	self     ident.Incarnation
 	head     ident.Head
 	target   note.Target
 	present  bool
-	gate     *admit.Gate
-	ledger   *ledger.Ledger
-	runs     map[call.ID]*run
-	waiters  map[ledger.Key][]waiter
-	tokens   map[string]call.ID
-	idle     []*conn
-	empty    chan<- struct{}
 	draining bool
-}
-
-type run struct {
-	Run
-	key     ledger.Key
-	keyed   bool
-	conn    *conn
-	started time.Time
-	token   string
-	retries int
-}
+	empty    chan<- struct{}
 
-type waiter struct {
-	id    call.ID
-	reply *mail.Box[call.Result]
+	gate    *admit.Gate
+	ledger  *ledger.Ledger
+	crashes *crash.Table
+	runs    map[call.ID]*run
+	waiters map[ledger.Key][]waiter
+	joined  map[call.ID]ledger.Key
+	tokens  map[string]call.ID
+
+	idle       []*conn // least recently used first
+	suspicion  *suspicion
+	down       bool
+	blamed     bool // the crash that took the target down was blamed
+	probing    bool
+	probeDelay time.Duration
 }
 
 // The keys of the alarm queue besides the ID of a call, whose deadline it is.
 type (
-	gateAlarm  struct{}
-	epochAlarm struct{}
+	gateAlarm   struct{}
+	epochAlarm  struct{}
+	probeAlarm  struct{}
+	settleAlarm struct{}
 )
 
 // An Option sets a property of a Task.
@@ -73,6 +74,14 @@
 // WithContexts sets what is called when an inbound call begins and ends on the target.
 func WithContexts(notify func(Context)) Option { return func(t *Task) { t.notify = notify } }
 
+// WithPause sets what is called after the process was stopped for a while.
+func WithPause(notify func(time.Duration)) Option { return func(t *Task) { t.onPause = notify } }
+
+// WithBlame sets what is called with the blame of requests after a crash of the target, for the peers of its service.
+func WithBlame(notify func(ident.Service, []crash.Blame)) Option {
+	return func(t *Task) { t.onBlame = notify }
+}
+
 // WithLedgerLimits bounds the ledger of keys.
 func WithLedgerLimits(l ledger.Limits) Option { return func(t *Task) { t.limits = l } }
 
@@ -87,21 +96,26 @@
 		inbox:   inbox,
 		clock:   clock.System{},
 		notify:  func(Context) {},
+		onPause: func(time.Duration) {},
+		onBlame: func(ident.Service, []crash.Blame) {},
 		limits:  ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
 		maxBody: 8 << 20,
-		engine:  nbhttp.NewEngine(nbhttp.Config{Name: "target", NPoller: 1}),
 		alarms:  alarm.NewQueue[any](),
 		self:    ident.NewIncarnation(),
+		crashes: crash.NewTable(),
 		runs:    map[call.ID]*run{},
 		waiters: map[ledger.Key][]waiter{},
+		joined:  map[call.ID]ledger.Key{},
 		tokens:  map[string]call.ID{},
 	}
 	for _, o := range options {
 		o(t)
 	}
+	t.engine = nbhttp.NewEngine(nbhttp.Config{Name: "target", NPoller: 1, MaxHTTPBodySize: t.maxBody})
 	if err := t.engine.Start(); err != nil {
 		return nil, errors.Annotate(err, "start the engine of target connections")
 	}
+	t.pauses = pause.NewDetector(t.clock.Now())
 	go func() {
 		t.Run(t.loop)
 	}()
@@ -111,18 +125,42 @@
 func (t *Task) loop() error {
 	defer t.engine.Stop()
 	defer t.alarms.Stop()
+	defer t.closeAll()
+	ticker := time.NewTicker(pause.Interval)
+	defer ticker.Stop()
 	for {
 		select {
 		case m := <-t.inbox.C():
+			t.observe()
 			t.receive(m)
 		case <-t.alarms.C():
+			t.observe()
 			t.wake()
+		case <-ticker.C:
+			t.observe()
+			t.closeIdle(t.clock.Now().Add(-idleLimit))
 		case <-t.Stopping():
 			return nil
 		}
 	}
 }
 
+// observe checks for a pause before anything is decided on what was true before it.
+func (t *Task) observe() {
+	now := t.clock.Now()
+	gap, paused := t.pauses.Seen(now)
+	if !paused {
+		return
+	}
+	t.onPause(gap)
+	// Idle connections may have been closed meanwhile, without a message about it yet.
+	t.closeIdle(now)
+	if t.gate != nil {
+		t.ledger.Advance(now)
+		t.advanceGate(now)
+	}
+}
+
 func (t *Task) receive(m Message) {
 	switch m := m.(type) {
 	case Run:
@@ -131,6 +169,14 @@
 		t.cancel(m.ID)
 	case completed:
 		t.complete(m)
+	case lost:
+		t.lose(m.conn)
+	case probed:
+		t.probed(m, t.clock.Now())
+	case Blamed:
+		if m.Service == t.target.Service {
+			t.crashes.Merge(m.From, m.Entries, t.clock.Now())
+		}
 	case LoadAsk:
 		m.Reply.TryPut(t.load())
 	case ReleaseChanged:
@@ -141,6 +187,7 @@
 		}
 	case Drain:
 		t.draining, t.empty = true, m.Empty
+		t.flush(errs.Draining)
 		t.checkEmpty()
 	}
 }
@@ -154,59 +201,28 @@
 		case epochAlarm:
 			t.ledger.Advance(now)
 			t.alarms.Set(epochAlarm{}, now.Add(t.limits.EpochLength))
+		case probeAlarm:
+			t.probe()
+		case settleAlarm:
+			if t.suspicion != nil {
+				t.settle(t.suspicion.restarted(), now)
+			}
 		case call.ID:
 			t.expire(k)
 		}
 	}
 }
 
-func (t *Task) setRelease(r *note.Release) {
-	t.head = r.Head
-	target, ok := r.TargetOn(t.vm)
-	switch {
-	case ok && (!t.present || target.Name != t.target.Name):
-		event.TargetAdded.Log("target", target.Name, "address", target.Address)
-		now := t.clock.Now()
-		t.gate = admit.NewGate(target.Slots)
-		t.ledger = ledger.New(target.Name, t.self, t.limits, now)
-		t.alarms.Set(epochAlarm{}, now.Add(t.limits.EpochLength))
-	case !ok && t.present:
-		event.TargetWithdrawn.Log("target", t.target.Name)
-	}
-	if ok {
-		if target.Address != t.target.Address {
-			t.closeIdle()
-		}
-		t.target = target
-		t.gate.SetSlots(target.Slots)
-	}
-	t.present = ok
-}
-
-func (t *Task) closeIdle() {
-	for _, c := range t.idle {
-		c.close()
-	}
-	t.idle = nil
-}
-
 func (t *Task) load() call.Load {
 	l := call.Load{Incarnation: t.self, Head: t.head, Draining: t.draining}
 	if t.gate != nil {
 		l.InFlight, l.Queued, l.Limit = t.gate.InFlight(), t.gate.Queued(), t.gate.Limit()
+		l.QueueDelay, l.Latency = t.gate.QueueDelay(), t.gate.Latency()
 		l.Epoch = t.ledger.Epoch()
 	}
 	return l
 }
 
-func (t *Task) reply(id call.ID, to *mail.Box[call.Result], o call.Outcome, retries int) {
-	to.Put(call.Result{Attempt: id, Outcome: o, Load: t.load(), RetriesUsed: retries}, t.Stopping())
-}
-
-func (t *Task) refuse(m Run, kind errs.Kind, detail string) {
-	t.reply(m.ID, m.Reply, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail}, 0)
-}
-
 func (t *Task) checkEmpty() {
 	if t.draining && len(t.runs) == 0 && t.empty != nil {
 		close(t.empty)
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -6,6 +6,8 @@
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/crash"
+	"net/netip"
 	"time"
 )
 
@@ -35,13 +37,35 @@
 // A Drain says that the daemon stops: no new call is taken, and Empty is closed when none is left.
 type Drain struct{ Empty chan<- struct{} }
 
-// A completed is the outcome of a call that a target connection carried.
+// A Blamed carries what the daemon on a VM of the same service tells of requests that crashed its target.
+type Blamed struct {
+	From    ident.VM
+	Service ident.Service
+	Entries []crash.Blame
+}
+
+// A completed is the end of a call that a target connection carried.
 type completed struct {
 	id      call.ID
 	conn    *conn
 	outcome call.Outcome
-	// reusable is false when the connection must not carry another call.
+	// reusable says that the connection may carry another call.
 	reusable bool
+	// unsent says that the connection had ended before the call was written; there is no outcome.
+	unsent bool
+	// broken says that the target ended the connection before its answer was complete.
+	broken bool
+	// refused says that the connection could not be opened.
+	refused bool
+}
+
+// A lost says that the target ended a connection.
+type lost struct{ conn *conn }
+
+// A probed tells whether a connection to the target could be opened.
+type probed struct {
+	address netip.AddrPort
+	err     error
 }
 
 func (Run) message()            {}
@@ -50,7 +74,10 @@
 func (ReleaseChanged) message() {}
 func (RetrySpent) message()     {}
 func (Drain) message()          {}
+func (Blamed) message()         {}
 func (completed) message()      {}
+func (lost) message()           {}
+func (probed) message()         {}
 
 // A Context is what the target's own calls inherit from the inbound call that they serve.
 type Context struct {
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -1,24 +1,53 @@
 package local
 
 import (
-	"fmt"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/policy/admit"
 	"jacinthcross/internal/policy/ledger"
+	"slices"
 	"strconv"
 	"time"
 )
 
+// A run is a call that is queued, or dispatched when it has a conn. It keeps the gate and the
+// ledger that admitted it, since a release can put another target in their place.
+type run struct {
+	Run
+	gate    *admit.Gate
+	ledger  *ledger.Ledger // nil for a call without a key
+	key     ledger.Key
+	sum     ident.Digest
+	conn    *conn
+	started time.Time
+	token   string
+	retries int
+}
+
+type waiter struct {
+	id    call.ID
+	reply *mail.Box[call.Result]
+}
+
+// digest returns the digest of the request. It is computed once and only when needed, since it reads the body.
+func (r *run) digest() ident.Digest {
+	if r.sum == (ident.Digest{}) {
+		r.sum = r.Request.Digest()
+	}
+	return r.sum
+}
+
 // arrive decides on a call: ledger first, so that a resend finds its outcome also
 // when the target is withdrawn or the daemon drains.
 func (t *Task) arrive(m Run) {
 	if t.ledger == nil || m.Target != t.target.Name {
-		t.refuse(m, errs.Withdrawn, fmt.Sprintf("target %q is not beside this daemon", m.Target))
+		t.refuseAbsent(m)
 		return
 	}
 	now := t.clock.Now()
-	r := &run{Run: m}
+	r := &run{Run: m, gate: t.gate}
 	if m.Request.Key != "" {
 		if !t.beginKeyed(r) {
 			return
@@ -27,7 +56,7 @@
 		t.refuse(m, errs.KeyRequired, "a non-idempotent call needs a key between daemons")
 		return
 	}
-	if kind, ok := t.closed(); ok {
+	if kind, ok := t.closed(r, now); ok {
 		t.refuseRun(r, kind)
 		return
 	}
@@ -42,6 +71,16 @@
 	}
 }
 
+// refuseAbsent refuses a call for a target that is not beside this daemon. An earlier send of a key
+// may have run while it was, and the ledger of that time has gone.
+func (t *Task) refuseAbsent(m Run) {
+	if m.Request.Key != "" {
+		t.refuse(m, errs.OwnerGone, "the daemon that owned the key has restarted or has another target")
+		return
+	}
+	t.refuse(m, errs.Withdrawn, "target "+strconv.Quote(string(m.Target))+" is not beside this daemon")
+}
+
 // beginKeyed asks the ledger, answers the call when it must not run, and reports whether it may run.
 func (t *Task) beginKeyed(r *run) bool {
 	key, err := ledger.ParseKey(r.Request.Key)
@@ -49,12 +88,13 @@
 		t.refuse(r.Run, errs.KindOf(err), err.Error())
 		return false
 	}
-	switch d := t.ledger.Begin(key, r.Request.Digest()).(type) {
+	switch d := t.ledger.Begin(key, r.digest()).(type) {
 	case ledger.Run:
-		r.key, r.keyed = key, true
+		r.key, r.ledger = key, t.ledger
 		return true
 	case ledger.Join:
 		t.waiters[key] = append(t.waiters[key], waiter{r.ID, r.Reply})
+		t.joined[r.ID] = key
 	case ledger.Replay:
 		t.reply(r.ID, r.Reply, d.Outcome, 0)
 	case ledger.Refuse:
@@ -63,22 +103,31 @@
 	return false
 }
 
-func (t *Task) closed() (errs.Kind, bool) {
+// closed returns why no new call is taken, if so.
+func (t *Task) closed(r *run, now time.Time) (errs.Kind, bool) {
 	switch {
 	case !t.present:
 		return errs.Withdrawn, true
 	case t.draining:
 		return errs.Draining, true
+	case t.down:
+		return errs.TargetDown, true
+	case t.crashes.Len() > 0 && t.crashes.Quarantined(r.digest(), now):
+		return errs.Quarantined, true
 	}
 	return "", false
 }
 
-// refuseRun answers a call that was not dispatched and frees its key.
-func (t *Task) refuseRun(r *run, kind errs.Kind) {
-	t.end(r, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter})
-}
-
+// dispatch sends a call to the target, unless something has changed while it waited.
 func (t *Task) dispatch(r *run, now time.Time) {
+	if kind, ok := t.closed(r, now); ok || !r.Request.Deadline.After(now) {
+		if !ok {
+			kind = errs.DeadlineExceeded
+		}
+		r.gate.Done(admit.Failed, 0, now)
+		t.refuseRun(r, kind)
+		return
+	}
 	r.started = now
 	r.token = strconv.FormatUint(uint64(r.ID), 36) + "-" + t.self.String()[:8]
 	t.tokens[r.token] = r.ID
@@ -86,32 +135,61 @@
 		Token: r.token, Deadline: r.Request.Deadline, Rank: r.Request.Rank,
 		Depth: r.Request.Depth, Allowance: r.Request.Allowance,
 	})
-	if n := len(t.idle); n > 0 {
-		r.conn = t.idle[n-1]
-		t.idle = t.idle[:n-1]
-	} else {
-		r.conn = newConn(t.engine, t.target.Address, t.inbox, t.maxBody, t.Stopping())
-	}
 	t.alarms.Set(r.ID, r.Request.Deadline)
-	r.conn.jobs.TryPut(job{id: r.ID, request: r.Request, token: r.token})
+	t.send(r, t.take(r.Request.Idempotent, now))
+}
+
+func (t *Task) send(r *run, c *conn) {
+	r.conn = c
+	c.jobs.TryPut(job{id: r.ID, request: r.Request, token: r.token})
 }
 
+// complete takes the end of a call. What comes from a connection that no longer carries the call is dropped.
 func (t *Task) complete(m completed) {
 	r, ok := t.runs[m.id]
 	if !ok || r.conn != m.conn {
 		return
 	}
 	now := t.clock.Now()
-	t.gate.Done(endOf(m.outcome), now.Sub(r.started), now)
-	if m.reusable {
-		t.idle = append(t.idle, m.conn)
-	} else {
+	if m.unsent {
+		t.drop(m.conn)
+		t.send(r, t.newConn())
+		return
+	}
+	if m.broken {
+		t.suspect(m.conn)
+	}
+	if _, answered := m.outcome.(call.Answered); answered && t.crashes.Len() > 0 {
+		t.crashes.Completed(r.digest())
+	}
+	r.gate.Done(endOf(m.outcome), now.Sub(r.started), now)
+	switch {
+	case m.reusable:
+		t.keep(m.conn, now)
+	case m.broken:
 		m.conn.close()
+	default:
+		t.drop(m.conn)
 	}
 	t.end(r, m.outcome)
+	if m.refused && m.conn.target == t.target.Address && t.present {
+		t.markDown(dialError(m.outcome), now)
+	}
 	t.advanceGate(now)
 }
 
+// lose takes an idle connection that the target ended out of use. The end of one that carries a
+// call comes with the end of the call.
+func (t *Task) lose(c *conn) {
+	i := slices.Index(t.idle, c)
+	if i < 0 {
+		return
+	}
+	t.suspect(c)
+	t.idle = slices.Delete(t.idle, i, i+1)
+	c.close()
+}
+
 // expire ends a dispatched call whose deadline has passed. Its connection is closed, so that
 // the late answer reaches nobody and the target sees the cancellation.
 func (t *Task) expire(id call.ID) {
@@ -124,8 +202,8 @@
 		return
 	}
 	now := t.clock.Now()
-	r.conn.close()
-	t.gate.Done(admit.Failed, now.Sub(r.started), now)
+	t.drop(r.conn)
+	r.gate.Done(admit.Failed, now.Sub(r.started), now)
 	t.end(r, o)
 	t.advanceGate(now)
 }
@@ -133,75 +211,27 @@
 // cancel ends a call whose caller has gone. A keyed call that was dispatched runs on,
 // so that a resend finds its outcome.
 func (t *Task) cancel(id call.ID) {
+	if key, ok := t.joined[id]; ok {
+		t.leave(id, key)
+		return
+	}
 	r, ok := t.runs[id]
 	switch {
 	case !ok:
 		return
+	case r.conn == nil && len(t.waiters[r.key]) > 0:
+		// A resend of the key still waits for it.
 	case r.conn == nil:
-		t.gate.Forget(id)
+		r.gate.Forget(id)
 		t.refuseRun(r, errs.CallerGone)
-	case !r.keyed:
+	case r.ledger == nil:
 		t.abandon(id, call.Unknown{Kind: errs.CallerGone})
 	}
 }
 
-// end answers a call and those that joined it, and settles its key.
-func (t *Task) end(r *run, o call.Outcome) {
-	delete(t.runs, r.ID)
-	t.alarms.Clear(r.ID)
-	if r.token != "" {
-		delete(t.tokens, r.token)
-		t.notify(Context{Token: r.token, Closed: true})
-	}
-	t.reply(r.ID, r.Reply, o, r.retries)
-	if r.keyed {
-		if _, notRun := o.(call.Refused); notRun {
-			t.ledger.Release(r.key)
-		} else {
-			t.ledger.Finish(r.key, o)
-		}
-		for _, w := range t.waiters[r.key] {
-			t.reply(w.id, w.reply, o, 0)
-		}
-		delete(t.waiters, r.key)
-	}
-	t.checkEmpty()
-}
-
-func (t *Task) advanceGate(now time.Time) {
-	for _, s := range t.gate.Steps(now) {
-		switch s := s.(type) {
-		case admit.Dispatch:
-			if r, ok := t.runs[s.Call]; ok {
-				t.dispatch(r, now)
-			}
-		case admit.Drop:
-			if r, ok := t.runs[s.Call]; ok {
-				t.end(r, call.Refused{Kind: s.Kind, RetryAfter: s.RetryAfter})
-			}
-		}
-	}
-	t.armGate()
-}
-
-func (t *Task) armGate() {
-	if at, ok := t.gate.Next(); ok {
-		t.alarms.Set(gateAlarm{}, at)
-		return
-	}
-	t.alarms.Clear(gateAlarm{})
-}
-
-// endOf returns what the end of a call tells of the target's load.
-func endOf(o call.Outcome) admit.End {
-	switch o := o.(type) {
-	case call.Answered:
-		return admit.Completed
-	case call.Refused:
-		if o.Kind == errs.TargetShed {
-			return admit.Shed
-		}
-	case call.Unknown:
-	}
-	return admit.Failed
+// leave takes out a resend that waits for a running call.
+func (t *Task) leave(id call.ID, key ledger.Key) {
+	delete(t.joined, id)
+	t.waiters[key] = slices.DeleteFunc(t.waiters[key], func(w waiter) bool { return w.id == id })
+	t.ledger.Leave(key)
 }
