Specify keys and release heads for the model checker

Cause: the at-most-once rules and the release rules were only tested by examples and random sequences, not over all orders of events.

Change: spec/keys.pml and spec/release.pml with assertions, and one broken variant per rule that defines it away. scripts/spec.sh expands the includes, rejects a model that does not compile or is not explored to completion, and counts only a violated assertion as a rejection.

--- /dev/null
+++ b/spec/broken/keys-epoch.pml
@@ -0,0 +1,2 @@
+#define BROKEN_EPOCH
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/keys-incarnation.pml
@@ -0,0 +1,2 @@
+#define BROKEN_INCARNATION
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/keys-join.pml
@@ -0,0 +1,2 @@
+#define BROKEN_JOIN
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/keys-notrun.pml
@@ -0,0 +1,2 @@
+#define BROKEN_NOTRUN
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/keys-reattach.pml
@@ -0,0 +1,2 @@
+#define BROKEN_REATTACH
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/keys-return.pml
@@ -0,0 +1,2 @@
+#define BROKEN_RETURN
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/keys-withdrawn.pml
@@ -0,0 +1,2 @@
+#define BROKEN_WITHDRAWN
+#include "../keys.pml"
--- /dev/null
+++ b/spec/broken/release-accept.pml
@@ -0,0 +1,2 @@
+#define BROKEN_ACCEPT
+#include "../release.pml"
--- /dev/null
+++ b/spec/broken/release-confirm.pml
@@ -0,0 +1,2 @@
+#define BROKEN_CONFIRM
+#include "../release.pml"
