--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -16,6 +16,9 @@
 	LinkOpened       = Event{3001, "LinkOpened", Info}
 	LinkFailed       = Event{3002, "LinkFailed", Warning}
 	PeerRefused      = Event{3003, "PeerMessageRefused", Warning}
+	PeerVersion      = Event{3004, "PeerVersionMismatch", Error}
+	PeerDraining     = Event{3005, "PeerDraining", Info}
+	PeerSilent       = Event{3006, "PeerSilent", Warning}
 	TargetAdded      = Event{4001, "TargetAdded", Info}
 	TargetWithdrawn  = Event{4002, "TargetWithdrawn", Info}
 	TargetConnFailed = Event{4003, "TargetConnectionFailed", Warning}
@@ -26,7 +29,7 @@
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
-		LinkOpened, LinkFailed, PeerRefused,
+		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnFailed,
 	}
 }
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		return exitFile(env, c.Config, err)
 	}
-	signals := make(chan os.Signal, 1)
+	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(settings, Version)
 	if err != nil {
@@ -25,6 +25,11 @@
 	}
 	select {
 	case <-signals:
+		go func() {
+			// A second signal stops at once.
+			<-signals
+			d.Abort()
+		}()
 		d.Drain()
 	case <-d.Done():
 	}
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -7,7 +7,12 @@
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/front"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/links"
+	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/wire/codec"
 	"time"
 
 	"github.com/juju/errors"
@@ -19,8 +24,10 @@
 // A Daemon is one running daemon.
 type Daemon struct {
 	*tree.Loop
-	boxes  *boxes
-	cancel context.CancelFunc
+	settings *conf.Settings
+	boxes    *boxes
+	parts    supervisors
+	cancel   context.CancelFunc
 }
 
 // New starts a daemon.
@@ -31,12 +38,12 @@
 	}
 	event.RouteLibraryLogs()
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Loop: tree.NewLoop(), boxes: newBoxes(), cancel: cancel}
-	root := newTree(settings, version, d.boxes, m)
+	d := &Daemon{Loop: tree.NewLoop(), settings: settings, boxes: newBoxes(), cancel: cancel}
+	d.parts = newTree(settings, version, d.boxes, m)
 	event.DaemonStarted.Log("vm", settings.VM, "dataCentre", settings.DataCentre, "callers", settings.Callers)
 	go func() {
 		d.Run(func() error {
-			err := root.Serve(ctx)
+			err := d.parts.root.Serve(ctx)
 			event.DaemonStopped.Log("vm", settings.VM)
 			if ctx.Err() != nil {
 				return nil
@@ -47,17 +54,55 @@
 	return d, nil
 }
 
-// Drain takes no new calls for the own target, waits for those in flight and stops the daemon.
+// Drain makes the planned stop and returns when the daemon has ended. Abort cuts it short.
 func (d *Daemon) Drain() {
 	event.DrainStarted.Log()
-	empty := make(chan struct{})
-	timeout := time.After(drainTimeout)
-	d.boxes.local.TryPut(local.Drain{Empty: empty})
-	select {
-	case <-empty:
-	case <-timeout:
-	case <-d.Done():
+	d.boxes.draining.Store(true)
+	d.announceDrain()
+	d.awaitCalls(time.After(drainTimeout))
+	for _, part := range []*tree.Supervisor{d.parts.edge, d.parts.data, d.parts.control} {
+		if d.ended() {
+			break
+		}
+		if err := d.parts.root.StopSupervisor(part); err != nil {
+			event.TaskFailed.Log("task", "drain", "error", err.Error())
+		}
 	}
 	d.cancel()
 	<-d.Done()
 }
+
+// Abort stops the daemon at once. Calls in flight end with an unknown outcome.
+func (d *Daemon) Abort() { d.cancel() }
+
+func (d *Daemon) ended() bool {
+	select {
+	case <-d.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+// announceDrain tells the peers on all sessions, so that they stop sending calls here.
+func (d *Daemon) announceDrain() {
+	m := codec.Drain{VM: d.settings.VM}
+	d.boxes.links.Put(links.Message{Message: link.Notify{Message: m}}, d.Done())
+	d.boxes.listen.Put(listen.Notify{Message: m}, d.Done())
+}
+
+// awaitCalls stops the taking of new calls and waits until none is left, or until timeout.
+func (d *Daemon) awaitCalls(timeout <-chan time.Time) {
+	callers, target := make(chan struct{}), make(chan struct{})
+	d.boxes.front.Put(front.Drain{Empty: callers}, d.Done())
+	d.boxes.local.Put(local.Drain{Empty: target}, d.Done())
+	for _, empty := range []chan struct{}{callers, target} {
+		select {
+		case <-empty:
+		case <-timeout:
+			return
+		case <-d.Done():
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/super/daemon/link_test.go
@@ -0,0 +1,381 @@
+package daemon_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/links"
+	"jacinthcross/internal/task/listen"
+	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/wire/codec"
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// patience bounds waits in tests. It is no verdict on speed.
+const patience = 10 * time.Second
+
+// A peer is an accepting end whose calls are answered by a stand-in for task/local.
+type peer struct {
+	task    *listen.Task
+	box     *mail.Box[listen.Message]
+	runs    chan local.Run
+	reports chan listen.Report
+}
+
+func newPeer(t *testing.T, hello codec.Hello) *peer {
+	p := &peer{
+		box: mail.NewBox[listen.Message](16), runs: make(chan local.Run, 1024),
+		reports: make(chan listen.Report, 1024),
+	}
+	inbox := mail.NewBox[local.Message](1024)
+	server := listen.NewServer(inbox, mail.NewBox[keeper.Message](1), 1<<20,
+		listen.WithHello(func() codec.Hello { return hello }),
+		listen.WithReports(func(r listen.Report) { p.reports <- r }))
+	var err error
+	p.task, err = listen.New(netip.MustParseAddrPort("127.0.0.1:0"), server, p.box)
+	qt.Assert(t, err, qt.IsNil)
+	go func() {
+		for {
+			select {
+			case m := <-inbox.C():
+				if r, ok := m.(local.Run); ok {
+					p.runs <- r
+				}
+			case <-p.task.Done():
+				return
+			}
+		}
+	}()
+	t.Cleanup(p.stop)
+	return p
+}
+
+func (p *peer) stop() {
+	p.task.Stop()
+	<-p.task.Done()
+}
+
+func answer(r local.Run) {
+	r.Reply.TryPut(call.Result{Attempt: r.ID, Outcome: call.Answered{Status: 200, Body: r.Request.Body}})
+}
+
+// answerAll answers all calls at once until the peer stops.
+func (p *peer) answerAll() {
+	for {
+		select {
+		case r := <-p.runs:
+			answer(r)
+		case <-p.task.Done():
+			return
+		}
+	}
+}
+
+func hello() codec.Hello { return codec.Hello{Protocol: codec.Protocol, VM: "vm-b"} }
+
+// A dialler is a links task with its results.
+type dialler struct {
+	task    *links.Task
+	box     *mail.Box[links.Message]
+	results *mail.Box[call.Result]
+	reports chan link.Report
+}
+
+func newDialler(t *testing.T, options ...link.Option) *dialler {
+	d := &dialler{
+		box: mail.NewBox[links.Message](2048), results: mail.NewBox[call.Result](2048), reports: make(chan link.Report, 1024),
+	}
+	options = append(options, link.WithReports(func(r link.Report) { d.reports <- r }))
+	d.task = links.New(d.box, links.WithLinkOptions(options...))
+	t.Cleanup(d.stop)
+	return d
+}
+
+func (d *dialler) stop() {
+	d.task.Stop()
+	<-d.task.Done()
+}
+
+func (d *dialler) send(to netip.AddrPort, body string) call.ID {
+	id := call.NextID()
+	d.box.TryPut(links.Message{Peer: to, Message: link.Send{ID: id, Target: "target", Reply: d.results, Request: call.Request{
+		Rank: ident.Urgent, Body: []byte(body), Deadline: time.Now().Add(patience),
+	}}})
+	return id
+}
+
+func receive[M any](t *testing.T, c <-chan M) M {
+	t.Helper()
+	select {
+	case m := <-c:
+		return m
+	case <-time.After(patience):
+		t.Fatal("nothing arrived")
+		panic("unreachable")
+	}
+}
+
+// Guards against calls that wait on a connection which has gone silent in one or both directions.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		there, back bool
+	}{
+		{"towards the peer", true, false},
+		{"from the peer", false, true},
+		{"both directions", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			p := newPeer(t, hello())
+			r := newRelay(t, p.task.Addr())
+			d := newDialler(t)
+			d.send(r.addr(), "first")
+			answer(receive(t, p.runs))
+			c.Assert(receive(t, d.results.C()).Outcome, qt.DeepEquals, call.Answered{Status: 200, Header: []call.Field{}, Body: []byte("first")})
+			r.drop(test.there, test.back)
+			id := d.send(r.addr(), "second")
+			result := receive(t, d.results.C())
+			c.Assert(result.Attempt, qt.Equals, id)
+			unknown, ok := result.Outcome.(call.Unknown)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(unknown.Kind, qt.Equals, errs.PeerLost)
+			go func() { p.answerAll() }()
+			d.send(r.addr(), "third")
+			answered, ok := receive(t, d.results.C()).Outcome.(call.Answered)
+			c.Assert(ok, qt.IsTrue)
+			c.Assert(string(answered.Body), qt.Equals, "third")
+			c.Assert(r.accepted.Load(), qt.Equals, int64(2))
+		})
+	}
+}
+
+// Guards against a slow call that is taken for a silent connection.
+func TestSlowCallKeepsItsConnection(t *testing.T) {
+	p := newPeer(t, hello())
+	r := newRelay(t, p.task.Addr())
+	d := newDialler(t)
+	d.send(r.addr(), "slow")
+	run := receive(t, p.runs)
+	time.Sleep(1200 * time.Millisecond)
+	answer(run)
+	_, ok := receive(t, d.results.C()).Outcome.(call.Answered)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, r.accepted.Load(), qt.Equals, int64(1))
+}
+
+// Guards against traffic on a link without calls, which would grow with the fleet.
+func TestIdleLinkIsQuiet(t *testing.T) {
+	p := newPeer(t, hello())
+	go func() { p.answerAll() }()
+	r := newRelay(t, p.task.Addr())
+	d := newDialler(t)
+	d.send(r.addr(), "call")
+	receive(t, d.results.C())
+	time.Sleep(300 * time.Millisecond)
+	before := r.bytes.Load()
+	time.Sleep(1200 * time.Millisecond)
+	qt.Assert(t, r.bytes.Load(), qt.Equals, before)
+}
+
+// Guards against calls between daemons that read each other's messages differently.
+func TestVersionMismatchRefusesCalls(t *testing.T) {
+	for _, test := range []struct {
+		name      string
+		own, peer int
+	}{
+		{"newer peer", codec.Protocol, codec.Protocol + 1},
+		{"older peer", codec.Protocol + 1, codec.Protocol},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPeer(t, codec.Hello{Protocol: test.peer})
+			d := newDialler(t, link.WithHello(func() codec.Hello { return codec.Hello{Protocol: test.own} }))
+			d.send(p.task.Addr(), "call")
+			refused, ok := receive(t, d.results.C()).Outcome.(call.Refused)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, refused.Kind, qt.Equals, errs.PeerUnreachable)
+			qt.Assert(t, len(p.runs), qt.Equals, 0)
+		})
+	}
+}
+
+// Guards against a dial for each call to a dead peer.
+func TestDeadPeerCostsFewDials(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	dials := make(chan struct{}, 4096)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			dials <- struct{}{}
+			c.Close()
+		}
+	}()
+	d := newDialler(t)
+	for range 300 {
+		d.send(l.Addr().(*net.TCPAddr).AddrPort(), "call")
+		refused, ok := receive(t, d.results.C()).Outcome.(call.Refused)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, refused.Kind, qt.Equals, errs.PeerUnreachable)
+		time.Sleep(2 * time.Millisecond)
+	}
+	// In 0.6 s the delays 50 to 100, 100 to 200, 200 to 400 ms allow at most 5 dials; a slow machine allows a few more.
+	qt.Assert(t, len(dials) < 12, qt.IsTrue, qt.Commentf("%d dials", len(dials)))
+}
+
+// Guards against an answer that reaches the call of another caller.
+func TestAnswersInOtherOrder(t *testing.T) {
+	p := newPeer(t, hello())
+	d := newDialler(t)
+	const calls = 50
+	want := map[call.ID]string{}
+	for i := range calls {
+		body := fmt.Sprintf("body %d", i)
+		want[d.send(p.task.Addr(), body)] = body
+	}
+	var runs []local.Run
+	for range calls {
+		runs = append(runs, receive(t, p.runs))
+	}
+	for i := range runs {
+		answer(runs[len(runs)-1-i])
+	}
+	for range calls {
+		r := receive(t, d.results.C())
+		answered, ok := r.Outcome.(call.Answered)
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Assert(t, string(answered.Body), qt.Equals, want[r.Attempt])
+		delete(want, r.Attempt)
+	}
+	qt.Assert(t, len(want), qt.Equals, 0)
+}
+
+// Guards against part of an answer that is taken for the whole.
+func TestCutReplyIsUnknown(t *testing.T) {
+	var reply writeBuffer
+	_, err := codec.Write(&reply, codec.Reply{Result: call.Result{Outcome: call.Answered{Status: 200, Body: make([]byte, 1000)}}}, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+	shorter := append(writeBuffer(nil), reply[:len(reply)-100]...)
+	binary.BigEndian.PutUint32(shorter, uint32(len(shorter)-4))
+	for _, test := range []struct {
+		name  string
+		bytes []byte
+	}{
+		{"nothing", nil},
+		{"half a length", reply[:2]},
+		{"length without message", reply[:4]},
+		{"cut body", reply[:len(reply)/2]},
+		{"one byte missing", reply[:len(reply)-1]},
+		{"length of the cut part", shorter},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			d := newDialler(t)
+			d.send(cuttingPeer(t, test.bytes), "call")
+			outcome := receive(t, d.results.C()).Outcome
+			unknown, ok := outcome.(call.Unknown)
+			qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", outcome))
+			qt.Assert(t, unknown.Kind, qt.Equals, errs.PeerLost)
+		})
+	}
+}
+
+type writeBuffer []byte
+
+func (b *writeBuffer) Write(p []byte) (int, error) {
+	*b = append(*b, p...)
+	return len(p), nil
+}
+
+// cuttingPeer says hello, answers each call with the bytes and closes its stream.
+func cuttingPeer(t *testing.T, bytes []byte) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		s, err := link.NewSession(c, false)
+		if err != nil {
+			return
+		}
+		for i := 0; ; i++ {
+			stream, err := s.AcceptStream()
+			if err != nil {
+				return
+			}
+			if _, _, err := codec.Read(stream, 1<<20, time.Now); err != nil {
+				return
+			}
+			if i == 0 {
+				_, _ = codec.Write(stream, hello(), time.Now())
+			} else {
+				_, _ = stream.Write(bytes)
+			}
+			stream.Close()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against a peer that is not told of a planned stop, in either direction of the session.
+func TestDrainIsToldBothWays(t *testing.T) {
+	p := newPeer(t, hello())
+	go func() { p.answerAll() }()
+	told := make(chan listen.Report, 16)
+	server := listen.NewServer(nil, nil, 1<<20, listen.WithReports(func(r listen.Report) { told <- r }))
+	d := newDialler(t, link.WithServe(server.Session))
+	d.send(p.task.Addr(), "call")
+	receive(t, d.results.C())
+	_, ok := receive(t, p.reports).(listen.Greeted)
+	qt.Assert(t, ok, qt.IsTrue)
+	d.box.TryPut(links.Message{Message: link.Notify{Message: codec.Drain{VM: "vm-a"}}})
+	qt.Assert(t, receive(t, p.reports), qt.Equals, listen.Report(listen.Draining{VM: "vm-a"}))
+	p.box.TryPut(listen.Notify{Message: codec.Drain{VM: "vm-b"}})
+	qt.Assert(t, receive(t, told), qt.Equals, listen.Report(listen.Draining{VM: "vm-b"}))
+}
+
+// Guards against goroutines that outlive their connection.
+func TestLinksLeaveNoGoroutine(t *testing.T) {
+	before := runtime.NumGoroutine()
+	for range 5 {
+		p := newPeer(t, hello())
+		go func() { p.answerAll() }()
+		r := newRelay(t, p.task.Addr())
+		d := newDialler(t)
+		d.send(r.addr(), "call")
+		receive(t, d.results.C())
+		r.drop(true, true)
+		d.send(r.addr(), "lost")
+		receive(t, d.results.C())
+		d.stop()
+		p.stop()
+		r.listener.Close()
+		for _, p := range r.paths {
+			p.there.Close()
+			p.back.Close()
+		}
+	}
+	deadline := time.Now().Add(patience)
+	for runtime.NumGoroutine() > before && time.Now().Before(deadline) {
+		time.Sleep(10 * time.Millisecond)
+	}
+	qt.Assert(t, runtime.NumGoroutine() <= before, qt.IsTrue, qt.Commentf("%d goroutines before, %d after", before, runtime.NumGoroutine()))
+}
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -13,12 +13,14 @@
 	"jacinthcross/internal/task/admin"
 	"jacinthcross/internal/task/front"
 	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/task/watch"
+	"jacinthcross/internal/wire/codec"
 	"sync/atomic"
 )
 
@@ -37,8 +39,13 @@
 	keeper *mail.Box[keeper.Message]
 	watch  *mail.Box[watch.Message]
 	member *mail.Box[member.Message]
-	// announced is the serial that the tasks were told last. A restarted keeper may recover a lower one at first.
-	announced atomic.Uint64
+	listen *mail.Box[listen.Message]
+	front  *mail.Box[front.Message]
+	// release is the last one that the tasks were told, from which restarted tasks begin.
+	// A restarted keeper may recover a lower one at first.
+	release atomic.Pointer[note.Release]
+	// draining is true from the beginning of the planned stop.
+	draining atomic.Bool
 }
 
 func newBoxes() *boxes {
@@ -49,35 +56,44 @@
 		keeper: mail.NewBox[keeper.Message](controlMailbox),
 		watch:  mail.NewBox[watch.Message](controlMailbox),
 		member: mail.NewBox[member.Message](controlMailbox),
+		listen: mail.NewBox[listen.Message](controlMailbox),
+		front:  mail.NewBox[front.Message](callMailbox),
 	}
 }
 
+// supervisors are the parts of the tree in the order in which a planned stop ends them.
+type supervisors struct {
+	root, edge, data, control *tree.Supervisor
+}
+
 // newTree names the children of each supervisor.
-func newTree(s *conf.Settings, version string, b *boxes, m *meter.Meter) *tree.Supervisor {
+func newTree(s *conf.Settings, version string, b *boxes, m *meter.Meter) supervisors {
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
-	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead)
+	limit := tree.WithLimit(&tree.Limit{})
+	hello := func() codec.Hello { return b.hello(s) }
+	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello))
 	control := tree.NewSupervisor("control", []tree.Child{
 		{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, b, m), nil }},
 		{Name: "watch", Start: func() (tree.Task, error) { return startWatch(s, b), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
-			b.keeper.TryPut(keeper.Announce{})
+			b.tell(func(r *note.Release) { b.member.TryPut(member.ReleaseChanged{Release: r}) })
 			return member.New(b.member, func([]fleet.Change) {}), nil
 		}},
-	}, hook)
+	}, limit, hook)
 	data := tree.NewSupervisor("data", []tree.Child{
 		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, b) }},
 		{Name: "links", Start: func() (tree.Task, error) {
-			return links.New(b.links, links.WithMaxSize(s.MaxBody+messageOverhead), links.WithServe(server.Session)), nil
-		}},
-		{Name: "router", Start: func() (tree.Task, error) {
-			b.keeper.TryPut(keeper.Announce{})
-			return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, router.WithMeter(m)), nil
+			return links.New(b.links, links.WithLinkOptions(
+				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHello(hello),
+				link.WithServe(func(session *link.Session) { server.Session(session) }),
+			)), nil
 		}},
-	}, hook)
+		{Name: "router", Start: func() (tree.Task, error) { return startRouter(s, b, m), nil }},
+	}, limit, hook)
 	edge := tree.NewSupervisor("edge", []tree.Child{
-		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server) }},
+		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server, b.listen) }},
 		{Name: "front", Start: func() (tree.Task, error) {
-			return front.New(s.Callers, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxHeader(s.MaxHeader))
+			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxHeader(s.MaxHeader))
 		}},
 		{Name: "admin", Start: func() (tree.Task, error) {
 			return admin.New(s.Admin, admin.Config{
@@ -85,12 +101,26 @@
 				Metrics: m.Handler(),
 			})
 		}},
-	}, hook)
-	root := tree.NewSupervisor("root", nil, hook)
+	}, limit, hook)
+	root := tree.NewSupervisor("root", nil, limit, hook)
 	root.AddSupervisor(control)
 	root.AddSupervisor(data)
 	root.AddSupervisor(edge)
-	return root
+	return supervisors{root: root, edge: edge, data: data, control: control}
+}
+
+// hello is what the daemon tells a peer of itself.
+func (b *boxes) hello(s *conf.Settings) codec.Hello {
+	h := codec.Hello{Protocol: codec.Protocol, VM: s.VM, DataCentre: s.DataCentre, Draining: b.draining.Load()}
+	if r := b.release.Load(); r != nil {
+		h.Head = r.Head
+	}
+	return h
+}
+
+func startRouter(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
+	b.tell(func(r *note.Release) { b.router.TryPut(router.ReleaseChanged{Release: r}) })
+	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, router.WithMeter(m))
 }
 
 func startKeeper(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
@@ -115,7 +145,7 @@
 const messageOverhead = 1 << 20
 
 func startLocal(s *conf.Settings, b *boxes) (tree.Task, error) {
-	b.keeper.TryPut(keeper.Announce{})
+	b.tell(func(r *note.Release) { b.local.TryPut(local.ReleaseChanged{Release: r}) })
 	return local.New(s.VM, b.local,
 		local.WithMaxBody(s.MaxBody),
 		local.WithLedgerLimits(ledger.Limits{EpochLength: s.KeyEpoch, MaxEntries: ledgerEntries, MaxBytes: ledgerBytes}),
@@ -129,12 +159,19 @@
 	ledgerBytes   = 16 << 20
 )
 
+// tell calls send with the release in force, if there is one.
+func (b *boxes) tell(send func(*note.Release)) {
+	if r := b.release.Load(); r != nil {
+		send(r)
+	}
+}
+
 // announce tells the tasks that work by the release of a new one.
 func (b *boxes) announce(r *note.Release) {
-	if uint64(r.Head.Serial) < b.announced.Load() {
+	if last := b.release.Load(); last != nil && r.Head.Serial < last.Head.Serial {
 		return
 	}
-	b.announced.Store(uint64(r.Head.Serial))
+	b.release.Store(r)
 	b.router.TryPut(router.ReleaseChanged{Release: r})
 	b.local.TryPut(local.ReleaseChanged{Release: r})
 	b.member.TryPut(member.ReleaseChanged{Release: r})
--- a/internal/super/tree/tree.go
+++ b/internal/super/tree/tree.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -25,27 +26,59 @@
 	Start func() (Task, error)
 }
 
-// Restart limits of a supervisor: more than restartLimit failures within about
-// restartWindow end the supervisor, and with the root the process.
+// Restart limits: more than restartLimit failures within restartWindow, of all tasks that share
+// a Limit, end the tree and with it the process.
 const (
 	restartLimit  = 5
 	restartWindow = 30 * time.Second
 	stopTimeout   = 25 * time.Second
 )
 
+// ErrTooManyFailures says that the tasks of the tree failed too often.
+var ErrTooManyFailures = errors.ConstError("tasks failed too often: see the TaskFailed events before; start the daemon again")
+
+// A Limit counts the failures of the tasks of a tree.
+type Limit struct {
+	mutex    sync.Mutex
+	failures []time.Time
+}
+
+// exceeded notes a failure and reports whether there were too many.
+func (l *Limit) exceeded(now time.Time) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	recent := l.failures[:0]
+	for _, f := range l.failures {
+		if now.Sub(f) < restartWindow {
+			recent = append(recent, f)
+		}
+	}
+	l.failures = append(recent, now)
+	return len(l.failures) > restartLimit
+}
+
 // A Supervisor starts its children and restarts those that fail.
 type Supervisor struct {
-	name  string
-	inner *suture.Supervisor
+	name   string
+	inner  *suture.Supervisor
+	tokens map[*Supervisor]suture.ServiceToken
 }
 
 // An Option sets a property of a Supervisor.
-type Option func(*suture.Spec)
+type Option func(*settings)
+
+type settings struct {
+	spec  suture.Spec
+	limit *Limit
+}
+
+// WithLimit makes the failures of the children count against a limit that supervisors share.
+func WithLimit(limit *Limit) Option { return func(s *settings) { s.limit = limit } }
 
 // WithFailureHook calls hook with the name and the error of each child that failed.
 func WithFailureHook(hook func(name string, err error)) Option {
-	return func(s *suture.Spec) {
-		s.EventHook = func(e suture.Event) {
+	return func(s *settings) {
+		s.spec.EventHook = func(e suture.Event) {
 			switch e := e.(type) {
 			case suture.EventServiceTerminate:
 				hook(e.ServiceName, errors.Errorf("%v", e.Err))
@@ -58,32 +91,44 @@
 
 // NewSupervisor returns a Supervisor of the children.
 func NewSupervisor(name string, children []Child, options ...Option) *Supervisor {
-	spec := suture.Spec{
-		EventHook:        func(suture.Event) {},
-		FailureThreshold: restartLimit,
+	set := settings{limit: &Limit{}, spec: suture.Spec{
+		EventHook: func(suture.Event) {},
+		// The Limit ends the tree before the library would pause its restarts.
+		FailureThreshold: restartLimit + 1,
 		FailureDecay:     restartWindow.Seconds(),
-		FailureBackoff:   time.Second,
 		Timeout:          stopTimeout,
-	}
+	}}
 	for _, o := range options {
-		o(&spec)
+		o(&set)
 	}
-	s := &Supervisor{name: name, inner: suture.New(name, spec)}
+	s := &Supervisor{name: name, inner: suture.New(name, set.spec), tokens: map[*Supervisor]suture.ServiceToken{}}
 	for _, c := range children {
-		s.inner.Add(service{child: c})
+		s.inner.Add(service{child: c, limit: set.limit})
 	}
 	return s
 }
 
 // AddSupervisor makes another Supervisor a child of this one.
-func (s *Supervisor) AddSupervisor(child *Supervisor) { s.inner.Add(child.inner) }
+func (s *Supervisor) AddSupervisor(child *Supervisor) { s.tokens[child] = s.inner.Add(child.inner) }
 
-// Serve runs the tree until ctx is done.
-func (s *Supervisor) Serve(ctx context.Context) error { return s.inner.Serve(ctx) }
+// StopSupervisor stops a child of this one and waits until its tasks have ended.
+func (s *Supervisor) StopSupervisor(child *Supervisor) error {
+	return errors.Annotatef(s.inner.RemoveAndWait(s.tokens[child], stopTimeout), "stop %s", child.name)
+}
+
+// Serve runs the tree until ctx is done, or until its tasks failed too often.
+func (s *Supervisor) Serve(ctx context.Context) error {
+	err := s.inner.Serve(ctx)
+	if errors.Is(err, suture.ErrTerminateSupervisorTree) {
+		return errors.Trace(ErrTooManyFailures)
+	}
+	return err
+}
 
 // A service adapts a Child, whose constructor starts it, to suture's Serve method.
 type service struct {
 	child Child
+	limit *Limit
 }
 
 // String returns the name of the child, which suture reports in its events.
@@ -93,12 +138,12 @@
 func (s service) Serve(ctx context.Context) error {
 	t, err := s.child.Start()
 	if err != nil {
-		return errors.Annotatef(err, "start %s", s.child.Name)
+		return s.failed(errors.Annotatef(err, "start %s", s.child.Name))
 	}
 	select {
 	case <-t.Done():
 		if err := t.Err(); err != nil {
-			return errors.Annotate(err, s.child.Name)
+			return s.failed(errors.Annotate(err, s.child.Name))
 		}
 		return suture.ErrDoNotRestart
 	case <-ctx.Done():
@@ -107,3 +152,10 @@
 		return ctx.Err()
 	}
 }
+
+func (s service) failed(err error) error {
+	if s.limit.exceeded(time.Now()) {
+		return errors.Wrap(err, suture.ErrTerminateSupervisorTree)
+	}
+	return err
+}
--- /dev/null
+++ b/internal/task/front/check.go
@@ -0,0 +1,144 @@
+package front
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// A checked is what the check of a header block finds.
+type checked struct {
+	method  string
+	minor   int
+	length  int
+	chunked bool
+	expects bool
+}
+
+// checkHeader checks the bytes of a header block up to and with its empty line. It refuses every
+// form on which two implementations can disagree about where a request ends or what a field is:
+// bare line feeds, folded lines, spaces around names, repeated or odd lengths, unknown codings.
+func checkHeader(block []byte) (checked, error) {
+	lines := bytes.Split(block[:len(block)-len(headerEnd)], []byte("\r\n"))
+	c, err := checkRequestLine(string(lines[0]))
+	if err != nil {
+		return c, err
+	}
+	hosts, lengths := 0, 0
+	for _, line := range lines[1:] {
+		name, value, err := splitField(string(line))
+		if err != nil {
+			return c, err
+		}
+		switch strings.ToLower(name) {
+		case "host":
+			hosts++
+		case "content-length":
+			lengths++
+			c.length, err = parseLength(value)
+		case "transfer-encoding":
+			if c.chunked || !strings.EqualFold(value, "chunked") {
+				err = errors.NotValidf("Transfer-Encoding %q (only a single chunked is)", value)
+			}
+			c.chunked = true
+		case "expect":
+			if !strings.EqualFold(value, "100-continue") {
+				err = errors.NotValidf("Expect %q", value)
+			}
+			c.expects = true
+		}
+		if err != nil {
+			return c, err
+		}
+	}
+	switch {
+	case lengths > 1:
+		return c, errors.NotValidf("request with %d Content-Length fields", lengths)
+	case c.chunked && lengths > 0:
+		return c, errors.NotValidf("request with both Content-Length and Transfer-Encoding")
+	case c.chunked && c.minor == 0:
+		return c, errors.NotValidf("Transfer-Encoding in HTTP/1.0")
+	case hosts > 1 || (hosts == 0 && c.minor > 0):
+		return c, errors.NotValidf("request with %d Host fields", hosts)
+	}
+	return c, nil
+}
+
+func checkRequestLine(line string) (checked, error) {
+	parts := strings.Split(line, " ")
+	if len(parts) != 3 {
+		return checked{}, errors.NotValidf("request line of %d parts", len(parts))
+	}
+	c := checked{method: parts[0]}
+	for _, r := range []byte(parts[0]) {
+		if r < 'A' || r > 'Z' {
+			return c, errors.NotValidf("method %q", parts[0])
+		}
+	}
+	if c.method == "" || c.method == "CONNECT" || c.method == "TRACE" {
+		return c, errors.NotValidf("method %q", parts[0])
+	}
+	if parts[1] == "" || parts[1][0] != '/' {
+		return c, errors.NotValidf("URI %q (it must begin with a slash)", parts[1])
+	}
+	for _, r := range []byte(parts[1]) {
+		if r <= ' ' || r >= 0x7f {
+			return c, errors.NotValidf("URI with the byte %#x", r)
+		}
+	}
+	switch parts[2] {
+	case "HTTP/1.0":
+	case "HTTP/1.1":
+		c.minor = 1
+	default:
+		return c, errors.NotValidf("version %q", parts[2])
+	}
+	return c, nil
+}
+
+func splitField(line string) (name, value string, err error) {
+	name, value, ok := strings.Cut(line, ":")
+	if !ok || name == "" {
+		return "", "", errors.NotValidf("header line without a name")
+	}
+	for i := range len(name) {
+		if !isToken(name[i]) {
+			return "", "", errors.NotValidf("header name %q", name)
+		}
+	}
+	if !validValue(value) {
+		return "", "", errors.NotValidf("value of header %s", name)
+	}
+	return name, strings.Trim(value, " \t"), nil
+}
+
+// validValue reports whether a field value holds no control byte except a tab.
+func validValue(value string) bool {
+	for i := range len(value) {
+		if b := value[i]; b == 0x7f || (b < ' ' && b != '\t') {
+			return false
+		}
+	}
+	return true
+}
+
+func isToken(b byte) bool {
+	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' ||
+		strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
+}
+
+// parseLength reads digits only: a sign, a list or spaces inside are refused.
+func parseLength(value string) (int, error) {
+	for i := range len(value) {
+		if value[i] < '0' || value[i] > '9' {
+			return 0, errors.NotValidf("Content-Length %q", value)
+		}
+	}
+	n, err := strconv.ParseInt(value, 10, 62)
+	if err != nil {
+		return 0, errors.NotValidf("Content-Length %q", value)
+	}
+	return int(n), nil
+}
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -3,37 +3,65 @@
 
 import (
 	"context"
-	"io"
+	"jacinthcross/internal/base/alarm"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/router"
-	"jacinthcross/internal/wire/header"
 	"net"
-	"net/http"
 	"net/netip"
-	"strconv"
-	"sync"
+	"runtime"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 )
 
+// Bounds of the task. The connections are those of two large services with 260 connections
+// each, with room for short-lived ones; the calls are what the router's mailbox holds.
+const (
+	maxConnections = 10_000
+	maxCalls       = 4096
+	// maxPipelined bounds the requests that wait on one connection for the answer to an earlier one.
+	maxPipelined = 16
+	// readBuffer is the size of the read buffer of each poller in bytes.
+	readBuffer = 64 << 10
+)
+
+// Bounds of time. A request must be complete sendLimit after its first byte, an answer must be
+// taken within takeLimit, and a refused caller has lingerTime to read its answer while its bytes are dropped.
+const (
+	sendLimit   = 30 * time.Second
+	takeLimit   = 30 * time.Second
+	lingerTime  = time.Second
+	unsentPoll  = 20 * time.Millisecond
+	stopTimeout = 5 * time.Second
+)
+
 // A Task owns the listening socket for callers and their connections.
 type Task struct {
 	*tree.Loop
-	engine    *nbhttp.Engine
+	engine    *nbio.Engine
+	listener  *listener
+	parsing   *nbhttp.Engine
+	inbox     *mail.Box[Message]
+	answers   *mail.Box[router.Answer]
 	router    *mail.Box[router.Message]
 	clock     clock.Clock
 	maxBody   int
 	maxHeader int
+	sendLimit time.Duration
 	keepalive time.Duration
-	// gone holds a channel for each connection with a call, closed when the caller leaves.
-	gone sync.Map
+	memory    *memory
+	open      atomic.Int64
+	alarms    *alarm.Queue[*caller]
+	calls     map[call.ID]*caller
+	empty     chan<- struct{}
+	draining  bool
+	buffer    []byte
 }
 
 // An Option sets a property of a Task.
@@ -45,33 +73,41 @@
 // WithMaxHeader bounds the size of the header of a request in bytes.
 func WithMaxHeader(n int) Option { return func(t *Task) { t.maxHeader = n } }
 
+// WithMaxBodyMemory bounds the size of all request bodies under way in bytes.
+func WithMaxBodyMemory(n int) Option { return func(t *Task) { t.memory.limit = int64(n) } }
+
+// WithSendLimit bounds the time from the first byte of a request to its last.
+func WithSendLimit(d time.Duration) Option { return func(t *Task) { t.sendLimit = d } }
+
+// WithKeepalive sets how long a connection without a request is kept.
+func WithKeepalive(d time.Duration) Option { return func(t *Task) { t.keepalive = d } }
+
 // WithClock sets the clock.
 func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
 
-// New starts the task that listens for callers at an address.
-func New(at netip.AddrPort, box *mail.Box[router.Message], options ...Option) (*Task, error) {
+// defaultBodyMemory is the default of WithMaxBodyMemory: half of the memory budget of a daemon.
+const defaultBodyMemory = 32 << 20
+
+// New starts the task that listens for callers at an address. It reads from inbox.
+func New(at netip.AddrPort, inbox *mail.Box[Message], box *mail.Box[router.Message], options ...Option) (*Task, error) {
 	t := &Task{
 		Loop:      tree.NewLoop(),
+		inbox:     inbox,
+		answers:   mail.NewBox[router.Answer](2 * maxCalls),
 		router:    box,
 		clock:     clock.System{},
 		maxBody:   8 << 20,
 		maxHeader: 64 << 10,
+		sendLimit: sendLimit,
 		keepalive: 120 * time.Second,
+		memory:    &memory{limit: defaultBodyMemory},
+		alarms:    alarm.NewQueue[*caller](),
+		calls:     map[call.ID]*caller{},
 	}
 	for _, o := range options {
 		o(t)
 	}
-	t.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name:            "callers",
-		Network:         "tcp",
-		Addrs:           []string{at.String()},
-		MaxHTTPBodySize: t.maxBody,
-		ReadLimit:       t.maxBody + t.maxHeader,
-		KeepaliveTime:   t.keepalive,
-		Handler:         http.HandlerFunc(t.handle),
-	})
-	t.engine.OnClose(func(c net.Conn, _ error) { t.left(c.RemoteAddr().String()) })
-	if err := t.engine.Start(); err != nil {
+	if err := t.listen(at); err != nil {
 		return nil, errors.Annotatef(err, "listen for callers at %s", at)
 	}
 	go func() {
@@ -80,108 +116,127 @@
 	return t, nil
 }
 
-// stopTimeout bounds how long the answers under way may take when the task stops.
-const stopTimeout = 5 * time.Second
-
-func (t *Task) loop() error {
-	<-t.Stopping()
-	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-	defer cancel()
-	return errors.Annotate(t.engine.Shutdown(ctx), "stop listening for callers")
+// listen starts the engine. The library's parser takes its limit from an engine of its own that is never started.
+func (t *Task) listen(at netip.AddrPort) error {
+	inline := func(f func()) { f() }
+	t.parsing = nbhttp.NewEngine(nbhttp.Config{
+		Name: "parser", ReadLimit: t.maxBody + t.maxHeader + readBuffer, ServerExecutor: inline, ClientExecutor: inline,
+	})
+	t.engine = nbio.NewEngine(nbio.Config{
+		Name: "callers", Network: "tcp", Addrs: []string{at.String()},
+		NPoller: max(1, runtime.GOMAXPROCS(0)/4), ReadBufferSize: readBuffer,
+		Listen: func(network, address string) (net.Listener, error) {
+			l, err := net.Listen(network, address)
+			if err != nil {
+				return nil, err
+			}
+			t.listener = newListener(l)
+			return t.listener, nil
+		},
+	})
+	t.engine.OnOpen(t.opened)
+	t.engine.OnData(func(c *nbio.Conn, data []byte) {
+		if caller, ok := c.Session().(*caller); ok {
+			caller.intake.data(data)
+		}
+	})
+	t.engine.OnClose(t.closed)
+	t.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if caller, ok := c.Session().(*caller); ok {
+			caller.unsent.Add(-int64(n))
+		}
+	})
+	return t.engine.Start()
 }
 
-func (t *Task) left(remote string) {
-	if c, ok := t.gone.LoadAndDelete(remote); ok {
-		close(c.(chan struct{}))
-	}
+// Addr returns the address at which the task listens.
+func (t *Task) Addr() netip.AddrPort {
+	return t.listener.Addr().(*net.TCPAddr).AddrPort()
 }
 
-func (t *Task) handle(w http.ResponseWriter, r *http.Request) {
-	if r.URL.Path == header.KeyPath {
-		t.issueKey(w, r)
+func (t *Task) opened(c *nbio.Conn) {
+	if t.open.Add(1) > maxConnections {
+		_ = c.Close()
 		return
 	}
-	request, err := t.read(r)
-	if err != nil {
-		writeRefusal(w, errs.KindOf(err), err.Error())
-		return
+	caller := &caller{task: t, conn: c}
+	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
+		caller.address = a.AddrPort().Addr().Unmap()
 	}
-	gone := make(chan struct{})
-	t.gone.Store(r.RemoteAddr, gone)
-	defer t.gone.Delete(r.RemoteAddr)
-	id := call.NextID()
-	reply := mail.NewBox[call.Outcome](1)
-	if !t.router.TryPut(router.Submit{
-		ID: id, Request: *request, Host: r.Host, Context: r.Header.Get(header.Context), Reply: reply,
-	}) {
-		writeRefusal(w, errs.Busy, "the mailbox of the router is full")
+	caller.intake = &intake{task: t, caller: caller, conn: c, limited: true}
+	caller.intake.parser = nbhttp.NewParser(c, t.parsing, caller.intake, false, nil)
+	c.SetSession(caller)
+	_ = c.SetReadDeadline(time.Now().Add(t.sendLimit))
+}
+
+// closed runs on whichever goroutine closed the connection, which may be that of the task.
+func (t *Task) closed(c *nbio.Conn, _ error) {
+	t.open.Add(-1)
+	caller, ok := c.Session().(*caller)
+	if ok {
+		caller.giveHeld()
+	}
+	if !ok || t.inbox.TryPut(left{caller}) {
 		return
 	}
-	select {
-	case o := <-reply.C():
-		write(w, o)
-	case <-gone:
-		t.router.TryPut(router.Cancel{ID: id})
-	}
+	go func() { t.put(left{caller}) }()
 }
 
-// read turns an HTTP request into a call.
-func (t *Task) read(r *http.Request) (*call.Request, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(t.maxBody)+1))
-	if err != nil {
-		return nil, errs.New(errs.BadRequest, "read body: "+err.Error())
-	}
-	if len(body) > t.maxBody {
-		return nil, errs.New(errs.BodyTooLarge, "at most "+strconv.Itoa(t.maxBody)+" bytes")
-	}
-	request := &call.Request{
-		Service: ident.Service(r.Header.Get(header.Service)),
-		Method:  r.Method,
-		URI:     r.URL.RequestURI(),
-		Header:  append(header.EndToEnd(r.Header), call.Field{Name: "Host", Value: r.Host}),
-		Body:    body,
-		Key:     r.Header.Get(header.Key),
-	}
-	if a, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
-		request.Caller = a.Addr()
-	}
-	if text := r.Header.Get(header.Deadline); text != "" {
-		n, err := strconv.ParseInt(text, 10, 32)
-		if err != nil {
-			return nil, errs.New(errs.BadRequest, header.Deadline+" "+strconv.Quote(text)+" is not a number of milliseconds")
+// put passes a message from a poller to the task. The task never waits for a poller.
+func (t *Task) put(m Message) { t.inbox.Put(m, t.Done()) }
+
+func (t *Task) loop() error {
+	defer t.alarms.Stop()
+	for {
+		select {
+		case m := <-t.inbox.C():
+			t.receive(m)
+		case a := <-t.answers.C():
+			t.answer(a.ID, a.Outcome)
+		case <-t.alarms.C():
+			for _, c := range t.alarms.Due(t.clock.Now()) {
+				t.wake(c)
+			}
+		case <-t.Stopping():
+			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+			defer cancel()
+			return errors.Annotate(t.engine.Shutdown(ctx), "stop listening for callers")
 		}
-		request.Deadline = t.clock.Now().Add(time.Duration(n) * time.Millisecond)
 	}
-	if text := r.Header.Get(header.Rank); text != "" {
-		rank, err := ident.ParseRank(text)
-		if err != nil {
-			return nil, errs.New(errs.BadRequest, header.Rank+": "+err.Error())
+}
+
+func (t *Task) receive(m Message) {
+	switch m := m.(type) {
+	case arrived:
+		t.arrive(m)
+	case refused:
+		if m.caller.task == t && m.caller.refusal == nil {
+			m.caller.refusal = &m
+			t.next(m.caller)
 		}
-		request.Rank = rank
+	case expects:
+		m.caller.expects = true
+		t.next(m.caller)
+	case left:
+		t.leave(m.caller)
+	case issued:
+		t.answerKey(m)
+	case Drain:
+		t.listener.stopAccepting()
+		t.draining, t.empty = true, m.Empty
+		t.checkEmpty()
 	}
-	return request, nil
 }
 
-// issueTimeout bounds how long a caller waits for a key.
-const issueTimeout = 2 * time.Second
-
-func (t *Task) issueKey(w http.ResponseWriter, r *http.Request) {
-	reply := mail.NewBox[router.Issued](1)
-	service := ident.Service(r.URL.Query().Get("service"))
-	if !t.router.TryPut(router.IssueKey{Service: service, Reply: reply}) {
-		writeRefusal(w, errs.Busy, "the mailbox of the router is full")
+func (t *Task) checkEmpty() {
+	if t.empty == nil {
 		return
 	}
-	select {
-	case k := <-reply.C():
-		if k.Kind != "" {
-			writeRefusal(w, k.Kind, "service "+strconv.Quote(string(service)))
+	for _, c := range t.calls {
+		if !c.gone {
 			return
 		}
-		w.Header().Set("Cache-Control", "no-store")
-		w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-		writeBody(w, http.StatusOK, []byte(k.Key))
-	case <-time.After(issueTimeout):
-		writeRefusal(w, errs.Busy, "no answer from the router")
 	}
+	close(t.empty)
+	t.empty = nil
 }
--- /dev/null
+++ b/internal/task/front/front_test.go
@@ -0,0 +1,340 @@
+package front_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/task/front"
+	"jacinthcross/internal/task/router"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// patience bounds waits in tests. It is no verdict on speed.
+const patience = 10 * time.Second
+
+func TestMain(m *testing.M) {
+	event.RouteLibraryLogs()
+	m.Run()
+}
+
+// A fixture is a front whose router is the test.
+type fixture struct {
+	*front.Task
+	inbox  *mail.Box[front.Message]
+	router *mail.Box[router.Message]
+}
+
+func start(t *testing.T, options ...front.Option) *fixture {
+	f := &fixture{inbox: mail.NewBox[front.Message](64), router: mail.NewBox[router.Message](64)}
+	var err error
+	f.Task, err = front.New(netip.MustParseAddrPort("127.0.0.1:0"), f.inbox, f.router, options...)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() {
+		f.Stop()
+		<-f.Done()
+	})
+	return f
+}
+
+// next returns the next message to the router.
+func next[M router.Message](t *testing.T, f *fixture) M {
+	t.Helper()
+	select {
+	case m := <-f.router.C():
+		typed, ok := m.(M)
+		qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%T", m))
+		return typed
+	case <-time.After(patience):
+		t.Fatal("no message to the router")
+		panic("unreachable")
+	}
+}
+
+func answer(s router.Submit, body string) {
+	s.Reply.TryPut(router.Answer{ID: s.ID, Outcome: call.Answered{Status: 200, Body: []byte(body)}})
+}
+
+// A client is a raw connection of a caller.
+type client struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, f *fixture) *client {
+	c, err := net.Dial("tcp", f.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	qt.Assert(t, c.SetDeadline(time.Now().Add(patience)), qt.IsNil)
+	return &client{t, c, bufio.NewReader(c)}
+}
+
+func (c *client) send(text string) {
+	c.t.Helper()
+	_, err := io.WriteString(c, text)
+	qt.Assert(c.t, err, qt.IsNil)
+}
+
+// A response is one response with its body.
+type response struct {
+	status int
+	header http.Header
+	close  bool
+	body   string
+}
+
+// response reads one response.
+func (c *client) response(method string) response {
+	c.t.Helper()
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	qt.Assert(c.t, err, qt.IsNil)
+	defer r.Body.Close()
+	body, err := io.ReadAll(r.Body)
+	qt.Assert(c.t, err, qt.IsNil)
+	return response{r.StatusCode, r.Header, r.Close, string(body)}
+}
+
+// ended asserts that the connection ends without more bytes.
+func (c *client) ended() {
+	c.t.Helper()
+	rest, err := io.ReadAll(c.reader)
+	qt.Assert(c.t, err, qt.IsNil)
+	qt.Assert(c.t, string(rest), qt.Equals, "")
+}
+
+// Guards against pipelined requests that get each other's answers.
+func TestPipelinedRequestsAreAnsweredInOrder(t *testing.T) {
+	f := start(t)
+	c := dial(t, f)
+	var b strings.Builder
+	for i := range 10 {
+		fmt.Fprintf(&b, "POST /%d HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n%d", i, i)
+	}
+	c.send(b.String())
+	for i := range 10 {
+		s := next[router.Submit](t, f)
+		qt.Assert(t, s.Request.URI, qt.Equals, fmt.Sprintf("/%d", i))
+		answer(s, string(s.Request.Body))
+		body := c.response(http.MethodPost).body
+		qt.Assert(t, body, qt.Equals, fmt.Sprint(i))
+	}
+}
+
+// Guards against unlimited work that one connection can queue.
+func TestTooManyPipelinedRequestsAreRefused(t *testing.T) {
+	f := start(t)
+	c := dial(t, f)
+	c.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	first := next[router.Submit](t, f)
+	c.send(strings.Repeat("GET / HTTP/1.1\r\nHost: a\r\n\r\n", 30))
+	time.Sleep(200 * time.Millisecond)
+	for i := range 17 {
+		if i > 0 {
+			first = next[router.Submit](t, f)
+		}
+		answer(first, "")
+		r := c.response(http.MethodGet)
+		qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, "Answered")
+	}
+	r := c.response(http.MethodGet)
+	qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.Busy))
+	c.ended()
+}
+
+// Guards against a request behind a chunked body that has passed no check.
+func TestRequestBehindChunkedBodyIsRefused(t *testing.T) {
+	f := start(t)
+	c := dial(t, f)
+	c.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nPOST / HTTP/1.1\r\nHost: a\r\nContent-Length : 3\r\n\r\nabc")
+	answer(next[router.Submit](t, f), "first")
+	body := c.response(http.MethodPost).body
+	qt.Assert(t, body, qt.Equals, "first")
+	r := c.response(http.MethodPost)
+	qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.BadRequest))
+	c.ended()
+}
+
+// Guards against a caller that waits for an interim answer that never comes.
+func TestExpectContinue(t *testing.T) {
+	f := start(t)
+	c := dial(t, f)
+	c.send("POST / HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")
+	line, err := c.reader.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, line, qt.Equals, "HTTP/1.1 100 Continue\r\n")
+	_, err = c.reader.ReadString('\n')
+	qt.Assert(t, err, qt.IsNil)
+	c.send("ok")
+	s := next[router.Submit](t, f)
+	qt.Assert(t, string(s.Request.Body), qt.Equals, "ok")
+	for _, field := range s.Request.Header {
+		qt.Assert(t, field.Name, qt.Not(qt.Equals), "Expect")
+	}
+}
+
+// Guards against connections that a slow sender holds for ever.
+func TestSlowSendersAreCutOff(t *testing.T) {
+	for _, test := range []struct{ name, bytes string }{
+		{"nothing", ""},
+		{"half a header", "GET / HT"},
+		{"half a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc"},
+		{"half a chunk", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := dial(t, start(t, front.WithSendLimit(200*time.Millisecond)))
+			c.send(test.bytes)
+			c.ended()
+		})
+	}
+}
+
+// Guards against a time limit for senders that cuts off a call under way or an idle connection.
+func TestSendLimitEndsWithTheRequest(t *testing.T) {
+	f := start(t, front.WithSendLimit(200*time.Millisecond))
+	c := dial(t, f)
+	for range 2 {
+		c.send("GET / HT")
+		c.send("TP/1.1\r\nHost: a\r\n\r\n")
+		s := next[router.Submit](t, f)
+		time.Sleep(500 * time.Millisecond)
+		answer(s, "late")
+		body := c.response(http.MethodGet).body
+		qt.Assert(t, body, qt.Equals, "late")
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// Guards against an answer that reaches the caller that comes after the one who left.
+func TestLateAnswerReachesNobody(t *testing.T) {
+	f := start(t)
+	for i := range 20 {
+		gone := dial(t, f)
+		gone.send("GET /gone HTTP/1.1\r\nHost: a\r\n\r\n")
+		s := next[router.Submit](t, f)
+		gone.Close()
+		cancel := next[router.Cancel](t, f)
+		qt.Assert(t, cancel.ID, qt.Equals, s.ID)
+		// The next connection is likely to get the file descriptor of the one that was closed.
+		c := dial(t, f)
+		c.send("GET /here HTTP/1.1\r\nHost: a\r\n\r\n")
+		mine := next[router.Submit](t, f)
+		answer(s, "late")
+		answer(mine, fmt.Sprintf("answer %d", i))
+		body := c.response(http.MethodGet).body
+		qt.Assert(t, body, qt.Equals, fmt.Sprintf("answer %d", i))
+		c.Close()
+	}
+}
+
+// Guards against an unbounded sum of bodies, and against memory that is never given back.
+func TestBodyMemoryIsBounded(t *testing.T) {
+	f := start(t, front.WithMaxBodyMemory(1500))
+	request := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"
+	for range 3 {
+		half := dial(t, f)
+		half.send(request + "half")
+		time.Sleep(50 * time.Millisecond)
+		c := dial(t, f)
+		c.send(request)
+		r := c.response(http.MethodPost)
+		qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.Busy))
+		half.send(strings.Repeat("x", 996))
+		answer(next[router.Submit](t, f), "ok")
+		body := half.response(http.MethodPost).body
+		qt.Assert(t, body, qt.Equals, "ok")
+		left := dial(t, f)
+		left.send(request + "left")
+		left.Close()
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// Guards against callers that wait while the router cannot take their calls.
+func TestFullRouterIsBusy(t *testing.T) {
+	f := start(t)
+	for f.router.TryPut(router.Cancel{}) {
+	}
+	c := dial(t, f)
+	for _, path := range []string{"/", "/.well-known/jacinthcross/key?service=a"} {
+		c.send("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n")
+		r := c.response(http.MethodGet)
+		qt.Assert(t, r.status, qt.Equals, 503)
+		qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.Busy))
+		qt.Assert(t, r.header.Get("Retry-After"), qt.Equals, "1")
+	}
+}
+
+// Guards against answers that break the framing, and against header fields that only the daemon may set.
+func TestAnswerFraming(t *testing.T) {
+	for _, test := range []struct {
+		name, method string
+		outcome      call.Answered
+		body         string
+	}{
+		{"body", "GET", call.Answered{Status: 200, Body: []byte("abc")}, "abc"},
+		{"head", "HEAD", call.Answered{Status: 200}, ""},
+		{"no content", "GET", call.Answered{Status: 204}, ""},
+		{"not modified", "GET", call.Answered{Status: 304}, ""},
+		{"line break in a value", "GET", call.Answered{Status: 200, Header: []call.Field{{Name: "X", Value: "a\r\nY: b"}}}, ""},
+		{"line break in a name", "GET", call.Answered{Status: 200, Header: []call.Field{{Name: "X\r\nY", Value: "a"}}}, ""},
+		{"large", "GET", call.Answered{Status: 200, Body: make([]byte, 5<<20)}, string(make([]byte, 5<<20))},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			f := start(t)
+			c := dial(t, f)
+			for range 2 {
+				c.send(test.method + " / HTTP/1.1\r\nHost: a\r\nJacinth-Outcome: x\r\nJacinth-Target: y\r\n\r\n")
+				s := next[router.Submit](t, f)
+				for _, field := range s.Request.Header {
+					qt.Assert(t, strings.HasPrefix(field.Name, "Jacinth-"), qt.IsFalse)
+				}
+				s.Reply.TryPut(router.Answer{ID: s.ID, Outcome: test.outcome})
+				r := c.response(test.method)
+				qt.Assert(t, r.body == test.body, qt.IsTrue)
+				qt.Assert(t, r.status, qt.Equals, test.outcome.Status)
+				qt.Assert(t, r.header.Get("Y"), qt.Equals, "")
+				qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, "Answered")
+			}
+		})
+	}
+}
+
+// Guards against a planned stop that cuts callers off.
+func TestDrainEndsCallsFirst(t *testing.T) {
+	f := start(t)
+	busy, idle := dial(t, f), dial(t, f)
+	busy.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	s := next[router.Submit](t, f)
+	empty := make(chan struct{})
+	f.inbox.TryPut(front.Drain{Empty: empty})
+	idle.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+	s2 := next[router.Submit](t, f)
+	_, err := net.Dial("tcp", f.Addr().String())
+	qt.Assert(t, err, qt.IsNotNil)
+	answer(s2, "two")
+	r := idle.response(http.MethodGet)
+	qt.Assert(t, r.body, qt.Equals, "two")
+	qt.Assert(t, r.close, qt.IsTrue)
+	select {
+	case <-empty:
+		t.Fatal("a call is outstanding")
+	default:
+	}
+	answer(s, "one")
+	<-empty
+	r = busy.response(http.MethodGet)
+	qt.Assert(t, r.body, qt.Equals, "one")
+	qt.Assert(t, r.close, qt.IsTrue)
+	busy.ended()
+}
--- a/internal/task/front/write.go
+++ b/internal/task/front/write.go
@@ -7,43 +7,144 @@
 	"math"
 	"net/http"
 	"strconv"
+	"time"
 )
 
-// write answers a caller with an outcome.
-func write(w http.ResponseWriter, o call.Outcome) {
+// maxJoined is the largest body that is copied behind its header, so that both leave in one write.
+const maxJoined = 64 << 10
+
+// write answers the current request of a connection with an outcome.
+func (t *Task) write(c *caller, o call.Outcome) {
+	r := c.current
+	c.current, c.id = nil, 0
+	t.memory.give(r.reserved)
+	asked := r.close()
+	c.closing = c.closing || asked || t.draining
+	status, fields, body := answerOf(o)
+	b := appendHead(t.buffer[:0], status, fields, c.closing, r.minor)
+	noBody := status == http.StatusNoContent || status == http.StatusNotModified
+	switch {
+	case noBody:
+		body = nil
+	case r.method == http.MethodHead:
+		// The length of the body that a GET would have is not known for an answer of the target.
+		body = nil
+	default:
+		b = append(b, "Content-Length: "...)
+		b = strconv.AppendInt(b, int64(len(body)), 10)
+		b = append(b, "\r\n"...)
+	}
+	b = append(b, "\r\n"...)
+	if len(body) <= maxJoined {
+		b = append(b, body...)
+		body = nil
+	}
+	t.buffer = b[:0]
+	t.send(c, b)
+	t.send(c, body)
+	if c.closing {
+		t.endConnection(c, asked)
+	}
+}
+
+// endConnection closes a connection after its last answer. When the caller did not ask for it,
+// bytes of the caller may be under way, and a close at once could destroy the answer.
+func (t *Task) endConnection(c *caller, asked bool) {
+	for _, r := range c.queue {
+		t.memory.give(r.reserved)
+	}
+	c.queue = nil
+	now := t.clock.Now()
+	c.until = now
+	if !asked {
+		c.until = now.Add(lingerTime)
+	}
+	if asked && c.unsent.Load() <= 0 {
+		_ = c.conn.Close()
+		return
+	}
+	t.alarms.Set(c, now.Add(unsentPoll))
+}
+
+// send writes bytes without waiting. What the system does not take now is sent by the poller,
+// within takeLimit. A failed write closes the connection, which is all that can be told to the caller then.
+func (t *Task) send(c *caller, b []byte) {
+	if len(b) == 0 {
+		return
+	}
+	c.unsent.Add(int64(len(b)))
+	if _, err := c.conn.Write(b); err != nil {
+		return
+	}
+	if c.unsent.Load() > 0 {
+		c.taking = true
+		_ = c.conn.SetWriteDeadline(time.Now().Add(takeLimit))
+	}
+}
+
+// answerOf returns what a caller sees of an outcome.
+func answerOf(o call.Outcome) (status int, fields []call.Field, body []byte) {
 	switch o := o.(type) {
 	case call.Answered:
-		for _, f := range o.Header {
-			w.Header().Add(f.Name, f.Value)
-		}
-		w.Header().Set(header.Outcome, string(errs.Answered))
-		writeBody(w, o.Status, o.Body)
+		return o.Status, append(o.Header[:len(o.Header):len(o.Header)], call.Field{Name: header.Outcome, Value: string(errs.Answered)}), o.Body
 	case call.Refused:
-		if o.RetryAfter > 0 {
-			w.Header().Set("Retry-After", strconv.Itoa(int(math.Ceil(o.RetryAfter.Seconds()))))
-		}
-		writeError(w, o.Kind, o.Detail)
+		return errorAnswer(o.Kind, o.RetryAfter, o.Detail)
 	case call.Unknown:
-		writeError(w, o.Kind, o.Detail)
+		return errorAnswer(o.Kind, 0, o.Detail)
+	}
+	return errorAnswer(errs.Internal, 0, "")
+}
+
+func errorAnswer(kind errs.Kind, retryAfter time.Duration, detail string) (int, []call.Field, []byte) {
+	a := errs.AnswerTo(kind)
+	fields := []call.Field{
+		{Name: header.Outcome, Value: string(a.Outcome)},
+		{Name: header.Error, Value: string(kind)},
+		{Name: header.Advice, Value: a.Advice},
+		{Name: "Content-Type", Value: "text/plain; charset=utf-8"},
+		{Name: "Date", Value: time.Now().UTC().Format(http.TimeFormat)},
 	}
+	if retryAfter > 0 {
+		fields = append(fields, call.Field{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(retryAfter.Seconds())))})
+	}
+	return a.Status, fields, []byte(string(kind) + ": " + a.Advice + "\n" + detail + "\n")
 }
 
-func writeRefusal(w http.ResponseWriter, kind errs.Kind, detail string) {
-	write(w, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail})
+func refusal(kind errs.Kind, detail string) call.Refused {
+	return call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail}
 }
 
-func writeError(w http.ResponseWriter, kind errs.Kind, detail string) {
-	a := errs.AnswerTo(kind)
-	w.Header().Set(header.Outcome, string(a.Outcome))
-	w.Header().Set(header.Error, string(kind))
-	w.Header().Set(header.Advice, a.Advice)
-	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	writeBody(w, a.Status, []byte(string(kind)+": "+a.Advice+"\n"+detail+"\n"))
-}
-
-func writeBody(w http.ResponseWriter, status int, body []byte) {
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	// A failed write ends the caller's connection, which is all that can be told to it then.
-	_, _ = w.Write(body)
+// appendHead appends the status line and the fields. A field that would break the framing is left out:
+// names and values can come from a target or a peer.
+func appendHead(b []byte, status int, fields []call.Field, closing bool, minor int) []byte {
+	b = append(b, "HTTP/1.1 "...)
+	b = strconv.AppendInt(b, int64(status), 10)
+	b = append(b, ' ')
+	b = append(b, http.StatusText(status)...)
+	b = append(b, "\r\n"...)
+	for _, f := range fields {
+		if !validName(f.Name) || !validValue(f.Value) {
+			continue
+		}
+		b = append(b, f.Name...)
+		b = append(b, ": "...)
+		b = append(b, f.Value...)
+		b = append(b, "\r\n"...)
+	}
+	switch {
+	case closing:
+		b = append(b, "Connection: close\r\n"...)
+	case minor == 0:
+		b = append(b, "Connection: keep-alive\r\n"...)
+	}
+	return b
+}
+
+func validName(name string) bool {
+	for i := range len(name) {
+		if !isToken(name[i]) {
+			return false
+		}
+	}
+	return name != ""
 }
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"context"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
@@ -18,6 +19,15 @@
 const (
 	dialTimeout = 500 * time.Millisecond
 	idleTimeout = 60 * time.Second
+	// maxCalls bounds the calls outstanding on one link, and with them its streams and goroutines.
+	maxCalls = 1024
+)
+
+// Limits of silence: with calls outstanding, a ping after silenceLimit without received
+// bytes, and the end of the connection when the ping is not answered within pingLimit.
+const (
+	silenceLimit = 200 * time.Millisecond
+	pingLimit    = 300 * time.Millisecond
 )
 
 // A Task owns the connection to one peer daemon.
@@ -26,9 +36,20 @@
 	peer    netip.AddrPort
 	inbox   *mail.Box[Message]
 	maxSize int
-	serve   func(*yamux.Session)
-	session *yamux.Session
+	idle    time.Duration
+	serve   func(*Session)
+	hello   func() codec.Hello
+	report  func(Report)
+	session *Session
+	greeted codec.Hello
 	calls   map[call.ID]*yamux.Stream
+	// silence fires when the connection must be checked. It runs only while calls are outstanding.
+	silence *time.Timer
+	watched bool
+	// waiting is when the first of the outstanding calls was sent.
+	waiting time.Time
+	// pinging is when the ping under way was sent, or zero.
+	pinging time.Time
 }
 
 // An Option sets a property of a Task.
@@ -37,19 +58,34 @@
 // WithMaxSize bounds the size of a message from the peer in bytes.
 func WithMaxSize(n int) Option { return func(t *Task) { t.maxSize = n } }
 
+// WithIdleTimeout sets after how long without calls the connection is closed.
+func WithIdleTimeout(d time.Duration) Option { return func(t *Task) { t.idle = d } }
+
 // WithServe sets what serves the streams that the peer opens. It returns when the session ends.
-func WithServe(serve func(*yamux.Session)) Option { return func(t *Task) { t.serve = serve } }
+func WithServe(serve func(*Session)) Option { return func(t *Task) { t.serve = serve } }
 
-// New starts the task that connects to the daemon at peer.
+// WithHello sets what the task tells the peer of its own daemon.
+func WithHello(hello func() codec.Hello) Option { return func(t *Task) { t.hello = hello } }
+
+// WithReports sets what is told of the peer. It must not block.
+func WithReports(report func(Report)) Option { return func(t *Task) { t.report = report } }
+
+// New starts the task that connects to the daemon at peer. Err is nil when the connection was
+// opened, whatever ended it; messages then left in inbox were not sent.
 func New(peer netip.AddrPort, inbox *mail.Box[Message], options ...Option) *Task {
 	t := &Task{
 		Loop:    tree.NewLoop(),
 		peer:    peer,
 		inbox:   inbox,
 		maxSize: 9 << 20,
-		serve:   func(*yamux.Session) {},
+		idle:    idleTimeout,
+		serve:   func(*Session) {},
+		hello:   func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
+		report:  func(Report) {},
 		calls:   map[call.ID]*yamux.Stream{},
+		silence: time.NewTimer(silenceLimit),
 	}
+	t.silence.Stop()
 	for _, o := range options {
 		o(t)
 	}
@@ -60,45 +96,76 @@
 }
 
 func (t *Task) loop() error {
-	defer t.refuseWaiting()
+	defer t.silence.Stop()
 	if err := t.dial(); err != nil {
-		event.LinkFailed.Log("peer", t.peer, "error", err.Error())
-		return nil
+		t.lost(err.Error())
+		t.refuseWaiting(err)
+		return err
 	}
 	defer t.session.Close()
-	idle := time.NewTimer(idleTimeout)
+	idle := time.NewTimer(t.idle)
 	defer idle.Stop()
 	for {
 		select {
 		case m := <-t.inbox.C():
 			t.receive(m)
-			idle.Reset(idleTimeout)
+			idle.Reset(t.idle)
+		case <-t.silence.C:
+			if !t.alive(time.Now()) {
+				t.lost("the connection is silent: no answer to a ping")
+				return nil
+			}
 		case <-t.session.CloseChan():
-			event.LinkFailed.Log("peer", t.peer, "error", "the session ended")
+			t.lost("the session ended")
 			return nil
 		case <-idle.C:
 			if len(t.calls) == 0 {
 				return nil
 			}
-			idle.Reset(idleTimeout)
+			idle.Reset(t.idle)
 		case <-t.Stopping():
+			t.refuseWaiting(errors.New("the daemon stops"))
 			return nil
 		}
 	}
 }
 
+func (t *Task) lost(reason string) {
+	event.LinkFailed.Log("peer", t.peer, "error", reason)
+	t.report(Lost{Peer: t.peer, Reason: reason})
+}
+
 func (t *Task) dial() error {
-	c, err := net.DialTimeout("tcp", t.peer.String(), dialTimeout)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		select {
+		case <-t.Stopping():
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	d := net.Dialer{Timeout: dialTimeout}
+	c, err := d.DialContext(ctx, "tcp", t.peer.String())
 	if err != nil {
 		return errors.Annotate(err, "dial peer")
 	}
-	t.session, err = NewSession(c, true)
+	s, err := NewSession(c, true)
 	if err != nil {
 		c.Close()
-		return errors.Annotate(err, "open session")
+		return errors.Trace(err)
+	}
+	if t.greeted, err = s.Greet(t.hello()); err != nil {
+		s.Close()
+		if errors.Is(err, ErrVersion) {
+			event.PeerVersion.Log("peer", t.peer, "error", err.Error())
+		}
+		return errors.Annotatef(err, "greet peer %s", t.peer)
 	}
-	go func() { t.serve(t.session) }()
-	event.LinkOpened.Log("peer", t.peer)
+	t.session = s
+	go func() { t.serve(s) }()
+	event.LinkOpened.Log("peer", t.peer, "vm", t.greeted.VM)
+	t.report(Seen{Peer: t.peer, Hello: t.greeted})
 	return nil
 }
 
@@ -113,22 +180,78 @@
 		}
 	case Exchange:
 		t.exchange(m)
+	case Notify:
+		if s, err := t.session.OpenStream(); err == nil {
+			newNotifier(t, m, s)
+		}
 	case ended:
 		delete(t.calls, m.id)
+	case pinged:
+		if m.err == nil {
+			t.pinging = time.Time{}
+			t.report(Seen{Peer: t.peer, Hello: t.greeted, RoundTrip: m.roundTrip})
+		}
 	}
 }
 
 // send opens the stream of a call. Before that nothing of the call is on the wire.
 func (t *Task) send(m Send) {
+	if len(t.calls) >= maxCalls {
+		t.refuse(m, errs.Busy, errors.Errorf("%d calls are outstanding on the link to %s", maxCalls, t.peer))
+		return
+	}
 	s, err := t.session.OpenStream()
 	if err != nil {
-		t.refuse(m, err)
+		t.refuse(m, errs.PeerUnreachable, err)
 		return
 	}
+	if len(t.calls) == 0 {
+		t.waiting = time.Now()
+	}
 	t.calls[m.ID] = s
+	if !t.watched {
+		t.watched = true
+		t.silence.Reset(silenceLimit)
+	}
 	newCarrier(t, m, s)
 }
 
+// alive checks the connection when the silence timer fires, sets the timer for the next
+// check, and reports whether the connection may be kept.
+func (t *Task) alive(now time.Time) bool {
+	if !t.pinging.IsZero() {
+		return t.checkPing(now)
+	}
+	if len(t.calls) == 0 {
+		t.watched = false
+		return true
+	}
+	since := t.session.LastReceived()
+	if t.waiting.After(since) {
+		since = t.waiting
+	}
+	if rest := silenceLimit - now.Sub(since); rest > 0 {
+		t.silence.Reset(rest)
+		return true
+	}
+	t.pinging = now
+	newPinger(t)
+	t.silence.Reset(pingLimit)
+	return true
+}
+
+// checkPing ends the wait for a ping. Only the answer to the ping counts and not other bytes,
+// since the peer may send without receiving. After a pause of the own process the answer may
+// wait in the mailbox behind the timer, so the limit counts from the check that found it late.
+func (t *Task) checkPing(now time.Time) bool {
+	if late := now.Sub(t.pinging); late > 2*pingLimit {
+		t.pinging = now
+		t.silence.Reset(pingLimit)
+		return true
+	}
+	return false
+}
+
 func (t *Task) exchange(m Exchange) {
 	s, err := t.session.OpenStream()
 	if err != nil {
@@ -138,84 +261,26 @@
 	newExchanger(t, m, s)
 }
 
-func (t *Task) refuse(m Send, err error) {
+func (t *Task) refuse(m Send, kind errs.Kind, err error) {
 	m.Reply.Put(call.Result{Attempt: m.ID, Outcome: call.Refused{
-		Kind: errs.PeerUnreachable, RetryAfter: errs.AnswerTo(errs.PeerUnreachable).RetryAfter, Detail: err.Error(),
+		Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: err.Error(),
 	}}, t.Stopping())
 }
 
 // refuseWaiting answers the messages that were not taken before the link ended.
-func (t *Task) refuseWaiting() {
+func (t *Task) refuseWaiting(err error) {
 	for {
 		select {
 		case m := <-t.inbox.C():
 			switch m := m.(type) {
 			case Send:
-				t.refuse(m, errors.Errorf("no connection to %s", t.peer))
+				t.refuse(m, errs.PeerUnreachable, err)
 			case Exchange:
-				m.Reply.TryPut(Answer{Err: errors.Errorf("no connection to %s", t.peer)})
-			case Cancel, ended:
+				m.Reply.TryPut(Answer{Err: err})
+			case Cancel, Notify, ended, pinged:
 			}
 		default:
 			return
 		}
 	}
 }
-
-// newCarrier starts the goroutine that carries one call on its stream.
-func newCarrier(t *Task, m Send, s *yamux.Stream) {
-	go func() {
-		defer s.Close()
-		r := carry(t, m, s)
-		r.Attempt = m.ID
-		m.Reply.Put(r, t.Stopping())
-		t.inbox.Put(ended{m.ID}, t.Done())
-	}()
-}
-
-func carry(t *Task, m Send, s *yamux.Stream) call.Result {
-	lost := func(err error) call.Result {
-		return call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}}
-	}
-	if err := s.SetDeadline(m.Request.Deadline.Add(replyGrace)); err != nil {
-		return lost(err)
-	}
-	if _, err := codec.Write(s, codec.Call{Target: m.Target, Request: m.Request}, time.Now()); err != nil {
-		return lost(err)
-	}
-	answer, _, err := codec.Read(s, t.maxSize, time.Now)
-	if err != nil {
-		return lost(err)
-	}
-	reply, ok := answer.(codec.Reply)
-	if !ok {
-		return lost(errors.Errorf("peer %s answered a call with %T", t.peer, answer))
-	}
-	return reply.Result
-}
-
-// replyGrace is how long the reply of the daemon beside the target may follow the deadline.
-const replyGrace = 50 * time.Millisecond
-
-// exchangeTimeout bounds an exchange of control messages.
-const exchangeTimeout = time.Second
-
-// newExchanger starts the goroutine that carries one control message and its answer.
-func newExchanger(t *Task, m Exchange, s *yamux.Stream) {
-	go func() {
-		defer s.Close()
-		answer, err := exchange(t, m, s)
-		m.Reply.TryPut(Answer{Message: answer, Err: err})
-	}()
-}
-
-func exchange(t *Task, m Exchange, s *yamux.Stream) (codec.Message, error) {
-	if err := s.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
-		return nil, errors.Annotate(err, "set deadline")
-	}
-	if _, err := codec.Write(s, m.Message, time.Now()); err != nil {
-		return nil, errors.Trace(err)
-	}
-	answer, _, err := codec.Read(s, t.maxSize, time.Now)
-	return answer, errors.Trace(err)
-}
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -6,6 +6,8 @@
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/wire/codec"
+	"net/netip"
+	"time"
 )
 
 // A Message is what the task receives.
@@ -28,6 +30,9 @@
 	Reply   *mail.Box[Answer]
 }
 
+// A Notify sends one message whose answer does not matter. No connection is opened for it.
+type Notify struct{ Message codec.Message }
+
 // An Answer is the result of an Exchange.
 type Answer struct {
 	Message codec.Message
@@ -37,7 +42,34 @@
 // An ended says that the exchange of a call is over.
 type ended struct{ id call.ID }
 
+// A pinged is the result of a ping.
+type pinged struct {
+	roundTrip time.Duration
+	err       error
+}
+
 func (Send) message()     {}
 func (Cancel) message()   {}
 func (Exchange) message() {}
+func (Notify) message()   {}
 func (ended) message()    {}
+func (pinged) message()   {}
+
+// A Report is what a connection shows of a peer.
+type Report interface{ report() }
+
+// A Seen says that the peer is alive: it has said hello or has answered a ping.
+type Seen struct {
+	Peer      netip.AddrPort
+	Hello     codec.Hello
+	RoundTrip time.Duration
+}
+
+// A Lost says that the connection could not be opened or has failed.
+type Lost struct {
+	Peer   netip.AddrPort
+	Reason string
+}
+
+func (Seen) report() {}
+func (Lost) report() {}
--- a/internal/task/link/session.go
+++ b/internal/task/link/session.go
@@ -2,14 +2,16 @@
 
 import (
 	"io"
+	"jacinthcross/internal/wire/codec"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 )
 
-// Bounds of a session. The write timeout ends a session whose peer accepts nothing.
+// Bounds of a session. The write timeout ends a write whose peer accepts nothing.
 const (
 	maxStreamWindow   = 1 << 20
 	writeTimeout      = time.Second
@@ -17,9 +19,22 @@
 	acceptBacklog     = 1024
 )
 
+// HelloTimeout bounds the exchange of Hello messages at the start of a connection.
+const HelloTimeout = time.Second
+
+// maxHello bounds the size of a Hello in bytes. Nothing larger is read from an unknown peer.
+const maxHello = 4096
+
+// A Session is one multiplexed connection. It records when it last received bytes.
+type Session struct {
+	*yamux.Session
+	conn *watchedConn
+}
+
 // NewSession starts multiplexing on a connection. Liveness is checked by the
-// link task while calls wait, not by the library's own timer.
-func NewSession(c net.Conn, dialled bool) (*yamux.Session, error) {
+// owning task while calls wait, not by the library's own timer, so that an idle
+// connection carries no traffic.
+func NewSession(c net.Conn, dialled bool) (*Session, error) {
 	config := yamux.DefaultConfig()
 	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = writeTimeout
@@ -32,8 +47,89 @@
 			return nil, errors.Annotate(err, "set no delay")
 		}
 	}
+	w := &watchedConn{Conn: c, start: time.Now()}
+	open := yamux.Server
 	if dialled {
-		return yamux.Client(c, config)
+		open = yamux.Client
+	}
+	s, err := open(w, config)
+	if err != nil {
+		return nil, errors.Annotate(err, "open session")
+	}
+	return &Session{Session: s, conn: w}, nil
+}
+
+// LastReceived returns when the connection last received bytes.
+func (s *Session) LastReceived() time.Time {
+	return s.conn.start.Add(time.Duration(s.conn.received.Load()))
+}
+
+// A watchedConn records the time of the last read that returned bytes.
+type watchedConn struct {
+	net.Conn
+	start    time.Time
+	received atomic.Int64
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.received.Store(int64(time.Since(c.start)))
+	}
+	return n, err
+}
+
+// Greet exchanges Hello messages on the first stream, as the end that dialled.
+func (s *Session) Greet(own codec.Hello) (codec.Hello, error) {
+	stream, err := s.OpenStream()
+	if err != nil {
+		return codec.Hello{}, errors.Annotate(err, "open first stream")
+	}
+	defer stream.Close()
+	if err := stream.SetDeadline(time.Now().Add(HelloTimeout)); err != nil {
+		return codec.Hello{}, errors.Trace(err)
+	}
+	if _, err := codec.Write(stream, own, time.Now()); err != nil {
+		return codec.Hello{}, errors.Trace(err)
+	}
+	return readHello(stream)
+}
+
+// AnswerGreeting exchanges Hello messages on the first stream, as the end that accepted.
+// The peer gets the own Hello also when its version differs, so that both ends can report it.
+func (s *Session) AnswerGreeting(own codec.Hello) (codec.Hello, error) {
+	timer := time.AfterFunc(HelloTimeout, func() { s.Close() })
+	defer timer.Stop()
+	stream, err := s.AcceptStream()
+	if err != nil {
+		return codec.Hello{}, errors.Annotate(err, "accept first stream")
+	}
+	defer stream.Close()
+	hello, err := readHello(stream)
+	if err != nil && !errors.Is(err, ErrVersion) {
+		return hello, err
+	}
+	if _, writeErr := codec.Write(stream, own, time.Now()); writeErr != nil {
+		return hello, errors.Trace(writeErr)
+	}
+	return hello, err
+}
+
+// ErrVersion says that the peer uses another version of the protocol between daemons.
+var ErrVersion = errors.ConstError("the peer uses another protocol version; run the same release of jacinthcross on both")
+
+func readHello(r io.Reader) (codec.Hello, error) {
+	m, _, err := codec.Read(r, maxHello, time.Now)
+	if err != nil {
+		return codec.Hello{}, errors.Annotate(err, "read hello")
+	}
+	hello, ok := m.(codec.Hello)
+	if !ok {
+		return codec.Hello{}, errors.NotValidf("first message %T of a connection", m)
+	}
+	if hello.Protocol != codec.Protocol {
+		return hello, errors.Annotatef(ErrVersion, "version %d, own version %d", hello.Protocol, codec.Protocol)
 	}
-	return yamux.Server(c, config)
+	return hello, nil
 }
--- a/internal/task/links/links.go
+++ b/internal/task/links/links.go
@@ -8,12 +8,13 @@
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/link"
 	"net/netip"
+	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 )
 
-// A Message asks to forward a message to the link to a peer.
+// A Message asks to forward a message to the link to a peer. A link.Notify goes only to a
+// link that is open, and to all of them when Peer is the zero value.
 type Message struct {
 	Peer    netip.AddrPort
 	Message link.Message
@@ -28,23 +29,23 @@
 	inbox   *mail.Box[Message]
 	gone    chan netip.AddrPort
 	links   map[netip.AddrPort]*entry
-	maxSize int
-	serve   func(*yamux.Session)
+	backoff *backoff
+	options []link.Option
 }
 
 type entry struct {
-	task *link.Task
-	box  *mail.Box[link.Message]
+	task    *link.Task
+	box     *mail.Box[link.Message]
+	started time.Time
 }
 
 // An Option sets a property of a Task.
 type Option func(*Task)
 
-// WithMaxSize bounds the size of a message from a peer in bytes.
-func WithMaxSize(n int) Option { return func(t *Task) { t.maxSize = n } }
-
-// WithServe sets what serves the streams that peers open on links that this daemon dialled.
-func WithServe(serve func(*yamux.Session)) Option { return func(t *Task) { t.serve = serve } }
+// WithLinkOptions sets the options of each link.
+func WithLinkOptions(options ...link.Option) Option {
+	return func(t *Task) { t.options = append(t.options, options...) }
+}
 
 // New starts the task. It reads from inbox.
 func New(inbox *mail.Box[Message], options ...Option) *Task {
@@ -53,8 +54,7 @@
 		inbox:   inbox,
 		gone:    make(chan netip.AddrPort),
 		links:   map[netip.AddrPort]*entry{},
-		maxSize: 9 << 20,
-		serve:   func(*yamux.Session) {},
+		backoff: newBackoff(),
 	}
 	for _, o := range options {
 		o(t)
@@ -80,26 +80,55 @@
 }
 
 func (t *Task) forward(m Message) {
+	if n, ok := m.Message.(link.Notify); ok {
+		t.notify(m.Peer, n)
+		return
+	}
 	e, ok := t.links[m.Peer]
-	if ok {
-		select {
-		case <-e.task.Done():
-			t.remove(m.Peer)
-			ok = false
-		default:
-		}
+	if ok && ended(e) {
+		t.remove(m.Peer)
+		e, ok = t.links[m.Peer]
 	}
 	if !ok {
+		if _, cancel := m.Message.(link.Cancel); cancel {
+			return
+		}
+		if wait := t.backoff.wait(m.Peer, time.Now()); wait > 0 {
+			t.refuse(m.Message, errs.PeerUnreachable, "peer "+m.Peer.String()+" failed; it is dialled again in "+wait.String())
+			return
+		}
 		e = t.start(m.Peer)
 	}
 	if !e.box.TryPut(m.Message) {
-		refuse(m.Message, errs.Busy, "the mailbox of the link is full")
+		t.refuse(m.Message, errs.Busy, "the mailbox of the link is full")
+	}
+}
+
+func ended(e *entry) bool {
+	select {
+	case <-e.task.Done():
+		return true
+	default:
+		return false
+	}
+}
+
+func (t *Task) notify(peer netip.AddrPort, m link.Notify) {
+	if e, ok := t.links[peer]; ok {
+		e.box.TryPut(m)
+		return
+	}
+	if peer.IsValid() {
+		return
+	}
+	for _, e := range t.links {
+		e.box.TryPut(m)
 	}
 }
 
 func (t *Task) start(peer netip.AddrPort) *entry {
 	box := mail.NewBox[link.Message](linkMailbox)
-	e := &entry{box: box, task: link.New(peer, box, link.WithMaxSize(t.maxSize), link.WithServe(t.serve))}
+	e := &entry{box: box, task: link.New(peer, box, t.options...), started: time.Now()}
 	t.links[peer] = e
 	go func() {
 		<-e.task.Done()
@@ -111,34 +140,49 @@
 	return e
 }
 
-// remove forgets a link that has ended and answers what was put into its mailbox after its end.
+// remove forgets a link that has ended. Messages that were put into its mailbox and not
+// taken go to a new link when the old one had been open: nothing of them was sent.
 func (t *Task) remove(peer netip.AddrPort) {
 	e, ok := t.links[peer]
-	if !ok {
-		return
-	}
-	select {
-	case <-e.task.Done():
-	default:
+	if !ok || !ended(e) {
 		return
 	}
 	delete(t.links, peer)
+	now := time.Now()
+	opened := e.task.Err() == nil
+	if opened && now.Sub(e.started) >= stableAfter {
+		t.backoff.worked(peer)
+	} else {
+		t.backoff.failed(peer, opened, now)
+	}
 	for {
 		select {
 		case m := <-e.box.C():
-			refuse(m, errs.PeerUnreachable, "the link has ended")
+			t.passOn(peer, m, e.task.Err())
 		default:
 			return
 		}
 	}
 }
 
-func refuse(m link.Message, kind errs.Kind, detail string) {
+// passOn handles a message that a link left behind. err is nil when the link had been open.
+func (t *Task) passOn(peer netip.AddrPort, m link.Message, err error) {
+	switch m.(type) {
+	case link.Send, link.Exchange:
+		if err != nil {
+			t.refuse(m, errs.PeerUnreachable, err.Error())
+			return
+		}
+		t.forward(Message{Peer: peer, Message: m})
+	}
+}
+
+func (t *Task) refuse(m link.Message, kind errs.Kind, detail string) {
 	switch m := m.(type) {
 	case link.Send:
-		m.Reply.TryPut(call.Result{Attempt: m.ID, Outcome: call.Refused{
+		m.Reply.Put(call.Result{Attempt: m.ID, Outcome: call.Refused{
 			Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail,
-		}})
+		}}, t.Stopping())
 	case link.Exchange:
 		m.Reply.TryPut(link.Answer{Err: errors.New(detail)})
 	}
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -8,6 +8,7 @@
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
 	"time"
@@ -20,24 +21,56 @@
 	local   *mail.Box[local.Message]
 	keeper  *mail.Box[keeper.Message]
 	maxSize int
+	hello   func() codec.Hello
+	report  func(Report)
 }
 
+// An Option sets a property of a Server.
+type Option func(*Server)
+
+// WithHello sets what the daemon tells a peer of itself.
+func WithHello(hello func() codec.Hello) Option { return func(s *Server) { s.hello = hello } }
+
+// WithReports sets what is told of the peers. It must not block.
+func WithReports(report func(Report)) Option { return func(s *Server) { s.report = report } }
+
 // NewServer returns a Server that passes messages to the tasks that own the answers.
-func NewServer(local *mail.Box[local.Message], keeper *mail.Box[keeper.Message], maxSize int) *Server {
-	return &Server{local: local, keeper: keeper, maxSize: maxSize}
+func NewServer(local *mail.Box[local.Message], keeper *mail.Box[keeper.Message], maxSize int, options ...Option) *Server {
+	s := &Server{
+		local: local, keeper: keeper, maxSize: maxSize,
+		hello:  func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
+		report: func(Report) {},
+	}
+	for _, o := range options {
+		o(s)
+	}
+	return s
 }
 
-// firstReadTimeout bounds the wait for the message of a new stream.
-const firstReadTimeout = time.Second
+const (
+	// firstReadTimeout bounds the wait for the message of a new stream.
+	firstReadTimeout = time.Second
+	// maxStreams bounds the streams that are served on one session at a time. It is above the
+	// bound of the end that dials, so that the refusal concerns only a peer that keeps no bound.
+	maxStreams = 2048
+)
 
 // Session serves all streams of a session until it ends.
-func (s *Server) Session(session *yamux.Session) {
+func (s *Server) Session(session *link.Session) {
+	slots := make(chan struct{}, maxStreams)
 	for {
 		stream, err := session.AcceptStream()
 		if err != nil {
 			return
 		}
+		select {
+		case slots <- struct{}{}:
+		default:
+			stream.Close()
+			continue
+		}
 		go func() {
+			defer func() { <-slots }()
 			defer stream.Close()
 			s.stream(stream)
 		}()
@@ -69,7 +102,14 @@
 		return s.load()
 	case codec.Control:
 		return s.control(m.Message)
-	case codec.Drain, codec.Blame, codec.Hello, codec.Done, codec.Reply, codec.LoadReply:
+	case codec.Drain:
+		event.PeerDraining.Log("vm", m.VM)
+		s.report(Draining{VM: m.VM})
+		return codec.Done{}
+	case codec.Blame:
+		s.report(Blamed{Blame: m})
+		return codec.Done{}
+	case codec.Hello, codec.Done, codec.Reply, codec.LoadReply:
 		return codec.Done{}
 	}
 	return nil
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -177,7 +177,7 @@
 		o = present(p, r)
 	}
 	t.count(p, o)
-	p.Reply.TryPut(o)
+	p.Reply.TryPut(Answer{ID: p.ID, Outcome: o})
 }
 
 // present returns the refusal that the caller sees. When the daemon beside the owner of a key did not
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -14,13 +14,19 @@
 // A Message is what the task receives.
 type Message interface{ message() }
 
-// A Submit asks for the outcome of a call. Host selects the service when the request names none.
+// A Submit asks for the outcome of a call. Its Answer goes to Reply, which must have room for it. Host selects the service when the request names none.
 type Submit struct {
 	ID      call.ID
 	Request call.Request
 	Host    string
 	Context string
-	Reply   *mail.Box[call.Outcome]
+	Reply   *mail.Box[Answer]
+}
+
+// An Answer is the outcome of a call.
+type Answer struct {
+	ID      call.ID
+	Outcome call.Outcome
 }
 
 // A Cancel says that the caller has gone.
--- a/internal/task/router/router_test.go
+++ b/internal/task/router/router_test.go
@@ -63,8 +63,8 @@
 	return b
 }
 
-func (b *bench) submit(method, key, context string) (call.ID, *mail.Box[call.Outcome]) {
-	reply := mail.NewBox[call.Outcome](1)
+func (b *bench) submit(method, key, context string) (call.ID, *mail.Box[Answer]) {
+	reply := mail.NewBox[Answer](1)
 	id := call.NextID()
 	b.receive(Submit{ID: id, Context: context, Reply: reply, Request: call.Request{Service: "s", Method: method, Key: key}})
 	return id, reply
@@ -80,17 +80,17 @@
 	}
 }
 
-func outcome(box *mail.Box[call.Outcome]) call.Outcome {
+func outcome(box *mail.Box[Answer]) call.Outcome {
 	select {
 	case o := <-box.C():
-		return o
+		return o.Outcome
 	default:
 		return nil
 	}
 }
 
 // book submits a non-idempotent call and answers the request for the load.
-func (b *bench) book(t *testing.T) (call.ID, *mail.Box[call.Outcome], link.Send) {
+func (b *bench) book(t *testing.T) (call.ID, *mail.Box[Answer], link.Send) {
 	id, reply := b.submit(http.MethodPost, "", "")
 	ask := b.sent().(link.Exchange).Message.(codec.LoadRequest)
 	qt.Assert(t, b.sent(), qt.IsNil)
