Test the planned stop, the restart limit and silent links, and measure the path

Cause: a failure beyond the limit was wrapped so that the supervisor library did not recognise it: the tree paused and went on instead of ending. The cost of the path of a call was not measured. Change: the failure annotates the library's error; tests with real sockets for a silent link under a keyed call, a planned stop under load, an abort, restarts and the restart limit; benchmarks against the direct call in the same run. Measured: keyed calls over a link that goes silent towards, from or in both directions are answered and run once; a planned stop of either daemon under 20 callers loses no call; 6 failures end the tree, 5 do not.

--- /dev/null
+++ b/internal/super/daemon/bench_test.go
@@ -0,0 +1,144 @@
+package daemon_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// A raw is a connection with little cost of its own, so that the benchmark measures the daemons.
+type raw struct {
+	net.Conn
+	reader  *bufio.Reader
+	request []byte
+}
+
+func newRaw(b *testing.B, to netip.AddrPort) *raw {
+	c, err := net.Dial("tcp", to.String())
+	qt.Assert(b, err, qt.IsNil)
+	b.Cleanup(func() { c.Close() })
+	return &raw{c, bufio.NewReader(c), []byte("GET /summary HTTP/1.1\r\nHost: a\r\nJacinth-Service: bookings\r\n\r\n")}
+}
+
+func (r *raw) call() error {
+	if _, err := r.Write(r.request); err != nil {
+		return err
+	}
+	answer, err := http.ReadResponse(r.reader, nil)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d, %s", answer.StatusCode, answer.Header.Get("Jacinth-Error"))
+	}
+	_, err = io.Copy(io.Discard, answer.Body)
+	return err
+}
+
+// paths returns the ways of a call that the benchmarks compare.
+func paths(b *testing.B) []struct {
+	name string
+	to   netip.AddrPort
+} {
+	one := cluster(b, 1, 0)
+	two := cluster(b, 2, 0)
+	return []struct {
+		name string
+		to   netip.AddrPort
+	}{
+		{"direct", one[0].target.address},
+		{"one daemon", one[0].settings.Callers},
+		{"two daemons", two[0].settings.Callers},
+	}
+}
+
+// BenchmarkThroughput runs calls on 64 connections as fast as they go.
+func BenchmarkThroughput(b *testing.B) {
+	for _, p := range paths(b) {
+		b.Run(p.name, func(b *testing.B) {
+			const connections = 64
+			var left atomic.Int64
+			left.Store(int64(b.N))
+			var workers sync.WaitGroup
+			raws := make([]*raw, connections)
+			for i := range raws {
+				raws[i] = newRaw(b, p.to)
+			}
+			b.ResetTimer()
+			for _, r := range raws {
+				workers.Go(func() {
+					for left.Add(-1) >= 0 {
+						if err := r.call(); err != nil {
+							b.Error(err)
+							return
+						}
+					}
+				})
+			}
+			workers.Wait()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "calls/s")
+		})
+	}
+}
+
+// BenchmarkLatency sends 500 calls/s on each path in turn and reports percentiles, and the ratio to the direct call.
+func BenchmarkLatency(b *testing.B) {
+	ways := paths(b)
+	times := make([][]time.Duration, len(ways))
+	const rate, connections = 500, 16
+	count := 2000
+	if os.Getenv("BENCH_CALLS") != "" {
+		_, err := fmt.Sscan(os.Getenv("BENCH_CALLS"), &count)
+		qt.Assert(b, err, qt.IsNil)
+	}
+	for range b.N {
+		for i, p := range ways {
+			times[i] = append(times[i], pace(b, p.to, count, rate, connections)...)
+		}
+	}
+	at := func(i int, q float64) float64 {
+		slices.Sort(times[i])
+		return float64(times[i][int(q*float64(len(times[i])-1))].Microseconds())
+	}
+	for i, p := range ways {
+		name := []string{"direct", "one", "two"}[i]
+		b.Logf("%-12s p50 %.0f us, p99 %.0f us", p.name, at(i, 0.5), at(i, 0.99))
+		b.ReportMetric(at(i, 0.5), name+"-p50-us")
+		b.ReportMetric(at(i, 0.99), name+"-p99-us")
+	}
+}
+
+func pace(b *testing.B, to netip.AddrPort, count, rate, connections int) []time.Duration {
+	times := make([]time.Duration, count)
+	var workers sync.WaitGroup
+	begin := time.Now()
+	for w := range connections {
+		r := newRaw(b, to)
+		workers.Go(func() {
+			for i := w; i < count; i += connections {
+				due := begin.Add(time.Duration(i) * time.Second / time.Duration(rate))
+				time.Sleep(time.Until(due))
+				start := time.Now()
+				if err := r.call(); err != nil {
+					b.Error(err)
+					return
+				}
+				times[i] = time.Since(start)
+			}
+		})
+	}
+	workers.Wait()
+	return times
+}
--- /dev/null
+++ b/internal/super/daemon/daemon_test.go
@@ -0,0 +1,248 @@
+package daemon_test
+
+import (
+	"fmt"
+	"io"
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/super/daemon"
+	"jacinthcross/internal/super/tree"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func TestMain(m *testing.M) {
+	event.RouteLibraryLogs()
+	m.Run()
+}
+
+// A node is a daemon with its target. Peers reach it through its relay.
+type node struct {
+	settings *conf.Settings
+	daemon   *daemon.Daemon
+	target   *standIn
+	relay    *relay
+}
+
+// cluster starts n daemons of one service. The target of the first is not used when there are others.
+func cluster(t testing.TB, n int, service time.Duration) []*node {
+	platform, err := config.New(freePort(t))
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(platform.Stop)
+	var nodes []*node
+	note := "[[AddService]]\nName = \"bookings\"\nRank = \"Urgent\"\n"
+	for i := range n {
+		s := &conf.Settings{
+			VM: ident.VM(fmt.Sprintf("vm-%d", i)), DataCentre: "catania-1", Config: platform.URL(),
+			MaxBody: 1 << 20, MaxHeader: 64 << 10, KeyEpoch: 5 * time.Minute,
+			Callers: freePort(t), Peers: freePort(t), Admin: freePort(t),
+		}
+		target := newStandIn(t, service)
+		d, err := daemon.New(s, "test")
+		qt.Assert(t, err, qt.IsNil)
+		t.Cleanup(func() {
+			d.Abort()
+			<-d.Done()
+		})
+		node := &node{settings: s, daemon: d, target: target, relay: newRelay(t, s.Peers)}
+		nodes = append(nodes, node)
+		if i > 0 || n == 1 {
+			note += fmt.Sprintf("[[AddTarget]]\nName = \"target-%d\"\nService = \"bookings\"\nVM = %q\nDataCentre = \"catania-1\"\nDaemon = %q\nAddress = %q\nSlots = 1000\n",
+				i, string(s.VM), node.relay.addr(), target.address)
+		}
+	}
+	platform.Publish(note)
+	for _, n := range nodes {
+		n.awaitRelease(t)
+	}
+	return nodes
+}
+
+func freePort(t testing.TB) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// awaitRelease waits until the daemon answers calls of the service.
+func (n *node) awaitRelease(t testing.TB) {
+	for deadline := time.Now().Add(patience); ; time.Sleep(20 * time.Millisecond) {
+		r, err := n.call(http.MethodGet, "", "")
+		if err == nil && r.outcome == "Answered" {
+			return
+		}
+		qt.Assert(t, time.Now().Before(deadline), qt.IsTrue, qt.Commentf("%+v %v", r, err))
+	}
+}
+
+type response struct {
+	status              int
+	outcome, kind, body string
+}
+
+func (n *node) call(method, key, body string) (response, error) {
+	r, err := http.NewRequest(method, "http://"+n.settings.Callers.String()+"/", strings.NewReader(body))
+	if err != nil {
+		return response{}, err
+	}
+	r.Header.Set("Jacinth-Service", "bookings")
+	if key != "" {
+		r.Header.Set("Idempotency-Key", key)
+	}
+	return do(r)
+}
+
+var client = &http.Client{Timeout: patience, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+func do(r *http.Request) (response, error) {
+	answer, err := client.Do(r)
+	if err != nil {
+		return response{}, err
+	}
+	defer answer.Body.Close()
+	body, err := io.ReadAll(answer.Body)
+	return response{answer.StatusCode, answer.Header.Get("Jacinth-Outcome"), answer.Header.Get("Jacinth-Error"), string(body)}, err
+}
+
+func (n *node) key(t testing.TB) string {
+	r, err := http.NewRequest(http.MethodGet, "http://"+n.settings.Callers.String()+"/.well-known/jacinthcross/key?service=bookings", nil)
+	qt.Assert(t, err, qt.IsNil)
+	k, err := do(r)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, k.status, qt.Equals, 200)
+	return k.body
+}
+
+// Guards against a second run, and against an unknown outcome, when the link of a keyed call goes silent.
+func TestKeyedCallSurvivesSilentLink(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		there, back bool
+	}{
+		{"towards the target", true, false},
+		{"from the target", false, true},
+		{"both directions", true, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			nodes := cluster(t, 2, 700*time.Millisecond)
+			key := nodes[0].key(t)
+			before := nodes[1].target.runs.Load()
+			done := make(chan response, 1)
+			go func() {
+				r, _ := nodes[0].call(http.MethodPost, key, "one seat")
+				done <- r
+			}()
+			for nodes[1].target.runs.Load() == before {
+				time.Sleep(time.Millisecond)
+			}
+			accepted := nodes[1].relay.accepted.Load()
+			nodes[1].relay.drop(test.there, test.back)
+			r := receive(t, done)
+			qt.Assert(t, r.outcome, qt.Equals, "Answered", qt.Commentf("%+v", r))
+			qt.Assert(t, nodes[1].target.runs.Load(), qt.Equals, before+1)
+			qt.Assert(t, nodes[1].relay.accepted.Load(), qt.Equals, accepted+1)
+		})
+	}
+}
+
+// Guards against calls that a planned stop loses, whether they enter at the daemon or run beside it.
+func TestPlannedStopLosesNoCall(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		stops int
+	}{
+		{"daemon beside a target", 1},
+		{"daemon of the callers", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			nodes := cluster(t, 3, 20*time.Millisecond)
+			var workers sync.WaitGroup
+			var mutex sync.Mutex
+			failures, answered := map[string]int{}, 0
+			stop := make(chan struct{})
+			for range 20 {
+				workers.Go(func() {
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+						}
+						r, err := nodes[0].call(http.MethodGet, "", "")
+						mutex.Lock()
+						switch {
+						case err != nil && strings.Contains(err.Error(), "connection refused"):
+							// The daemon has stopped accepting: nothing was sent.
+						case err != nil:
+							failures[err.Error()]++
+						case r.outcome == "Answered":
+							answered++
+						case r.outcome != "NotRun":
+							failures[r.kind]++
+						}
+						mutex.Unlock()
+					}
+				})
+			}
+			time.Sleep(300 * time.Millisecond)
+			nodes[test.stops].daemon.Drain()
+			time.Sleep(300 * time.Millisecond)
+			close(stop)
+			workers.Wait()
+			qt.Assert(t, nodes[test.stops].daemon.Err(), qt.IsNil)
+			qt.Assert(t, failures, qt.HasLen, 0)
+			qt.Assert(t, answered > 100, qt.IsTrue, qt.Commentf("%d answered", answered))
+		})
+	}
+}
+
+// Guards against a second signal that waits for the calls in flight.
+func TestAbortCutsDrainShort(t *testing.T) {
+	nodes := cluster(t, 1, 1500*time.Millisecond)
+	failed := make(chan error, 1)
+	go func() {
+		_, err := nodes[0].call(http.MethodGet, "", "")
+		failed <- err
+	}()
+	time.Sleep(100 * time.Millisecond)
+	time.AfterFunc(100*time.Millisecond, nodes[0].daemon.Abort)
+	nodes[0].daemon.Drain()
+	qt.Assert(t, receive(t, failed), qt.IsNotNil)
+}
+
+// Guards against a restarted task that has no release and refuses every call.
+func TestRestartedTaskHasRelease(t *testing.T) {
+	for _, tasks := range [][]string{{"router"}, {"local"}, {"keeper", "router", "local"}} {
+		t.Run(strings.Join(tasks, " "), func(t *testing.T) {
+			n := cluster(t, 1, 0)[0]
+			for _, name := range tasks {
+				n.daemon.Fail(name)
+			}
+			// A call that meets the failure may end with another outcome, the calls after it may not.
+			n.awaitRelease(t)
+			r, err := n.call(http.MethodPost, n.key(t), "one seat")
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.outcome, qt.Equals, "Answered", qt.Commentf("%+v", r))
+		})
+	}
+}
+
+// Guards against a daemon that runs on in a broken state when its tasks fail again and again.
+func TestRepeatedFailuresEndTheDaemon(t *testing.T) {
+	n := cluster(t, 1, 0)[0]
+	for range 6 {
+		n.daemon.Fail("router")
+	}
+	<-n.daemon.Done()
+	qt.Assert(t, n.daemon.Err(), qt.ErrorIs, tree.ErrTooManyFailures)
+}
--- a/internal/super/daemon/relay_test.go
+++ b/internal/super/daemon/relay_test.go
@@ -1,11 +1,15 @@
 package daemon_test
 
 import (
+	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 )
@@ -26,7 +30,7 @@
 	dropThere, dropBack atomic.Bool
 }
 
-func newRelay(t *testing.T, target netip.AddrPort) *relay {
+func newRelay(t testing.TB, target netip.AddrPort) *relay {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	qt.Assert(t, err, qt.IsNil)
 	r := &relay{listener: l, target: target}
@@ -96,3 +100,24 @@
 }
 
 func (r *relay) addr() netip.AddrPort { return r.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// A standIn is a target that answers after a service time and counts its runs.
+type standIn struct {
+	address netip.AddrPort
+	runs    atomic.Int64
+}
+
+func newStandIn(t testing.TB, service time.Duration) *standIn {
+	s := &standIn{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			return
+		}
+		s.runs.Add(1)
+		time.Sleep(service)
+		_, _ = io.WriteString(w, "answer")
+	}))
+	t.Cleanup(server.Close)
+	s.address = server.Listener.Addr().(*net.TCPAddr).AddrPort()
+	return s
+}
--- a/internal/super/tree/tree.go
+++ b/internal/super/tree/tree.go
@@ -155,7 +155,7 @@
 
 func (s service) failed(err error) error {
 	if s.limit.exceeded(time.Now()) {
-		return errors.Wrap(err, suture.ErrTerminateSupervisorTree)
+		return errors.Annotate(suture.ErrTerminateSupervisorTree, err.Error())
 	}
 	return err
 }
--- /dev/null
+++ b/internal/super/tree/tree_test.go
@@ -0,0 +1,109 @@
+package tree_test
+
+import (
+	"context"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/juju/errors"
+)
+
+// patience bounds waits in tests. It is no verdict on speed.
+const patience = 10 * time.Second
+
+// A worker is a task that fails on each message.
+type worker struct {
+	*tree.Loop
+}
+
+func newWorker(inbox *mail.Box[string], seen chan<- string) *worker {
+	w := &worker{Loop: tree.NewLoop()}
+	go func() {
+		w.Run(func() error {
+			select {
+			case m := <-inbox.C():
+				seen <- m
+				if m == "panic" {
+					panic(m)
+				}
+				return errors.New(m)
+			case <-w.Stopping():
+				return nil
+			}
+		})
+	}()
+	return w
+}
+
+// Guards against a daemon that runs on while its tasks fail again and again, and against
+// messages that are lost when a task is restarted.
+func TestFailuresEndTheTree(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		messages []string
+		ends     bool
+	}{
+		{"no failure", nil, false},
+		{"five failures", []string{"a", "b", "panic", "d", "e"}, false},
+		{"six failures", []string{"a", "b", "panic", "d", "e", "f"}, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			inbox := mail.NewBox[string](16)
+			for _, m := range test.messages {
+				inbox.TryPut(m)
+			}
+			seen := make(chan string, 16)
+			started := make(chan struct{}, 16)
+			limit := tree.WithLimit(&tree.Limit{})
+			child := tree.NewSupervisor("child", []tree.Child{
+				{Name: "worker", Start: func() (tree.Task, error) {
+					started <- struct{}{}
+					return newWorker(inbox, seen), nil
+				}},
+			}, limit)
+			root := tree.NewSupervisor("root", nil, limit)
+			root.AddSupervisor(child)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			ended := make(chan error, 1)
+			go func() { ended <- root.Serve(ctx) }()
+			<-started
+			for _, m := range test.messages {
+				select {
+				case got := <-seen:
+					qt.Assert(t, got, qt.Equals, m)
+				case <-time.After(patience):
+					t.Fatal("the task was not restarted")
+				}
+			}
+			if !test.ends {
+				qt.Assert(t, root.StopSupervisor(child), qt.IsNil)
+				cancel()
+				qt.Assert(t, <-ended, qt.ErrorIs, context.Canceled)
+				return
+			}
+			select {
+			case err := <-ended:
+				qt.Assert(t, err, qt.ErrorIs, tree.ErrTooManyFailures)
+			case <-time.After(patience):
+				t.Fatal("the tree runs on")
+			}
+		})
+	}
+}
+
+// Guards against a daemon that tries for ever to start a task, for example when an address is in use.
+func TestStartFailuresCount(t *testing.T) {
+	starts := 0
+	root := tree.NewSupervisor("root", []tree.Child{
+		{Name: "worker", Start: func() (tree.Task, error) {
+			starts++
+			return nil, errors.New("no address")
+		}},
+	})
+	qt.Assert(t, root.Serve(context.Background()), qt.ErrorIs, tree.ErrTooManyFailures)
+	qt.Assert(t, starts, qt.Equals, 6)
+}
--- a/internal/task/link/session.go
+++ b/internal/task/link/session.go
@@ -93,7 +93,7 @@
 	if _, err := codec.Write(stream, own, time.Now()); err != nil {
 		return codec.Hello{}, errors.Trace(err)
 	}
-	return readHello(stream)
+	return readHello(stream, own.Protocol)
 }
 
 // AnswerGreeting exchanges Hello messages on the first stream, as the end that accepted.
@@ -106,7 +106,7 @@
 		return codec.Hello{}, errors.Annotate(err, "accept first stream")
 	}
 	defer stream.Close()
-	hello, err := readHello(stream)
+	hello, err := readHello(stream, own.Protocol)
 	if err != nil && !errors.Is(err, ErrVersion) {
 		return hello, err
 	}
@@ -119,7 +119,7 @@
 // ErrVersion says that the peer uses another version of the protocol between daemons.
 var ErrVersion = errors.ConstError("the peer uses another protocol version; run the same release of jacinthcross on both")
 
-func readHello(r io.Reader) (codec.Hello, error) {
+func readHello(r io.Reader, protocol int) (codec.Hello, error) {
 	m, _, err := codec.Read(r, maxHello, time.Now)
 	if err != nil {
 		return codec.Hello{}, errors.Annotate(err, "read hello")
@@ -128,8 +128,8 @@
 	if !ok {
 		return codec.Hello{}, errors.NotValidf("first message %T of a connection", m)
 	}
-	if hello.Protocol != codec.Protocol {
-		return hello, errors.Annotatef(ErrVersion, "version %d, own version %d", hello.Protocol, codec.Protocol)
+	if hello.Protocol != protocol {
+		return hello, errors.Annotatef(ErrVersion, "version %d, own version %d", hello.Protocol, protocol)
 	}
 	return hello, nil
 }
