Measure two daemons without the relay of the tests

Cause: the benchmark of two daemons passed through the test relay, whose two copies counted as cost of the daemons. Change: benchmarks connect the daemons directly.

--- a/internal/super/daemon/bench_test.go
+++ b/internal/super/daemon/bench_test.go
@@ -53,7 +53,7 @@
 	to   netip.AddrPort
 } {
 	one := cluster(b, 1, 0)
-	two := cluster(b, 2, 0)
+	two := clusterVia(b, 2, 0, func(n *node) netip.AddrPort { return n.settings.Peers })
 	return []struct {
 		name string
 		to   netip.AddrPort
--- a/internal/super/daemon/daemon_test.go
+++ b/internal/super/daemon/daemon_test.go
@@ -33,8 +33,14 @@
 	relay    *relay
 }
 
-// cluster starts n daemons of one service. The target of the first is not used when there are others.
+// cluster starts n daemons of one service, which reach each other through relays. The target of
+// the first is not used when there are others.
 func cluster(t testing.TB, n int, service time.Duration) []*node {
+	return clusterVia(t, n, service, func(n *node) netip.AddrPort { return n.relay.addr() })
+}
+
+// clusterVia starts daemons which reach each other at the address that via returns.
+func clusterVia(t testing.TB, n int, service time.Duration, via func(*node) netip.AddrPort) []*node {
 	platform, err := config.New(freePort(t))
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(platform.Stop)
@@ -57,7 +63,7 @@
 		nodes = append(nodes, node)
 		if i > 0 || n == 1 {
 			note += fmt.Sprintf("[[AddTarget]]\nName = \"target-%d\"\nService = \"bookings\"\nVM = %q\nDataCentre = \"catania-1\"\nDaemon = %q\nAddress = %q\nSlots = 1000\n",
-				i, string(s.VM), node.relay.addr(), target.address)
+				i, string(s.VM), via(node), target.address)
 		}
 	}
 	platform.Publish(note)
