Test the codec on cut messages and with a fuzz target

Cause: nothing held the encoding and the decoding of the messages together. Change: round trips of one message of each kind, every cut of each message, a fuzz target with a small corpus, a benchmark.

--- /dev/null
+++ b/internal/wire/codec/codec_test.go
@@ -0,0 +1,129 @@
+package codec_test
+
+import (
+	"bytes"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/policy/crash"
+	"jacinthcross/internal/wire/codec"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var now = time.Unix(1_700_000_000, 0)
+
+// messages has one message of each kind, with every field set.
+func messages() []codec.Message {
+	incarnation := ident.Incarnation{1, 2, 3}
+	head := ident.Head{Serial: 7, Digest: ident.Digest{4, 5}}
+	fields := []call.Field{{Name: "Accept", Value: "text/plain"}, {Name: "X", Value: ""}}
+	load := call.Load{
+		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true,
+	}
+	return []codec.Message{
+		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true},
+		codec.Call{Target: "target", Request: call.Request{
+			Service: "service", Method: "POST", URI: "/a?b", Header: fields, Body: []byte("body"),
+			Caller: netip.MustParseAddr("2001:db8::1"), Deadline: now.Add(time.Second), Rank: ident.Normal,
+			Depth: 2, Allowance: 1, Key: "key", Idempotent: true,
+		}},
+		codec.Reply{Result: call.Result{Load: load, RetriesUsed: 1, Outcome: call.Answered{Status: 201, Header: fields, Body: []byte("body"), Remembered: true}}},
+		codec.Reply{Result: call.Result{Load: load, Outcome: call.Refused{Kind: errs.Busy, RetryAfter: time.Second, Detail: "detail"}}},
+		codec.Reply{Result: call.Result{Load: load, Outcome: call.Unknown{Kind: errs.AnswerCut, Detail: "detail"}}},
+		codec.LoadRequest{Target: "target"},
+		codec.LoadReply{Load: load},
+		codec.Control{Message: relay.Pull{After: head}},
+		codec.Blame{Service: "service", Entries: []crash.Blame{{Digest: ident.Digest{9}, Weight: 0.5, Crashes: 2, Expires: time.Minute}}},
+		codec.Drain{VM: "vm"},
+		codec.Done{},
+	}
+}
+
+// Guards against fields that are lost or mixed up between daemons, and against deadlines that a
+// difference of clocks moves.
+func TestMessagesSurvive(t *testing.T) {
+	for _, m := range messages() {
+		var b bytes.Buffer
+		_, err := codec.Write(&b, m, now)
+		qt.Assert(t, err, qt.IsNil)
+		got, _, err := codec.Read(&b, 1<<20, func() time.Time { return now })
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, reflect.DeepEqual(got, m), qt.IsTrue, qt.Commentf("%#v\n%#v", got, m))
+		qt.Assert(t, b.Len(), qt.Equals, 0)
+	}
+}
+
+// Guards against a cut or an oversized message that is taken for a whole one.
+func TestCutMessagesAreErrors(t *testing.T) {
+	for _, m := range messages() {
+		var b bytes.Buffer
+		_, err := codec.Write(&b, m, now)
+		qt.Assert(t, err, qt.IsNil)
+		whole := b.Bytes()
+		for n := range whole {
+			_, _, err := codec.Read(bytes.NewReader(whole[:n]), 1<<20, time.Now)
+			qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%T: %d of %d bytes", m, n, len(whole)))
+		}
+		if n := len(whole) - 4; n > 0 {
+			_, _, err := codec.Read(bytes.NewReader(whole), n-1, time.Now)
+			qt.Assert(t, err, qt.ErrorMatches, ".*message of .* bytes.*")
+		}
+	}
+}
+
+// FuzzDecode guards against bytes of a peer that end the process, and against messages whose
+// meaning changes when they are passed on.
+func FuzzDecode(f *testing.F) {
+	for _, m := range messages() {
+		var b bytes.Buffer
+		if _, err := codec.Write(&b, m, now); err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b.Bytes()[4:])
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := codec.Decode(b, now)
+		if err != nil {
+			return
+		}
+		var first, second bytes.Buffer
+		if _, err := codec.Write(&first, m, now); err != nil {
+			return
+		}
+		again, _, err := codec.Read(bytes.NewReader(first.Bytes()), 1<<30, func() time.Time { return now })
+		qt.Assert(t, err, qt.IsNil)
+		_, err = codec.Write(&second, again, now)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, second.Len(), qt.Equals, first.Len())
+	})
+}
+
+func BenchmarkCodec(b *testing.B) {
+	for _, m := range messages()[1:3] {
+		b.Run(nameOf(m), func(b *testing.B) {
+			b.ReportAllocs()
+			for range b.N {
+				var buffer bytes.Buffer
+				if _, err := codec.Write(&buffer, m, now); err != nil {
+					b.Fatal(err)
+				}
+				if _, _, err := codec.Read(&buffer, 1<<20, time.Now); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+func nameOf(m codec.Message) string {
+	if _, ok := m.(codec.Call); ok {
+		return "call"
+	}
+	return "reply"
+}
