--- /dev/null
+++ b/internal/base/errs/table_test.go
@@ -0,0 +1,38 @@
+package errs_test
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/errs"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against a page for callers that names other error kinds, statuses or outcomes than the program.
+func TestCallerPageListsAllKinds(t *testing.T) {
+	page, err := os.ReadFile("../../../docs/reference/caller.md")
+	qt.Assert(t, err, qt.IsNil)
+	var got, want []string
+	_, section, ok := strings.Cut(string(page), "### Error kinds\n")
+	qt.Assert(t, ok, qt.IsTrue)
+	section, _, _ = strings.Cut(section, "\n#")
+	for line := range strings.Lines(section) {
+		if strings.HasPrefix(line, "| `") {
+			got = append(got, strings.TrimSpace(line))
+		}
+	}
+	for _, k := range errs.Kinds() {
+		a := errs.AnswerTo(k)
+		retry := ""
+		if a.RetryAfter > 0 {
+			retry = fmt.Sprint(int(a.RetryAfter.Seconds())) + " "
+		}
+		want = append(want, fmt.Sprintf("| `%s` | %d | `%s` | %s| %s |", k, a.Status, a.Outcome, retry, a.Advice))
+	}
+	slices.Sort(got)
+	slices.Sort(want)
+	qt.Assert(t, got, qt.DeepEquals, want)
+}
