Probe only candidates that calls do not find out about

The reports lose their value within the 50 ms in which they decay.

Change: of the candidates that were silent for 250 ms, only those never heard of, down or draining are probed, with intervals that double up to 8 s.

TestProbe failed with healthy candidates probed, with none that is down probed and without the doubling. That a draining target keeps its interval when it answers is not covered by a test.

--- a/internal/policy/route/profile.go
+++ b/internal/policy/route/profile.go
@@ -40,6 +40,8 @@
 	probeBytes = 512
 	// probeAge is how long a candidate may be silent while calls flow before it is probed.
 	probeAge = 250 * time.Millisecond
+	// maxProbeDoublings bounds how often that time doubles while a candidate does not answer: 8 s.
+	maxProbeDoublings = 5
 	// maxProbeTokens bounds the probes that a long time without probes allows at once.
 	maxProbeTokens = 4
 )
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -211,11 +211,13 @@
 // Called counts a call of the service, which earns a part of a probe.
 func (t *Table) Called(now time.Time) { t.budget.Called(now) }
 
-// Probe returns a candidate whose load must be asked for, if there is one and the budget allows it.
+// Probe returns a candidate whose load must be asked for, if there is one and the budget allows it. Those
+// are candidates that no call would find out about: never heard of, down or draining. A probe of another
+// silent candidate is no help, since its report loses its value within reportDecay.
 func (t *Table) Probe(now time.Time) (ident.Target, bool) {
 	var oldest *state
 	for _, s := range t.states {
-		if now.Sub(s.contact()) < probeAge {
+		if !s.heard.IsZero() && !s.down && !s.draining || now.Sub(s.contact()) < probeAge<<min(s.probes, maxProbeDoublings) {
 			continue
 		}
 		if oldest == nil || s.contact().Before(oldest.contact()) {
@@ -226,6 +228,7 @@
 		return "", false
 	}
 	oldest.probed = now
+	oldest.probes++
 	return oldest.Target, true
 }
 
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -176,6 +176,37 @@
 	qt.Assert(t, statuses[candidateCap-1].DataCentre, qt.Equals, ident.DataCentre("dc0"))
 }
 
+// TestProbe guards against probes of candidates that calls find out about, and against a target that is
+// never found again.
+func TestProbe(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		change func(table *Table)
+		probes int
+	}{
+		{"silent", func(*Table) {}, 0},
+		{"down", func(table *Table) { table.SetDown("vm1", true, start) }, 7},
+		{"draining", func(table *Table) { table.SetDraining("vm1") }, 7},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			table, probes := newTable(targets(3)), 0
+			for _, c := range targets(3) {
+				serve(table, c.Target, 1, time.Millisecond, start)
+			}
+			test.change(table)
+			for i := range 3000 {
+				now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+				table.Called(now)
+				if target, ok := table.Probe(now); ok {
+					qt.Assert(t, target, qt.Equals, ident.Target("t1"))
+					probes++
+				}
+			}
+			qt.Assert(t, probes, qt.Equals, test.probes, qt.Commentf("30 s have 7 intervals of 0.25 s that double up to 8 s"))
+		})
+	}
+}
+
 // TestProbeBudget guards against probes above the budget, for any order of calls, pauses, silence and shifts.
 func TestProbeBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -43,6 +43,8 @@
 	heard    time.Time
 	reported time.Time
 	probed   time.Time
+	// probes counts the probes since the target was last known to take work.
+	probes int
 	// latency is smoothed, in seconds and without network distance, 0 when unknown.
 	latency float64
 	served  time.Time
@@ -242,6 +244,9 @@
 	s.draining = s.draining || load.Draining
 	s.down = false
 	s.load, s.heard, s.reported = load, now, now
+	if !s.draining {
+		s.probes = 0
+	}
 	s.others = max(0, float64(load.InFlight+load.Queued-len(s.inFlight)))
 }
 
