Connect pauses, peer states, crash evidence and heads between the tasks

Cause: the parts were finished apart: a pause told nobody, a failed link did not reach the routing, crash evidence stayed at one daemon, heads on load reports were not read, the profile and the body memory of the settings had no reader. Change: super/daemon/wire.go turns the reports of links, listener, local task and membership into messages of the tasks that act on them; Blame carries the VM that tells it. Conclusion: the daemon uses what its parts find out.

--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -4,6 +4,7 @@
 import (
 	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/policy/route"
 	"net/netip"
 	"net/url"
 	"os"
@@ -13,23 +14,12 @@
 	"github.com/juju/errors"
 )
 
-// A Profile weighs the tail of the latency against the cost of measuring.
-type Profile string
-
-// The profiles.
-const (
-	// Tail gives more weight to the tail latency.
-	Tail Profile = "Tail"
-	// Cost gives more weight to the cost of measuring load.
-	Cost Profile = "Cost"
-)
-
 // Settings are the checked settings of a daemon.
 type Settings struct {
 	VM         ident.VM
 	DataCentre ident.DataCentre
 	Region     ident.Region
-	Profile    Profile
+	Profile    route.Profile
 	Callers    netip.AddrPort
 	Peers      netip.AddrPort
 	Admin      netip.AddrPort
@@ -142,12 +132,12 @@
 	return text
 }
 
-func profile(t *form.Table) Profile {
-	p := Profile(t.Text("Profile"))
+func profile(t *form.Table) route.Profile {
+	p := route.Profile(t.Text("Profile"))
 	if !t.Has("Profile") {
-		return Tail
+		return route.Tail
 	}
-	if p != Tail && p != Cost {
+	if p != route.Tail && p != route.Cost {
 		t.Mistake("Profile", "is %q, want Tail or Cost", p)
 	}
 	return p
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -2,12 +2,13 @@
 
 import (
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
-	fleet "jacinthcross/internal/fleet/member"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/admin"
@@ -71,20 +72,20 @@
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
-	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello))
+	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported))
 	control := tree.NewSupervisor("control", []tree.Child{
 		{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, b, m), nil }},
 		{Name: "watch", Start: func() (tree.Task, error) { return startWatch(s, b), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
 			b.tell(func(r *note.Release) { b.member.TryPut(member.ReleaseChanged{Release: r}) })
-			return member.New(b.member, func([]fleet.Change) {}), nil
+			return member.New(b.member, b.peersChanged), nil
 		}},
 	}, limit, hook)
 	data := tree.NewSupervisor("data", []tree.Child{
 		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, b) }},
 		{Name: "links", Start: func() (tree.Task, error) {
 			return links.New(b.links, links.WithLinkOptions(
-				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHello(hello),
+				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHello(hello), link.WithReports(b.linkReported),
 				link.WithServe(func(session *link.Session) { server.Session(session) }),
 			)), nil
 		}},
@@ -93,7 +94,7 @@
 	edge := tree.NewSupervisor("edge", []tree.Child{
 		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server, b.listen) }},
 		{Name: "front", Start: func() (tree.Task, error) {
-			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxHeader(s.MaxHeader))
+			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxBodyMemory(s.MaxBodyMemory), front.WithMaxHeader(s.MaxHeader))
 		}},
 		{Name: "admin", Start: func() (tree.Task, error) {
 			return admin.New(s.Admin, admin.Config{
@@ -120,7 +121,8 @@
 
 func startRouter(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
 	b.tell(func(r *note.Release) { b.router.TryPut(router.ReleaseChanged{Release: r}) })
-	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, router.WithMeter(m))
+	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links},
+		router.WithMeter(m), router.WithProfile(s.Profile), router.WithHeads(b.headSeen))
 }
 
 func startKeeper(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
@@ -150,6 +152,8 @@
 		local.WithMaxBody(s.MaxBody),
 		local.WithLedgerLimits(ledger.Limits{EpochLength: s.KeyEpoch, MaxEntries: ledgerEntries, MaxBytes: ledgerBytes}),
 		local.WithContexts(func(c local.Context) { b.router.TryPut(router.ContextChanged{Context: c}) }),
+		local.WithPause(b.paused),
+		local.WithBlame(func(service ident.Service, entries []crash.Blame) { b.blame(s.VM, service, entries) }),
 	)
 }
 
--- /dev/null
+++ b/internal/super/daemon/wire.go
@@ -0,0 +1,92 @@
+package daemon
+
+import (
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/policy/crash"
+	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/links"
+	"jacinthcross/internal/task/listen"
+	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/task/member"
+	"jacinthcross/internal/task/router"
+	"jacinthcross/internal/wire/codec"
+	"net/netip"
+	"time"
+
+	fleet "jacinthcross/internal/fleet/member"
+)
+
+// linkReported passes on what a dialled connection shows of a peer.
+func (b *boxes) linkReported(r link.Report) {
+	switch r := r.(type) {
+	case link.Seen:
+		b.member.TryPut(member.Seen{Peer: r.Peer, Draining: r.Hello.Draining})
+		b.headSeen(r.Hello.Head, r.Peer)
+	case link.Lost:
+		b.member.TryPut(member.Lost{Peer: r.Peer})
+	}
+}
+
+// peerReported passes on what a peer tells of itself or of its target.
+func (b *boxes) peerReported(r listen.Report) {
+	switch r := r.(type) {
+	case listen.Greeted:
+		// An accepted connection does not show the address at which the peer listens, and the
+		// digests that the peer exchanges tell its head.
+	case listen.Draining:
+		b.member.TryPut(member.Drained{VM: r.VM})
+	case listen.Blamed:
+		b.local.TryPut(local.Blamed{From: r.Blame.From, Service: r.Blame.Service, Entries: r.Blame.Entries})
+	}
+}
+
+// headSeen tells the keeper which release a peer holds.
+func (b *boxes) headSeen(head ident.Head, peer netip.AddrPort) {
+	if !head.IsZero() {
+		b.keeper.TryPut(keeper.HeadSeen{Head: head, Peer: peer})
+	}
+}
+
+// peersChanged tells the router which peers may take calls. A suspect peer still may: its
+// connection is dialled again, and it is down only when that fails too.
+func (b *boxes) peersChanged(changes []fleet.Change) {
+	for _, c := range changes {
+		switch c.State {
+		case fleet.Alive:
+			b.router.TryPut(router.PeerUp{VM: c.VM})
+		case fleet.Down:
+			b.router.TryPut(router.PeerDown{VM: c.VM})
+		case fleet.Draining, fleet.Leaving:
+			b.router.TryPut(router.PeerDraining{VM: c.VM})
+		case fleet.Suspect:
+		}
+	}
+}
+
+// paused holds new calls after a pause of the process until the keeper has compared its head with peers.
+func (b *boxes) paused(time.Duration) {
+	b.router.TryPut(router.Paused{})
+	reply := mail.NewBox[bool](1)
+	if !b.keeper.TryPut(keeper.Confirm{Reply: reply}) {
+		return
+	}
+	go func() {
+		select {
+		case <-reply.C():
+			b.router.TryPut(router.Confirmed{})
+		case <-time.After(confirmTimeout):
+		}
+	}()
+}
+
+// confirmTimeout ends the wait for a keeper that was restarted. The router waits for less.
+const confirmTimeout = 5 * time.Second
+
+// blame tells the peers which requests were in flight when the own target crashed.
+func (b *boxes) blame(vm ident.VM, service ident.Service, entries []crash.Blame) {
+	m := codec.Blame{From: vm, Service: service, Entries: entries}
+	b.links.TryPut(links.Message{Message: link.Notify{Message: m}})
+	b.listen.TryPut(listen.Notify{Message: m})
+}
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -150,6 +150,9 @@
 	t.settleAttempt(a, r)
 	t.show(a, feedback(r, now.Sub(a.started)), now)
 	p.ownerSpoke = !r.Load.Incarnation.IsZero()
+	if r.Load.Head.Serial > t.release.Head.Serial {
+		t.headSeen(r.Load.Head, a.target.Daemon)
+	}
 	if _, ok := r.Outcome.(call.Answered); ok {
 		if !p.arrived.Before(t.paused) {
 			t.latencies[p.Request.Service].Add(now.Sub(p.arrived))
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -13,6 +13,7 @@
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
+	"net/netip"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	clock      clock.Clock
 	meter      *meter.Meter
 	profile    route.Profile
+	headSeen   func(ident.Head, netip.AddrPort)
 	maxCalls   int
 	alarms     *alarm.Queue[wakeup]
 	release    *note.Release
@@ -57,6 +59,11 @@
 // WithMeter sets the meter that counts calls, refusals, retries, hedges and probes.
 func WithMeter(m *meter.Meter) Option { return func(t *Task) { t.meter = m } }
 
+// WithHeads sets what is called with the head that a peer reports with a load, when it is higher than the own.
+func WithHeads(seen func(ident.Head, netip.AddrPort)) Option {
+	return func(t *Task) { t.headSeen = seen }
+}
+
 // WithProfile sets the settings profile of the routing.
 func WithProfile(p route.Profile) Option { return func(t *Task) { t.profile = p } }
 
@@ -90,6 +97,7 @@
 
 func newTask(config Config, options ...Option) *Task {
 	t := &Task{
+		headSeen:   func(ident.Head, netip.AddrPort) {},
 		Loop:       tree.NewLoop(),
 		vm:         config.VM,
 		dataCentre: config.DataCentre,
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -83,7 +83,7 @@
 }
 
 func encodeBlame(m Blame) *peerpb.Blame {
-	p := &peerpb.Blame{Service: string(m.Service)}
+	p := &peerpb.Blame{VM: string(m.From), Service: string(m.Service)}
 	for _, e := range m.Entries {
 		p.Entries = append(p.Entries, &peerpb.BlameEntry{
 			Digest: e.Digest[:], Weight: e.Weight, Crashes: uint32(e.Crashes), RemainingNanoseconds: int64(e.Expires),
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -44,6 +44,7 @@
 
 // A Blame tells of requests that were in flight when a target crashed.
 type Blame struct {
+	From    ident.VM
 	Service ident.Service
 	Entries []crash.Blame
 }
