Refuse keyed calls until the release was compared with peers, and keep a retry back

Cause: a new daemon took keyed calls with whatever release it read first; the allowance of a call went along whole with its first attempt, so a read lost with its VM was never retried. Change: the local task refuses keyed calls as Unconfirmed until the keeper has compared its head; a call enters with an allowance of 2, of which an attempt takes all but 1. Conclusion: a lost VM costs a read one retry; no chain makes more than two.

--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -45,6 +45,9 @@
 	// release is the last one that the tasks were told, from which restarted tasks begin.
 	// A restarted keeper may recover a lower one at first.
 	release atomic.Pointer[note.Release]
+	// confirmed is true when the release was compared with peers. It stays true when the keeper
+	// restarts, because the tasks go on with the release that they have.
+	confirmed atomic.Bool
 	// draining is true from the beginning of the planned stop.
 	draining atomic.Bool
 }
@@ -128,10 +131,11 @@
 func startKeeper(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
 	return keeper.New(keeper.Config{
 		VM: s.VM, DataCentre: s.DataCentre, Daemon: s.Peers, Seeds: s.Seeds, Inbox: b.keeper, Links: b.links,
-		Announce: b.announce,
-		Duty:     func(d keeper.Duty) { b.watch.TryPut(watch.SetDuty{Duty: d}) },
-		Listed:   func(vms []relay.ListedVM) { b.member.TryPut(member.Listed{VMs: vms}) },
-		Bytes:    m.Control,
+		Announce:  b.announce,
+		Duty:      func(d keeper.Duty) { b.watch.TryPut(watch.SetDuty{Duty: d}) },
+		Listed:    func(vms []relay.ListedVM) { b.member.TryPut(member.Listed{VMs: vms}) },
+		Bytes:     m.Control,
+		Confirmed: b.confirm,
 	})
 }
 
@@ -148,11 +152,15 @@
 
 func startLocal(s *conf.Settings, b *boxes) (tree.Task, error) {
 	b.tell(func(r *note.Release) { b.local.TryPut(local.ReleaseChanged{Release: r}) })
+	if b.confirmed.Load() {
+		b.local.TryPut(local.Confirmed{})
+	}
 	return local.New(s.VM, b.local,
 		local.WithMaxBody(s.MaxBody),
 		local.WithLedgerLimits(ledger.Limits{EpochLength: s.KeyEpoch, MaxEntries: ledgerEntries, MaxBytes: ledgerBytes}),
 		local.WithContexts(func(c local.Context) { b.router.TryPut(router.ContextChanged{Context: c}) }),
 		local.WithPause(b.paused),
+		local.WithConfirmation(),
 		local.WithBlame(func(service ident.Service, entries []crash.Blame) { b.blame(s.VM, service, entries) }),
 	)
 }
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -49,6 +49,14 @@
 	}
 }
 
+// confirm tells the local task that the release was compared with peers.
+func (b *boxes) confirm(done bool) {
+	if done {
+		b.confirmed.Store(true)
+		b.local.TryPut(local.Confirmed{})
+	}
+}
+
 // peersChanged tells the router which peers may take calls. A suspect peer still may: its
 // connection is dialled again, and it is down only when that fails too.
 func (b *boxes) peersChanged(changes []fleet.Change) {
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -22,17 +22,18 @@
 // A Task owns the admission to the target on its VM, the ledger of keys and the target connections.
 type Task struct {
 	*tree.Loop
-	vm      ident.VM
-	inbox   *mail.Box[Message]
-	clock   clock.Clock
-	notify  func(Context)
-	onPause func(time.Duration)
-	onBlame func(ident.Service, []crash.Blame)
-	limits  ledger.Limits
-	maxBody int
-	engine  *nbhttp.Engine
-	alarms  *alarm.Queue[any]
-	pauses  pause.Detector
+	vm        ident.VM
+	inbox     *mail.Box[Message]
+	clock     clock.Clock
+	notify    func(Context)
+	confirmed bool
+	onPause   func(time.Duration)
+	onBlame   func(ident.Service, []crash.Blame)
+	limits    ledger.Limits
+	maxBody   int
+	engine    *nbhttp.Engine
+	alarms    *alarm.Queue[any]
+	pauses    pause.Detector
 
 	self     ident.Incarnation
 	head     ident.Head
@@ -82,6 +83,10 @@
 	return func(t *Task) { t.onBlame = notify }
 }
 
+// WithConfirmation makes the task refuse keyed calls until Confirmed says that the release was compared with
+// peers: a daemon that has just started may hold an old release, in which its target is not withdrawn yet.
+func WithConfirmation() Option { return func(t *Task) { t.confirmed = false } }
+
 // WithLedgerLimits bounds the ledger of keys.
 func WithLedgerLimits(l ledger.Limits) Option { return func(t *Task) { t.limits = l } }
 
@@ -91,22 +96,23 @@
 // New starts the task for the VM. It reads from inbox.
 func New(vm ident.VM, inbox *mail.Box[Message], options ...Option) (*Task, error) {
 	t := &Task{
-		Loop:    tree.NewLoop(),
-		vm:      vm,
-		inbox:   inbox,
-		clock:   clock.System{},
-		notify:  func(Context) {},
-		onPause: func(time.Duration) {},
-		onBlame: func(ident.Service, []crash.Blame) {},
-		limits:  ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
-		maxBody: 8 << 20,
-		alarms:  alarm.NewQueue[any](),
-		self:    ident.NewIncarnation(),
-		crashes: crash.NewTable(),
-		runs:    map[call.ID]*run{},
-		waiters: map[ledger.Key][]waiter{},
-		joined:  map[call.ID]ledger.Key{},
-		tokens:  map[string]call.ID{},
+		confirmed: true,
+		Loop:      tree.NewLoop(),
+		vm:        vm,
+		inbox:     inbox,
+		clock:     clock.System{},
+		notify:    func(Context) {},
+		onPause:   func(time.Duration) {},
+		onBlame:   func(ident.Service, []crash.Blame) {},
+		limits:    ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
+		maxBody:   8 << 20,
+		alarms:    alarm.NewQueue[any](),
+		self:      ident.NewIncarnation(),
+		crashes:   crash.NewTable(),
+		runs:      map[call.ID]*run{},
+		waiters:   map[ledger.Key][]waiter{},
+		joined:    map[call.ID]ledger.Key{},
+		tokens:    map[string]call.ID{},
 	}
 	for _, o := range options {
 		o(t)
@@ -173,6 +179,8 @@
 		t.lose(m.conn)
 	case probed:
 		t.probed(m, t.clock.Now())
+	case Confirmed:
+		t.confirmed = true
 	case Blamed:
 		if m.Service == t.target.Service {
 			t.crashes.Merge(m.From, m.Entries, t.clock.Now())
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -37,6 +37,9 @@
 // A Drain says that the daemon stops: no new call is taken, and Empty is closed when none is left.
 type Drain struct{ Empty chan<- struct{} }
 
+// A Confirmed says that the daemon has compared its release with peers.
+type Confirmed struct{}
+
 // A Blamed carries what the daemon on a VM of the same service tells of requests that crashed its target.
 type Blamed struct {
 	From    ident.VM
@@ -75,6 +78,7 @@
 func (RetrySpent) message()     {}
 func (Drain) message()          {}
 func (Blamed) message()         {}
+func (Confirmed) message()      {}
 func (completed) message()      {}
 func (lost) message()           {}
 func (probed) message()         {}
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -108,6 +108,8 @@
 	switch {
 	case !t.present:
 		return errs.Withdrawn, true
+	case !t.confirmed && r.ledger != nil:
+		return errs.Unconfirmed, true
 	case t.draining:
 		return errs.Draining, true
 	case t.down:
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -89,7 +89,7 @@
 	return note.Target{}, &r
 }
 
-// send starts an attempt, which takes the allowance of the call along.
+// send starts an attempt, which takes a part of the allowance of the call along.
 func (t *Task) send(p *pending, a *attempt) {
 	now := t.clock.Now()
 	if !p.Request.Deadline.After(now) {
@@ -97,7 +97,8 @@
 		return
 	}
 	a.id, a.call, a.started = call.NextID(), p, now
-	a.allowance, p.allowance = p.allowance, 0
+	a.allowance = max(0, p.allowance-keptAllowance)
+	p.allowance -= a.allowance
 	request := p.Request
 	request.Allowance, request.Key = a.allowance, a.key
 	p.tried = append(p.tried, a.target.Name)
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -13,8 +13,12 @@
 )
 
 const (
-	maxDepth       = 7
-	entryAllowance = 1
+	maxDepth = 7
+	// entryAllowance is the number of retries that a call that enters the system may cause on all levels.
+	entryAllowance = 2
+	// keptAllowance is the part of it that does not go along with an attempt. An attempt that ends without a
+	// report counts its part as used; without a part of its own, a read lost with its VM was not retried.
+	keptAllowance = 1
 )
 
 // A pending is a call that has no outcome yet.
