Let relays refuse connections while their daemon is down

Cause: a relay accepted connections for a daemon that had stopped, so peers wrote calls into it and callers saw unknown outcomes that no real network gives.

Change: a relay stops listening while its server does not listen. Settings of daemons in process come from the same file text as those of processes, with the profile of the deployment.

--- a/internal/bench/delay/delay.go
+++ b/internal/bench/delay/delay.go
@@ -26,10 +26,14 @@
 
 type ended struct{ pair *pair }
 
+// A probed message says whether the server accepts connections.
+type probed struct{ up bool }
+
 func (Silence) message()   {}
 func (Partition) message() {}
 func (accepted) message()  {}
 func (ended) message()     {}
+func (probed) message()    {}
 
 // A OneWay returns the delay of each direction of a connection from an address.
 type OneWay func(from netip.AddrPort) time.Duration
@@ -39,15 +43,20 @@
 	*tree.Loop
 	inbox    *mail.Box[Message]
 	listener net.Listener
+	at       netip.AddrPort
 	to       netip.AddrPort
 	oneWay   OneWay
 	pairs    map[*pair]bool
 	closed   bool
+	probing  bool
+	// down is true while the relay does not listen because the server does not.
+	down bool
 }
 
 const (
 	mailbox     = 256
 	dialTimeout = time.Second
+	probeGap    = 20 * time.Millisecond
 )
 
 // NewBox returns a mailbox of a relay. It outlives restarts of the relay.
@@ -55,14 +64,22 @@
 
 // New starts a relay from one address to another.
 func New(inbox *mail.Box[Message], at, to netip.AddrPort, oneWay OneWay) (*Task, error) {
-	l, err := net.Listen("tcp", at.String())
-	if err != nil {
-		return nil, errors.Annotatef(err, "listen at %s", at)
+	t := &Task{Loop: tree.NewLoop(), inbox: inbox, at: at, to: to, oneWay: oneWay, pairs: map[*pair]bool{}}
+	if err := t.listen(); err != nil {
+		return nil, err
 	}
-	t := &Task{
-		Loop: tree.NewLoop(), inbox: inbox, listener: l,
-		to: to, oneWay: oneWay, pairs: map[*pair]bool{},
+	go func() {
+		t.Run(t.loop)
+	}()
+	return t, nil
+}
+
+func (t *Task) listen() error {
+	l, err := net.Listen("tcp", t.at.String())
+	if err != nil {
+		return errors.Annotatef(err, "listen at %s", t.at)
 	}
+	t.listener = l
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -72,10 +89,7 @@
 			t.inbox.Put(accepted{c.(*net.TCPConn)}, t.Done())
 		}
 	}()
-	go func() {
-		t.Run(t.loop)
-	}()
-	return t, nil
+	return nil
 }
 
 func (t *Task) loop() error {
@@ -86,23 +100,31 @@
 	for {
 		select {
 		case m := <-t.inbox.C():
-			t.receive(m)
+			if err := t.receive(m); err != nil {
+				return err
+			}
 		case <-t.Stopping():
 			return nil
 		}
 	}
 }
 
-func (t *Task) receive(m Message) {
+func (t *Task) receive(m Message) error {
 	switch m := m.(type) {
 	case accepted:
 		if t.closed {
 			m.conn.Close()
-			return
+			return nil
 		}
 		t.pairs[t.newPair(m.conn)] = true
 	case ended:
 		delete(t.pairs, m.pair)
+		if !t.probing {
+			t.probing = true
+			t.probe(0)
+		}
+	case probed:
+		return t.probed(m.up)
 	case Silence:
 		for p := range t.pairs {
 			p.hush.Do(func() { close(p.silent) })
@@ -113,6 +135,36 @@
 			t.closeAll()
 		}
 	}
+	return nil
+}
+
+// probed stops listening while the server does not accept connections, so that clients see a
+// refused connection as they would without the relay, and listens again when it does.
+func (t *Task) probed(up bool) error {
+	if !up {
+		t.listener.Close()
+		t.down = true
+		t.probe(probeGap)
+		return nil
+	}
+	t.probing = false
+	if !t.down {
+		return nil
+	}
+	t.down = false
+	return t.listen()
+}
+
+// probe starts a goroutine that tells after a time whether the server accepts connections.
+func (t *Task) probe(after time.Duration) {
+	go func() {
+		time.Sleep(after)
+		c, err := net.DialTimeout("tcp", t.to.String(), dialTimeout)
+		if err == nil {
+			c.Close()
+		}
+		t.inbox.Put(probed{err == nil}, t.Done())
+	}()
 }
 
 func (t *Task) closeAll() {
--- a/internal/bench/delay/delay_test.go
+++ b/internal/bench/delay/delay_test.go
@@ -100,3 +100,44 @@
 		})
 	}
 }
+
+// A relay that accepts connections for a dead server would turn refused calls into unknown outcomes.
+func TestRefusesWhileServerIsDown(t *testing.T) {
+	c := qt.New(t)
+	server, err := net.Listen("tcp", "127.0.0.1:0")
+	c.Assert(err, qt.IsNil)
+	at, err := stage.FreeAddress()
+	c.Assert(err, qt.IsNil)
+	to := server.Addr().(*net.TCPAddr).AddrPort()
+	r, err := delay.New(delay.NewBox(), at, to, func(netip.AddrPort) time.Duration { return 0 })
+	c.Assert(err, qt.IsNil)
+	defer r.Stop()
+	first := relayed{nil, at}.dial(c)
+	carried, err := server.Accept()
+	c.Assert(err, qt.IsNil)
+	server.Close()
+	carried.Close()
+	_, err = first.Read(make([]byte, 1))
+	c.Assert(err, qt.IsNotNil)
+	wait(c, "refused connection", func() bool { return !accepts(at) })
+	server, err = net.Listen("tcp", to.String())
+	c.Assert(err, qt.IsNil)
+	defer server.Close()
+	wait(c, "accepted connection", func() bool { return accepts(at) })
+}
+
+func accepts(at netip.AddrPort) bool {
+	conn, err := net.Dial("tcp", at.String())
+	if err == nil {
+		conn.Close()
+	}
+	return err == nil
+}
+
+func wait(c *qt.C, what string, condition func() bool) {
+	until := time.Now().Add(10 * time.Second)
+	for !condition() {
+		c.Assert(time.Now().Before(until), qt.IsTrue, qt.Commentf("no %s", what))
+		time.Sleep(time.Millisecond)
+	}
+}
--- a/internal/bench/setup/layout.go
+++ b/internal/bench/setup/layout.go
@@ -4,6 +4,7 @@
 import (
 	"fmt"
 	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/policy/route"
 	"time"
 )
 
@@ -12,7 +13,9 @@
 	Name        string
 	DataCentres []ident.DataCentre
 	// OneWay is the delay between two data centres.
-	OneWay   time.Duration
+	OneWay time.Duration
+	// Profile is the settings profile of the daemons. Empty leaves it to its default.
+	Profile  route.Profile
 	Services []Service
 }
 
@@ -36,6 +39,7 @@
 		Name:        "Perizia",
 		DataCentres: []ident.DataCentre{"catania", "palermo", "messina"},
 		OneWay:      1500 * time.Microsecond,
+		Profile:     route.Tail,
 		Services: []Service{
 			{Name: "summaries", Targets: 5, Slots: 10, Rank: ident.Urgent, Median: 30 * time.Millisecond, Sigma: 0.5},
 			{Name: "bookings", Targets: 3, Slots: 10, Rank: ident.Urgent, Median: 40 * time.Millisecond, Sigma: 0.3, Keyed: true},
@@ -50,6 +54,7 @@
 		Name:        "Clachan",
 		DataCentres: []ident.DataCentre{"glasgow", "edinburgh", "aberdeen", "inverness"},
 		OneWay:      500 * time.Microsecond,
+		Profile:     route.Cost,
 		Services: []Service{
 			{Name: "catalogue", Targets: 4, Slots: 6, Rank: ident.Urgent, Median: 30 * time.Millisecond, Sigma: 0.5},
 			{Name: "bookings", Targets: 4, Slots: 6, Rank: ident.Urgent, Median: 40 * time.Millisecond, Sigma: 0.3, Keyed: true},
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -9,6 +9,7 @@
 	"jacinthcross/internal/bench/setup"
 	"jacinthcross/internal/bench/target"
 	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/super/tree"
 	"net/netip"
 	"os"
@@ -22,6 +23,7 @@
 // A Member is a target with the daemon beside it.
 type Member struct {
 	setup.Seat
+	// Settings names the addresses of the daemon. It has no limits: the settings file leaves them to their defaults.
 	Settings *conf.Settings
 	// Address is where the target listens.
 	Address netip.AddrPort
@@ -38,13 +40,12 @@
 // Silence makes the open links to the daemon silent.
 func (m *Member) Silence() { m.Links.TryPut(delay.Silence{}) }
 
-func newMember(seat setup.Seat, configURL string) (*Member, error) {
+func newMember(seat setup.Seat, profile route.Profile, configURL string) (*Member, error) {
 	m := &Member{
 		Seat: seat, Direct: map[ident.DataCentre]netip.AddrPort{},
 		Target: target.NewBox(), Daemon: proc.NewBox(), Links: delay.NewBox(),
 		Settings: &conf.Settings{
-			VM: seat.VM, DataCentre: seat.DataCentre, Config: configURL,
-			MaxBody: 8 << 20, MaxBodyMemory: 32 << 20, MaxHeader: 64 << 10, KeyEpoch: 5 * time.Minute,
+			VM: seat.VM, DataCentre: seat.DataCentre, Config: configURL, Profile: profile,
 		},
 	}
 	for _, a := range []*netip.AddrPort{&m.Address, &m.Relay, &m.Settings.Callers, &m.Settings.Peers, &m.Settings.Admin} {
@@ -72,6 +73,9 @@
 	var b strings.Builder
 	s := m.Settings
 	fmt.Fprintf(&b, "VM = %q\nDataCentre = %q\n", string(s.VM), string(s.DataCentre))
+	if s.Profile != "" {
+		fmt.Fprintf(&b, "Profile = %q\n", string(s.Profile))
+	}
 	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nPeers = %q\nAdmin = %q\n", s.Callers, s.Peers, s.Admin)
 	fmt.Fprintf(&b, "[Platform]\nConfig = %q\n", s.Config)
 	if s.VMList != "" {
@@ -157,8 +161,12 @@
 	name := "daemon-" + string(m.VM)
 	switch d := s.config.Daemons.(type) {
 	case Embedded:
+		settings, err := conf.Parse([]byte(m.settingsFile()))
+		if err != nil {
+			return tree.Child{}, false, errors.Annotate(err, "settings of a daemon")
+		}
 		return tree.Child{Name: name, Start: restarts(func() (tree.Task, error) {
-			return proc.NewEmbedded(m.Daemon, m.Settings)
+			return proc.NewEmbedded(m.Daemon, settings)
 		})}, true, nil
 	case Processes:
 		file := filepath.Join(s.dir, name+".toml")
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -113,7 +113,7 @@
 		return err
 	}
 	for _, seat := range s.config.Layout.Seats() {
-		m, err := newMember(seat, s.Platform.URL())
+		m, err := newMember(seat, s.config.Layout.Profile, s.Platform.URL())
 		if err != nil {
 			return err
 		}
