--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -73,8 +73,14 @@
 // WithMaxHeader bounds the size of the header of a request in bytes.
 func WithMaxHeader(n int) Option { return func(t *Task) { t.maxHeader = n } }
 
-// WithMaxBodyMemory bounds the size of all request bodies under way in bytes.
-func WithMaxBodyMemory(n int) Option { return func(t *Task) { t.memory.limit = int64(n) } }
+// WithMaxBodyMemory bounds the size of all request bodies under way in bytes. Zero leaves the default.
+func WithMaxBodyMemory(n int) Option {
+	return func(t *Task) {
+		if n > 0 {
+			t.memory.limit = int64(n)
+		}
+	}
+}
 
 // WithSendLimit bounds the time from the first byte of a request to its last.
 func WithSendLimit(d time.Duration) Option { return func(t *Task) { t.sendLimit = d } }
