Serve operators in the blocking mode of the HTTP library

Change: the admin task uses the blocking mode; a test opens 2,000 connections. Conclusion: few connections of operators do not need the poller.

--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -118,6 +118,9 @@
 	}
 	t.engine = nbhttp.NewEngine(nbhttp.Config{
 		Name: "admin", Network: "tcp", Addrs: []string{at.String()}, NPoller: 1, Handler: mux,
+		// The non-blocking listener of the library writes a field of a connection after its poller may
+		// read it, which the race detector reports. Operators' connections are few, so each may have a goroutine.
+		IOMod: nbhttp.IOModBlocking,
 	})
 	if err := t.engine.Start(); err != nil {
 		return nil, errors.Annotatef(err, "listen for operators at %s", at)
--- /dev/null
+++ b/internal/task/admin/admin_test.go
@@ -0,0 +1,43 @@
+package admin
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/task/member"
+	"jacinthcross/internal/task/router"
+)
+
+// TestNewConnections guards against a data race between the listener and the reader of a new
+// connection, which the race detector finds in the library's non-blocking mode.
+func TestNewConnections(t *testing.T) {
+	at, err := stage.FreeAddress()
+	qt.Assert(t, err, qt.IsNil)
+	task, err := New(at, Config{
+		Keeper:  mail.NewBox[keeper.Message](1),
+		Router:  mail.NewBox[router.Message](1),
+		Local:   mail.NewBox[local.Message](1),
+		Member:  mail.NewBox[member.Message](1),
+		Metrics: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("metric 1\n")) }),
+	})
+	qt.Assert(t, err, qt.IsNil)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 2000 {
+		r, err := client.Get("http://" + at.String() + "/metrics")
+		qt.Assert(t, err, qt.IsNil)
+		text, err := io.ReadAll(r.Body)
+		r.Body.Close()
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, string(text), qt.Equals, "metric 1\n")
+	}
+	task.Stop()
+	<-task.Done()
+	qt.Assert(t, task.Err(), qt.IsNil)
+}
