Count only answers to later requests when the release is compared

Cause: TestConfirm failed twice in whole checks ('cut off': got true): an answer to a request from before the cut, or from before a pause of the process, counted as a comparison after it. Change: an answer counts only when its request was sent after the comparison began; digests that peers send on their own do not count. The test is now in an outside package and opens 8,000 connections from 8 workers. Conclusion: a pause ends only with news from after it.

--- a/internal/fleet/relay/confirm.go
+++ b/internal/fleet/relay/confirm.go
@@ -31,9 +31,10 @@
 	return &Confirmation{started: now, timeout: timeout, answered: map[ident.VM]bool{}}
 }
 
-// Answered counts a peer that told its head when the own head is not behind it.
-func (c *Confirmation) Answered(vm ident.VM, peer, own ident.Head) {
-	if own.Serial >= peer.Serial {
+// Answered counts a peer that told its head in answer to a request, when the own head is not behind it.
+// An answer to a request from before the start does not count, since it may be older than what is to be confirmed.
+func (c *Confirmation) Answered(vm ident.VM, peer, own ident.Head, sent time.Time) {
+	if own.Serial >= peer.Serial && !sent.Before(c.started) {
 		c.answered[vm] = true
 	}
 }
--- a/internal/fleet/relay/place_test.go
+++ b/internal/fleet/relay/place_test.go
@@ -156,29 +156,32 @@
 	c.Assert(age, quicktest.Equals, 5*time.Second)
 }
 
-// Guards against keyed calls before the head was compared with peers, and against a daemon that never serves them.
+// Guards against keyed calls before the head was compared with peers, against an answer from before a
+// pause that counts as a comparison after it, and against a daemon that never serves keyed calls.
 func TestConfirmation(t *testing.T) {
 	own := ident.Head{Serial: 5}
 	tests := []struct {
 		name  string
 		heads []ident.Serial
 		peers int
+		sent  time.Duration
 		after time.Duration
 		want  bool
 	}{
-		{"no answer", nil, 5, time.Second, false},
-		{"one of many", []ident.Serial{5}, 5, time.Second, false},
-		{"two", []ident.Serial{5, 4}, 5, time.Second, true},
-		{"two, one ahead", []ident.Serial{5, 6}, 5, time.Second, false},
-		{"the only one", []ident.Serial{5}, 1, time.Second, true},
-		{"alone", nil, 0, 0, true},
-		{"time is over", nil, 5, 1500 * time.Millisecond, true},
+		{"no answer", nil, 5, 0, time.Second, false},
+		{"one of many", []ident.Serial{5}, 5, 0, time.Second, false},
+		{"two", []ident.Serial{5, 4}, 5, 0, time.Second, true},
+		{"two to requests from before the start", []ident.Serial{5, 4}, 5, -time.Millisecond, time.Second, false},
+		{"two, one ahead", []ident.Serial{5, 6}, 5, 0, time.Second, false},
+		{"the only one", []ident.Serial{5}, 1, 0, time.Second, true},
+		{"alone", nil, 0, 0, 0, true},
+		{"time is over", nil, 5, 0, 1500 * time.Millisecond, true},
 	}
 	for _, test := range tests {
 		c := quicktest.New(t)
 		confirmation := relay.NewConfirmation(start)
 		for i, s := range test.heads {
-			confirmation.Answered(ident.VM(fmt.Sprint(i)), ident.Head{Serial: s}, own)
+			confirmation.Answered(ident.VM(fmt.Sprint(i)), ident.Head{Serial: s}, own, start.Add(test.sent))
 		}
 		c.Check(confirmation.Done(test.peers, start.Add(test.after)), quicktest.Equals, test.want, quicktest.Commentf(test.name))
 	}
--- a/internal/task/admin/admin_test.go
+++ b/internal/task/admin/admin_test.go
@@ -1,18 +1,19 @@
-package admin
+package admin_test
 
 import (
 	"io"
-	"net/http"
-	"testing"
-
-	qt "github.com/frankban/quicktest"
-
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/task/admin"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
+	"net/http"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
 )
 
 // TestNewConnections guards against a data race between the listener and the reader of a new
@@ -20,7 +21,7 @@
 func TestNewConnections(t *testing.T) {
 	at, err := stage.FreeAddress()
 	qt.Assert(t, err, qt.IsNil)
-	task, err := New(at, Config{
+	task, err := admin.New(at, admin.Config{
 		Keeper:  mail.NewBox[keeper.Message](1),
 		Router:  mail.NewBox[router.Message](1),
 		Local:   mail.NewBox[local.Message](1),
@@ -29,14 +30,22 @@
 	})
 	qt.Assert(t, err, qt.IsNil)
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
-	for range 2000 {
-		r, err := client.Get("http://" + at.String() + "/metrics")
-		qt.Assert(t, err, qt.IsNil)
-		text, err := io.ReadAll(r.Body)
-		r.Body.Close()
-		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, string(text), qt.Equals, "metric 1\n")
+	var workers sync.WaitGroup
+	for range 8 {
+		workers.Go(func() {
+			for range 1000 {
+				r, err := client.Get("http://" + at.String() + "/metrics")
+				if !qt.Check(t, err, qt.IsNil) {
+					return
+				}
+				text, err := io.ReadAll(r.Body)
+				r.Body.Close()
+				qt.Check(t, err, qt.IsNil)
+				qt.Check(t, string(text), qt.Equals, "metric 1\n")
+			}
+		})
 	}
+	workers.Wait()
 	task.Stop()
 	<-task.Done()
 	qt.Assert(t, task.Err(), qt.IsNil)
--- a/internal/task/keeper/message.go
+++ b/internal/task/keeper/message.go
@@ -76,6 +76,7 @@
 type answered struct {
 	peer   netip.AddrPort
 	hops   int
+	sent   time.Time
 	answer link.Answer
 }
 
--- a/internal/task/keeper/peers.go
+++ b/internal/task/keeper/peers.go
@@ -128,12 +128,13 @@
 		return
 	}
 	t.count(meter.Sent, m)
+	sent := t.clock.Now()
 	go func() {
 		timeout := time.NewTimer(answerTimeout)
 		defer timeout.Stop()
 		select {
 		case a := <-reply.C():
-			t.config.Inbox.TryPut(answered{peer: peer, hops: hops, answer: a})
+			t.config.Inbox.TryPut(answered{peer: peer, hops: hops, sent: sent, answer: a})
 		case <-timeout.C:
 		case <-t.Stopping():
 		}
@@ -169,6 +170,9 @@
 	}
 	delete(t.pulls, a.peer)
 	t.count(meter.Received, c.Message)
+	if d, ok := c.Message.(relay.Digest); ok {
+		t.confirmBy(d, a.sent)
+	}
 	if next := t.handle(c.Message); next != nil {
 		t.send(a.peer, next, a.hops+1)
 	}
@@ -206,7 +210,7 @@
 	return answer
 }
 
-// hear uses a digest to confirm the own head and to know who lags.
+// hear uses a digest to know who lags.
 func (t *Task) hear(d relay.Digest) {
 	if d.VM == "" || d.VM == t.config.VM {
 		return
@@ -215,9 +219,17 @@
 		clear(t.heads)
 	}
 	t.heads[d.VM] = d.Head.Serial
-	t.confirm.Answered(d.VM, d.Head, t.replica.Head())
+}
+
+// confirmBy counts the answer of a peer to a request sent at a time. A digest that a peer sent on
+// its own does not count: it may have waited in a socket while the process was paused.
+func (t *Task) confirmBy(d relay.Digest, sent time.Time) {
+	if d.VM == "" || d.VM == t.config.VM {
+		return
+	}
+	t.confirm.Answered(d.VM, d.Head, t.replica.Head(), sent)
 	for _, c := range t.compares {
-		c.Answered(d.VM, d.Head, t.replica.Head())
+		c.Answered(d.VM, d.Head, t.replica.Head(), sent)
 	}
 }
 
