Count log events

Meter.Event had no caller, and /metrics had a target_info series with service_name="unknown_service:jacinthcross".

event.SetCounter takes the function that counts events, so the package needs no metrics. The daemon sets Meter.Event. In a process with several daemons the last one counts the events of all. The exporter writes no target_info.

--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 
 	"k8s.io/klog/v2"
 )
@@ -24,8 +25,18 @@
 	Level  Level
 }
 
+// counter counts the events of the process. It is set from outside, so that this package needs no metrics.
+var counter atomic.Pointer[func(name string)]
+
+// SetCounter sets the function that is called with the name of each logged event. When a process runs
+// several daemons, the last one started counts the events of all.
+func SetCounter(count func(name string)) { counter.Store(&count) }
+
 // Log writes the event with alternating keys and values.
 func (e Event) Log(pairs ...any) {
+	if count := counter.Load(); count != nil {
+		(*count)(e.Name)
+	}
 	message := fmt.Sprintf("J%04d %s", e.Number, e.Name)
 	switch e.Level {
 	case Error:
--- /dev/null
+++ b/internal/base/event/event_test.go
@@ -0,0 +1,18 @@
+package event_test
+
+import (
+	"jacinthcross/internal/base/event"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// Guards against events that the metric of events misses.
+func TestLogCounts(t *testing.T) {
+	var names []string
+	event.SetCounter(func(name string) { names = append(names, name) })
+	defer event.SetCounter(func(string) {})
+	event.DaemonStarted.Log("vm", "vm-1")
+	event.NoteRefused.Log("serial", 1)
+	qt.Assert(t, names, qt.DeepEquals, []string{"DaemonStarted", "NoteRefused"})
+}
--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -45,7 +45,7 @@
 // New returns a Meter with its own registry, so that several daemons of one process do not mix.
 func New() (*Meter, error) {
 	registry := prometheus.NewRegistry()
-	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo())
+	exporter, err := otelprom.New(otelprom.WithRegisterer(registry), otelprom.WithoutScopeInfo(), otelprom.WithoutTargetInfo())
 	if err != nil {
 		return nil, errors.Annotate(err, "create metrics exporter")
 	}
@@ -58,7 +58,7 @@
 		hedges:   b.counter("jacinthcross.hedges", "hedged attempts, by whether the hedge won"),
 		probes:   b.counter("jacinthcross.probes", "probes of load"),
 		control:  b.counter("jacinthcross.control.bytes", "bytes of control messages, by direction"),
-		events:   b.counter("jacinthcross.events", "log events, by name"),
+		events:   b.counter("jacinthcross.events", "log events of the process, by name"),
 	}
 	m.latency, err = b.meter.Float64Histogram("jacinthcross.call.duration",
 		metric.WithDescription("duration of calls that entered at this daemon, by service"),
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -37,6 +37,7 @@
 		return nil, errors.Trace(err)
 	}
 	event.RouteLibraryLogs()
+	event.SetCounter(m.Event)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{Loop: tree.NewLoop(), settings: settings, boxes: newBoxes(), cancel: cancel}
 	d.parts = newTree(settings, version, d.boxes, m)
