Describe events, metrics and the work of operators

The pages of log events and metrics were named in the code but did not exist, and nothing told operators how to publish, withdraw or stop.

--- a/internal/base/errs/table_test.go
+++ b/internal/base/errs/table_test.go
@@ -36,3 +36,24 @@
 	slices.Sort(want)
 	qt.Assert(t, got, qt.DeepEquals, want)
 }
+
+// Guards against a page for operators that misses an error kind, or has them in another order than the page for callers.
+func TestOperatorPageListsAllKinds(t *testing.T) {
+	qt.Assert(t, kindsOf(t, "operate/answers.md"), qt.DeepEquals, kindsOf(t, "reference/caller.md"))
+}
+
+// kindsOf returns the kinds with which rows of a page begin.
+func kindsOf(t *testing.T, name string) []errs.Kind {
+	t.Helper()
+	page, err := os.ReadFile("../../../docs/" + name)
+	qt.Assert(t, err, qt.IsNil)
+	var kinds []errs.Kind
+	for line := range strings.Lines(string(page)) {
+		cell, _, _ := strings.Cut(strings.TrimPrefix(line, "| `"), "` |")
+		if strings.HasPrefix(line, "| `") && slices.Contains(errs.Kinds(), errs.Kind(cell)) {
+			kinds = append(kinds, errs.Kind(cell))
+		}
+	}
+	qt.Assert(t, kinds, qt.HasLen, len(errs.Kinds()))
+	return kinds
+}
--- /dev/null
+++ b/internal/base/meter/meter_test.go
@@ -0,0 +1,94 @@
+package meter_test
+
+import (
+	"fmt"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/meter"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"reflect"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// recordings use each instrument of a Meter once.
+var recordings = []struct {
+	method string
+	record func(*meter.Meter)
+}{
+	{"Called", func(m *meter.Meter) { m.Called("summaries", errs.Answered, time.Millisecond) }},
+	{"Control", func(m *meter.Meter) { m.Control(meter.Sent, 1) }},
+	{"Event", func(m *meter.Meter) { m.Event("DaemonStarted") }},
+	{"Hedged", func(m *meter.Meter) { m.Hedged(true) }},
+	{"Probed", func(m *meter.Meter) { m.Probed() }},
+	{"Refused", func(m *meter.Meter) { m.Refused(errs.Busy) }},
+	{"Retried", func(m *meter.Meter) { m.Retried("LinkLost") }},
+}
+
+// Guards against a page of metrics with other names, types or labels than /metrics has.
+func TestPageListsAllMetrics(t *testing.T) {
+	m, err := meter.New()
+	qt.Assert(t, err, qt.IsNil)
+	var recorded, methods []string
+	for _, r := range recordings {
+		r.record(m)
+		recorded = append(recorded, r.method)
+	}
+	// A new method is a new metric, which must be recorded here to be compared.
+	for mt := range reflect.TypeFor[*meter.Meter]().Methods() {
+		if mt.Name != "Handler" {
+			methods = append(methods, mt.Name)
+		}
+	}
+	qt.Assert(t, recorded, qt.DeepEquals, methods)
+	response := httptest.NewRecorder()
+	m.Handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	qt.Assert(t, listed(t), qt.DeepEquals, exposed(response.Body.String()))
+}
+
+// listed returns the metrics of the page, as "name type labels".
+func listed(t *testing.T) []string {
+	t.Helper()
+	page, err := os.ReadFile("../../../docs/reference/metrics.md")
+	qt.Assert(t, err, qt.IsNil)
+	var out []string
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\| ([a-z]+) \\| [a-z]+ \\| ([^|]*)\\|").FindAllStringSubmatch(string(page), -1) {
+		labels := strings.TrimSpace(strings.ReplaceAll(strings.ReplaceAll(row[3], "`", ""), ",", ""))
+		out = append(out, fmt.Sprintf("%s %s [%s]", row[1], row[2], labels))
+	}
+	slices.Sort(out)
+	return out
+}
+
+var (
+	typeLine = regexp.MustCompile(`(?m)^# TYPE (\S+) (\S+)$`)
+	label    = regexp.MustCompile(`([a-z_]+)="`)
+)
+
+// exposed returns the metrics of a text in the Prometheus format, as "name type labels".
+func exposed(text string) []string {
+	var out []string
+	for _, found := range typeLine.FindAllStringSubmatch(text, -1) {
+		var labels []string
+		for line := range strings.Lines(text) {
+			if !strings.HasPrefix(line, found[1]+"{") && !strings.HasPrefix(line, found[1]+"_bucket{") {
+				continue
+			}
+			for _, l := range label.FindAllStringSubmatch(line, -1) {
+				if l[1] != "le" && !slices.Contains(labels, l[1]) {
+					labels = append(labels, l[1])
+				}
+			}
+		}
+		slices.Sort(labels)
+		out = append(out, fmt.Sprintf("%s %s [%s]", found[1], found[2], strings.Join(labels, " ")))
+	}
+	slices.Sort(out)
+	return out
+}
