Keep candidates of other data centres, and say that a release is missing

Cause: with more than 16 targets in the own data centre a daemon knew none elsewhere, so the loss of the data centre left no candidate. A daemon without a release answered UnknownService, which callers take as final. A confirmation could be lost when the mailbox was full. The advice for Withdrawn did not tell a caller with a key to get a new one. Change: at least 4 of 16 candidates come from other data centres; Unconfirmed without a release; the confirmation waits for room; the advice names the new key; event 4003 is named after what it reports. Measured: TestCandidateCap with 50 targets: 12 own and 4 others; before, 16 own and none.

--- a/internal/base/errs/table.go
+++ b/internal/base/errs/table.go
@@ -31,7 +31,7 @@
 	NoTarget:         {503, NotRun, later, "send again later; the service has no usable target"},
 	PeerUnreachable:  {503, NotRun, soon, "send again later"},
 	Draining:         {503, NotRun, soon, "send again through another daemon"},
-	Withdrawn:        {503, NotRun, soon, "send again; the target was withdrawn"},
+	Withdrawn:        {503, NotRun, soon, "send again, with a new key when the call has one; the target was withdrawn"},
 	Quarantined:      {503, NotRun, later, "do not resend; this request crashed targets"},
 	Unconfirmed:      {503, NotRun, soon, "send again; the daemon is checking its release"},
 	DepthExceeded:    {508, NotRun, 0, "shorten the chain of calls"},
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -21,7 +21,7 @@
 	PeerSilent       = Event{3006, "PeerSilent", Warning}
 	TargetAdded      = Event{4001, "TargetAdded", Info}
 	TargetWithdrawn  = Event{4002, "TargetWithdrawn", Info}
-	TargetConnFailed = Event{4003, "TargetConnectionFailed", Warning}
+	TargetEngineStuck = Event{4003, "TargetConnectionsNotClosed", Warning}
 	TargetDown       = Event{4004, "TargetDown", Warning}
 	TargetUp         = Event{4005, "TargetUp", Info}
 	TargetCrashed    = Event{4006, "TargetCrashed", Warning}
@@ -33,7 +33,7 @@
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
-		TargetAdded, TargetWithdrawn, TargetConnFailed,
+		TargetAdded, TargetWithdrawn, TargetEngineStuck,
 		TargetDown, TargetUp, TargetCrashed,
 	}
 }
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -46,8 +46,13 @@
 func (Expired) feedback()   {}
 func (Cancelled) feedback() {}
 
-// candidateCap bounds the state, links and messages that one service costs a daemon.
-const candidateCap = 16
+const (
+	// candidateCap bounds the state, links and messages that one service costs a daemon.
+	candidateCap = 16
+	// remoteCandidates is the part of them that other data centres get at least, so that the
+	// loss of the own targets does not leave a large service without candidates.
+	remoteCandidates = 4
+)
 
 // A Table is what a daemon knows of the targets of one service.
 type Table struct {
@@ -95,9 +100,7 @@
 func (t *Table) SetCandidates(candidates []Candidate, now time.Time) {
 	candidates = slices.Clone(candidates)
 	slices.SortFunc(candidates, t.compare)
-	if len(candidates) > candidateCap {
-		candidates = candidates[:candidateCap]
-	}
+	candidates = t.choose(candidates)
 	known := map[ident.Target]*state{}
 	for _, s := range t.states {
 		known[s.Target] = s
@@ -118,6 +121,19 @@
 	t.limitEjections(now)
 }
 
+// choose keeps the first candidates of the order and among them some of other data centres.
+func (t *Table) choose(candidates []Candidate) []Candidate {
+	if len(candidates) <= candidateCap {
+		return candidates
+	}
+	remote := slices.IndexFunc(candidates, func(c Candidate) bool { return c.DataCentre != t.dataCentre && c.VM != t.vm })
+	if remote < 0 {
+		return candidates[:candidateCap]
+	}
+	near := min(remote, max(candidateCap-remoteCandidates, candidateCap-(len(candidates)-remote)))
+	return slices.Concat(candidates[:near], candidates[remote:remote+candidateCap-near])
+}
+
 // compare orders the own target first, then the own data centre, then by rendezvous hash.
 func (t *Table) compare(a, b Candidate) int {
 	if n := order(a.VM == t.vm, b.VM == t.vm); n != 0 {
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -167,13 +167,33 @@
 	}
 }
 
-// TestCandidateCap guards against state that grows with the service, and against the loss of the own target.
+// TestCandidateCap guards against state that grows with the service, against the loss of the own target,
+// and against a service that is lost with one data centre although others have targets of it.
 func TestCandidateCap(t *testing.T) {
-	table := newTable(targets(50))
-	statuses := table.Status(start)
-	qt.Assert(t, statuses, qt.HasLen, candidateCap)
-	qt.Assert(t, statuses[0].Target, qt.Equals, ident.Target("t0"))
-	qt.Assert(t, statuses[candidateCap-1].DataCentre, qt.Equals, ident.DataCentre("dc0"))
+	tests := []struct {
+		name    string
+		targets int // a third of them in the own data centre
+		total   int
+		own     int
+	}{
+		{"few targets", 9, 9, 3},
+		{"few in the own data centre", 27, candidateCap, 9},
+		{"many in the own data centre", 50, candidateCap, candidateCap - remoteCandidates},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			statuses := newTable(targets(test.targets)).Status(start)
+			qt.Assert(t, statuses, qt.HasLen, test.total)
+			qt.Assert(t, statuses[0].Target, qt.Equals, ident.Target("t0"))
+			own := 0
+			for _, s := range statuses {
+				if s.DataCentre == "dc0" {
+					own++
+				}
+			}
+			qt.Assert(t, own, qt.Equals, test.own)
+		})
+	}
 }
 
 // TestProbe guards against probes of candidates that calls find out about, and against a target that is
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -53,7 +53,8 @@
 func (b *boxes) confirm(done bool) {
 	if done {
 		b.confirmed.Store(true)
-		b.local.TryPut(local.Confirmed{})
+		// A full mailbox must not lose the message: nothing sends it again.
+		go func() { b.local.Put(local.Confirmed{}, nil) }()
 	}
 }
 
--- a/internal/task/local/pool.go
+++ b/internal/task/local/pool.go
@@ -83,6 +83,6 @@
 	select {
 	case <-stopped:
 	case <-time.After(stopTimeout):
-		event.TargetConnFailed.Log("error", "the engine of target connections did not stop", "target", t.target.Name)
+		event.TargetEngineStuck.Log("error", "the engine of target connections did not stop", "target", t.target.Name)
 	}
 }
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -85,6 +85,9 @@
 	service, ok := t.release.Services[name]
 	if !ok {
 		p.Request.Service = ""
+		if t.release.Head.IsZero() {
+			return service, errs.Unconfirmed, "the daemon has no release yet"
+		}
 		return service, errs.UnknownService, "service " + string(name) + ", host " + p.Host
 	}
 	if p.Request.Deadline.IsZero() {
--- a/internal/task/router/load.go
+++ b/internal/task/router/load.go
@@ -41,7 +41,11 @@
 // issue answers with a new key whose owner is chosen like the target of a call.
 func (t *Task) issue(m IssueKey, tried []ident.Target) {
 	if _, ok := t.release.Services[m.Service]; !ok {
-		m.Reply.TryPut(Issued{Kind: errs.UnknownService})
+		kind := errs.UnknownService
+		if t.release.Head.IsZero() {
+			kind = errs.Unconfirmed
+		}
+		m.Reply.TryPut(Issued{Kind: kind})
 		return
 	}
 	now := t.clock.Now()
