Count calls read after a pause from the tick before it

Cause: the front and the listener counted the remaining time of a call from their own read, which comes after a pause, and passed calls on before they read that the caller or peer had gone.

--- a/internal/bench/fail/fail_test.go
+++ b/internal/bench/fail/fail_test.go
@@ -149,7 +149,7 @@
 			st := start(c, stage.Config{Layout: layout(1), Seed: 1, NoRelays: true})
 			paused, entry := memberOf(c, st, "summaries-0"), memberOf(c, st, test.entry)
 			before := send(c, entry, "summaries", "", "before", 2*time.Second, 2*time.Second)
-			c.Assert(before.outcome, qt.Equals, errs.Answered)
+			c.Assert(before.outcome, qt.Equals, errs.Answered, qt.Commentf("%+v", before))
 			paused.Daemon.TryPut(proc.Pause{})
 			waitFor(c, "pause", func() bool { return state(c, paused) == "T" })
 			var calls sync.WaitGroup
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -20,6 +20,7 @@
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
+	"jacinthcross/internal/task/tick"
 	"jacinthcross/internal/task/watch"
 	"jacinthcross/internal/wire/codec"
 	"sync/atomic"
@@ -48,6 +49,8 @@
 	// confirmed is true when the release was compared with peers. It stays true when the keeper
 	// restarts, because the tasks go on with the release that they have.
 	confirmed atomic.Bool
+	// arrivals tells the readers of sockets when bytes may have arrived. The tick task writes it.
+	arrivals tick.Arrivals
 	// draining is true from the beginning of the planned stop.
 	draining atomic.Bool
 }
@@ -75,8 +78,9 @@
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
-	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported))
+	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of))
 	control := tree.NewSupervisor("control", []tree.Child{
+		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
 		{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, b, m), nil }},
 		{Name: "watch", Start: func() (tree.Task, error) { return startWatch(s, b), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
@@ -97,7 +101,7 @@
 	edge := tree.NewSupervisor("edge", []tree.Child{
 		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server, b.listen) }},
 		{Name: "front", Start: func() (tree.Task, error) {
-			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxBodyMemory(s.MaxBodyMemory), front.WithMaxHeader(s.MaxHeader))
+			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxBodyMemory(s.MaxBodyMemory), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of))
 		}},
 		{Name: "admin", Start: func() (tree.Task, error) {
 			return admin.New(s.Admin, admin.Config{
--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -72,6 +72,10 @@
 			_ = c.conn.SetWriteDeadline(time.Time{})
 		}
 		switch {
+		case len(c.queue) > 0 && c.queue[0].settled.After(t.clock.Now()):
+			// The poller may not have seen yet that the caller closed the connection during a pause.
+			t.alarms.Set(c, c.queue[0].settled)
+			return
 		case len(c.queue) > 0:
 			c.current = c.queue[0]
 			c.queue = c.queue[1:]
@@ -112,7 +116,7 @@
 		return
 	}
 	if !t.router.TryPut(router.Submit{
-		ID: id, Request: *q, Host: r.header.Get("Host"), Context: r.header.Get(header.Context), Reply: t.answers,
+		ID: id, Request: *q, Arrived: r.arrived, Host: r.header.Get("Host"), Context: r.header.Get(header.Context), Reply: t.answers,
 	}) {
 		t.write(c, refusal(errs.Busy, "the mailbox of the router is full"))
 		return
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -51,6 +51,7 @@
 	answers   *mail.Box[router.Answer]
 	router    *mail.Box[router.Message]
 	clock     clock.Clock
+	arrival   func(time.Time) (arrived time.Time, exact bool)
 	maxBody   int
 	maxHeader int
 	sendLimit time.Duration
@@ -91,6 +92,11 @@
 // WithClock sets the clock.
 func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
 
+// WithArrivals sets what tells when bytes read at a time may have arrived, and whether that is the time of the read.
+func WithArrivals(arrival func(read time.Time) (arrived time.Time, exact bool)) Option {
+	return func(t *Task) { t.arrival = arrival }
+}
+
 // defaultBodyMemory is the default of WithMaxBodyMemory: half of the memory budget of a daemon.
 const defaultBodyMemory = 32 << 20
 
@@ -102,6 +108,7 @@
 		answers:   mail.NewBox[router.Answer](2 * maxCalls),
 		router:    box,
 		clock:     clock.System{},
+		arrival:   func(read time.Time) (time.Time, bool) { return read, true },
 		maxBody:   8 << 20,
 		maxHeader: 64 << 10,
 		sendLimit: sendLimit,
--- a/internal/task/front/parse.go
+++ b/internal/task/front/parse.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/policy/pause"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -23,7 +24,10 @@
 	minor int
 	// reserved is the number of bytes that the body holds of the memory limit.
 	reserved int
-	arrived  time.Time
+	// arrived is the earliest time at which the header may have arrived.
+	arrived time.Time
+	// settled is when the request may be started: later than its read when it was read after a pause.
+	settled time.Time
 }
 
 // close reports whether the caller asked to close the connection after the answer.
@@ -109,7 +113,12 @@
 		i.refuse(errs.BadRequest, err.Error())
 		return nil
 	}
-	i.current = &request{method: h.method, header: http.Header{}, minor: h.minor, arrived: i.task.clock.Now()}
+	read := i.task.clock.Now()
+	arrivedAt, exact := i.task.arrival(read)
+	i.current = &request{method: h.method, header: http.Header{}, minor: h.minor, arrived: arrivedAt}
+	if !exact {
+		i.current.settled = read.Add(pause.Settle)
+	}
 	i.bodyLeft, i.chunked, i.completed = h.length, h.chunked, false
 	if h.length > i.task.maxBody {
 		i.refuse(errs.BodyTooLarge, "at most "+strconv.Itoa(i.task.maxBody)+" bytes")
--- /dev/null
+++ b/internal/task/listen/pause_test.go
@@ -0,0 +1,78 @@
+package listen_test
+
+import (
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/listen"
+	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/wire/codec"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// patience bounds waits in tests. It is no verdict on speed.
+const patience = 10 * time.Second
+
+// Guards against a call that waited in the socket during a pause and gets its whole time again, and
+// against one that runs although the peer has closed its stream meanwhile.
+func TestCallsReadAfterAPause(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		closes bool
+	}{
+		{"awaited", false},
+		{"stream closed", true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			before := time.Now().Add(-3 * time.Second)
+			inbox := mail.NewBox[local.Message](4)
+			server := listen.NewServer(inbox, nil, 1<<20,
+				listen.WithArrivals(func(time.Time) (time.Time, bool) { return before, false }))
+			task, err := listen.New(netip.MustParseAddrPort("127.0.0.1:0"), server, mail.NewBox[listen.Message](4))
+			qt.Assert(t, err, qt.IsNil)
+			t.Cleanup(func() {
+				task.Stop()
+				<-task.Done()
+			})
+			conn, err := net.Dial("tcp", task.Addr().String())
+			qt.Assert(t, err, qt.IsNil)
+			session, err := link.NewSession(conn, true)
+			qt.Assert(t, err, qt.IsNil)
+			defer session.Close()
+			_, err = session.Greet(codec.Hello{Protocol: codec.Protocol})
+			qt.Assert(t, err, qt.IsNil)
+			stream, err := session.OpenStream()
+			qt.Assert(t, err, qt.IsNil)
+			defer stream.Close()
+			now := time.Now()
+			_, err = codec.Write(stream, codec.Call{Target: "a", Request: call.Request{
+				Service: "a", Method: "GET", URI: "/", Rank: ident.Normal, Deadline: now.Add(time.Second), Caller: netip.MustParseAddr("127.0.0.1"),
+			}}, now)
+			qt.Assert(t, err, qt.IsNil)
+			if test.closes {
+				qt.Assert(t, stream.Close(), qt.IsNil)
+				select {
+				case m := <-inbox.C():
+					t.Fatalf("the local task got %T", m)
+				case <-time.After(300 * time.Millisecond):
+				}
+				return
+			}
+			select {
+			case m := <-inbox.C():
+				r, ok := m.(local.Run)
+				qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%T", m))
+				qt.Assert(t, r.Request.Deadline, qt.Equals, before.Add(time.Second))
+				r.Reply.TryPut(call.Result{Attempt: r.ID, Outcome: call.Answered{Status: 200}})
+			case <-time.After(patience):
+				t.Fatal("the call did not arrive")
+			}
+		})
+	}
+}
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -7,6 +7,7 @@
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/local"
@@ -23,6 +24,7 @@
 	maxSize int
 	hello   func() codec.Hello
 	report  func(Report)
+	arrival func(time.Time) (arrived time.Time, exact bool)
 }
 
 // An Option sets a property of a Server.
@@ -34,12 +36,18 @@
 // WithReports sets what is told of the peers. It must not block.
 func WithReports(report func(Report)) Option { return func(s *Server) { s.report = report } }
 
+// WithArrivals sets what tells when bytes read at a time may have arrived, and whether that is the time of the read.
+func WithArrivals(arrival func(read time.Time) (arrived time.Time, exact bool)) Option {
+	return func(s *Server) { s.arrival = arrival }
+}
+
 // NewServer returns a Server that passes messages to the tasks that own the answers.
 func NewServer(local *mail.Box[local.Message], keeper *mail.Box[keeper.Message], maxSize int, options ...Option) *Server {
 	s := &Server{
 		local: local, keeper: keeper, maxSize: maxSize,
-		hello:  func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
-		report: func(Report) {},
+		hello:   func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
+		report:  func(Report) {},
+		arrival: func(read time.Time) (time.Time, bool) { return read, true },
 	}
 	for _, o := range options {
 		o(s)
@@ -81,12 +89,16 @@
 	if err := stream.SetReadDeadline(time.Now().Add(firstReadTimeout)); err != nil {
 		return
 	}
-	m, _, err := codec.Read(stream, s.maxSize, time.Now)
+	exact := true
+	m, _, err := codec.Read(stream, s.maxSize, func() (arrived time.Time) {
+		arrived, exact = s.arrival(time.Now())
+		return arrived
+	})
 	if err != nil {
 		event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
 		return
 	}
-	if answer := s.answer(stream, m); answer != nil {
+	if answer := s.answer(stream, m, exact); answer != nil {
 		if _, err := codec.Write(stream, answer, time.Now()); err != nil {
 			event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
 		}
@@ -94,10 +106,10 @@
 }
 
 // answer returns the answer to a message, or nil when there is none to give.
-func (s *Server) answer(stream *yamux.Stream, m codec.Message) codec.Message {
+func (s *Server) answer(stream *yamux.Stream, m codec.Message, exact bool) codec.Message {
 	switch m := m.(type) {
 	case codec.Call:
-		return s.call(stream, m)
+		return s.call(stream, m, exact)
 	case codec.LoadRequest:
 		return s.load()
 	case codec.Control:
@@ -115,15 +127,9 @@
 	return nil
 }
 
-// call runs a call on the target. The peer cancels it by closing the stream.
-func (s *Server) call(stream *yamux.Stream, m codec.Call) codec.Message {
-	id := call.NextID()
-	reply := mail.NewBox[call.Result](1)
-	if !s.local.TryPut(local.Run{ID: id, Target: m.Target, Request: m.Request, Reply: reply}) {
-		return codec.Reply{Result: call.Result{Outcome: call.Refused{
-			Kind: errs.Busy, RetryAfter: errs.AnswerTo(errs.Busy).RetryAfter,
-		}}}
-	}
+// call runs a call on the target. The peer cancels it by closing the stream. A call whose arrival
+// is not exact waits, so that it does not run when the peer closed its stream during a pause.
+func (s *Server) call(stream *yamux.Stream, m codec.Call, exact bool) codec.Message {
 	closed := make(chan struct{})
 	go func() {
 		defer close(closed)
@@ -131,6 +137,20 @@
 		_ = stream.SetReadDeadline(time.Time{})
 		_, _ = stream.Read(make([]byte, 1))
 	}()
+	if !exact {
+		select {
+		case <-closed:
+			return nil
+		case <-time.After(pause.Settle):
+		}
+	}
+	id := call.NextID()
+	reply := mail.NewBox[call.Result](1)
+	if !s.local.TryPut(local.Run{ID: id, Target: m.Target, Request: m.Request, Reply: reply}) {
+		return codec.Reply{Result: call.Result{Outcome: call.Refused{
+			Kind: errs.Busy, RetryAfter: errs.AnswerTo(errs.Busy).RetryAfter,
+		}}}
+	}
 	select {
 	case r := <-reply.C():
 		return codec.Reply{Result: r}
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -88,7 +88,11 @@
 		return service, errs.UnknownService, "service " + string(name) + ", host " + p.Host
 	}
 	if p.Request.Deadline.IsZero() {
-		p.Request.Deadline = now.Add(service.Timeout)
+		from := now
+		if !p.Arrived.IsZero() {
+			from = p.Arrived
+		}
+		p.Request.Deadline = from.Add(service.Timeout)
 	}
 	if p.Request.Rank == "" {
 		p.Request.Rank = service.Rank
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -9,6 +9,7 @@
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/task/local"
+	"time"
 )
 
 // A Message is what the task receives.
@@ -20,6 +21,8 @@
 	Request call.Request
 	Host    string
 	Context string
+	// Arrived is when the call arrived, from which the service's timeout counts. Zero stands for the time of the receipt.
+	Arrived time.Time
 	Reply   *mail.Box[Answer]
 }
 
