Retry a call whose peer was not reached after the next dial

Change: the refusal names the time until the next dial; a retry after PeerUnreachable costs the allowance of the call but no budget, because nothing was sent. Conclusion: a call meets a peer that is being dialled again with a delay, not with a refusal.

--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -88,9 +88,20 @@
 	if !a.Untried && o.RetryAfter > delay {
 		delay = o.RetryAfter + p.delay(firstDelay, longestDelay, a.Retries)
 	}
+	if o.Kind == errs.PeerUnreachable {
+		// Nothing was sent, so the retry adds no load to a target and costs only the allowance.
+		return unpaid(a, delay, ProvedNotRun, now)
+	}
 	return p.again(a, delay, ProvedNotRun, now)
 }
 
+func unpaid(a Attempt, delay time.Duration, reason Reason, now time.Time) Decision {
+	if a.Allowance < 1 || !a.Deadline.After(now.Add(delay)) {
+		return Stop{}
+	}
+	return Again{After: delay, Reason: reason}
+}
+
 func (p *Policy) afterUnknown(a Attempt, o call.Unknown, now time.Time) Decision {
 	switch {
 	case o.Kind == errs.DeadlineInFlight || o.Kind == errs.CallerGone:
@@ -112,10 +123,11 @@
 }
 
 func (p *Policy) again(a Attempt, delay time.Duration, reason Reason, now time.Time) Decision {
-	if a.Allowance < 1 || !a.Deadline.After(now.Add(delay)) || !p.take(a.Caller) {
+	d := unpaid(a, delay, reason, now)
+	if _, ok := d.(Again); ok && !p.take(a.Caller) {
 		return Stop{}
 	}
-	return Again{After: delay, Reason: reason}
+	return d
 }
 
 // retryable reports whether another target may accept what one refused. An owner that has gone or an
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -48,6 +48,8 @@
 		{"Retry-After beyond the deadline", Attempt{Outcome: shed, Allowance: 1}, 20, time.Second, "Stop", 0},
 		{"no allowance", Attempt{Outcome: shed, Untried: true}, 20, 5 * time.Second, "Stop", 0},
 		{"no budget", Attempt{Outcome: shed, Untried: true, Allowance: 1}, 5, 5 * time.Second, "Stop", 0},
+		{"peer that was not reached costs no budget", Attempt{Outcome: down, Untried: true, Allowance: 1}, 0, time.Second, "ProvedNotRun", 0},
+		{"peer that was not reached, no allowance", Attempt{Outcome: down, Untried: true}, 20, time.Second, "Stop", 0},
 		{"refusal that no target would change", Attempt{Outcome: call.Refused{Kind: errs.KeyMismatch}, Untried: true, Allowance: 1}, 20, time.Second, "Stop", 0},
 		{"refusal of a bound call", Attempt{Outcome: shed, Bound: true, Keyed: true, Untried: true, Allowance: 1}, 20, time.Second, "Stop", 0},
 		{"unknown outcome of an idempotent call", Attempt{Outcome: failed, Idempotent: true, Untried: true, Allowance: 1}, 20, time.Second, "IdempotentUnknown", 0},
--- a/internal/task/links/links.go
+++ b/internal/task/links/links.go
@@ -98,7 +98,7 @@
 		e = t.start(m.Peer, t.backoff.wait(m.Peer, time.Now()))
 	}
 	if wait := time.Until(e.dialled); wait > 0 && !waits(m.Message) {
-		t.refuse(m.Message, errs.PeerUnreachable, "peer "+m.Peer.String()+" failed; it is dialled again in "+wait.String())
+		t.refuseFor(m.Message, errs.PeerUnreachable, wait, "peer "+m.Peer.String()+" failed; it is dialled again in "+wait.String())
 		return
 	}
 	if !e.box.TryPut(m.Message) {
@@ -189,10 +189,14 @@
 }
 
 func (t *Task) refuse(m link.Message, kind errs.Kind, detail string) {
+	t.refuseFor(m, kind, errs.AnswerTo(kind).RetryAfter, detail)
+}
+
+func (t *Task) refuseFor(m link.Message, kind errs.Kind, retryAfter time.Duration, detail string) {
 	switch m := m.(type) {
 	case link.Send:
 		m.Reply.Put(call.Result{Attempt: m.ID, Outcome: call.Refused{
-			Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter, Detail: detail,
+			Kind: kind, RetryAfter: retryAfter, Detail: detail,
 		}}, t.Stopping())
 	case link.Exchange:
 		m.Reply.TryPut(link.Answer{Err: errors.New(detail)})
