Keep the attribute sets of counted calls

Cause: each call built and sorted two attribute sets for its metrics. meter.Called took 2% of the CPU profile of the daemon that callers use.

Change: the meter keeps the attributes by service and outcome, at most 1024 of them, since a caller may name any service.

BenchmarkCalled, before: 1908 to 2563 ns, 464 B and 8 allocations a call. After: 730 to 780 ns, no allocation.

--- /dev/null
+++ b/internal/base/meter/bench_test.go
@@ -0,0 +1,20 @@
+package meter_test
+
+import (
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/meter"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+// BenchmarkCalled measures what counting costs each call.
+func BenchmarkCalled(b *testing.B) {
+	m, err := meter.New()
+	qt.Assert(b, err, qt.IsNil)
+	b.ReportAllocs()
+	for b.Loop() {
+		m.Called("summary", errs.Answered, time.Millisecond)
+	}
+}
--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -37,6 +37,7 @@
 	probes   metric.Int64Counter
 	control  metric.Int64Counter
 	events   metric.Int64Counter
+	labels   labels
 }
 
 // latencyBounds are the bounds of the latency histogram in seconds.
@@ -87,9 +88,9 @@
 
 // Called counts a call and its duration.
 func (m *Meter) Called(service ident.Service, outcome errs.Outcome, d time.Duration) {
-	s := attribute.String("service", string(service))
-	m.calls.Add(context.Background(), 1, metric.WithAttributes(s, attribute.String("outcome", string(outcome))))
-	m.latency.Record(context.Background(), d.Seconds(), metric.WithAttributes(s))
+	l := m.labels.of(labelKey{service, outcome})
+	m.calls.Add(context.Background(), 1, l.call...)
+	m.latency.Record(context.Background(), d.Seconds(), l.duration...)
 }
 
 // Refused counts a refusal.
