Keep half of the slots when only the latency rises

The limit fell by a tenth per completion while the recent latency was above twice the long average, so a stall of about 10 ms took a target of 0.2 ms from 10 slots to 1. Change: latency alone lowers the limit at most to half of the slots; refusals of the target itself still lower it to 1. The overload tests of the package still pass.

--- a/internal/policy/admit/limit.go
+++ b/internal/policy/admit/limit.go
@@ -15,6 +15,9 @@
 	// minGradient bounds the fall of the limit by one completion, and shedFactor that by one shed call.
 	minGradient = 0.9
 	shedFactor  = 0.8
+	// latencyFloor is the part of the slots below which latency alone does not lower the limit. A stall of
+	// 10 ms looks like a rise of the latency of a fast target, and a limit of 1 made of it queues of 50 ms.
+	latencyFloor = 0.5
 )
 
 // A limiter moves the number of calls that may be in flight between 1 and the number of slots.
@@ -55,7 +58,7 @@
 	gradient := max(minGradient, min(1, tolerance*l.long/l.recent))
 	switch {
 	case gradient < 1:
-		l.limit *= gradient
+		l.limit = min(l.limit, max(l.limit*gradient, l.slots*latencyFloor))
 	case float64(inFlight)*2 >= l.limit:
 		l.limit += 1 / l.limit
 	}
