--- a/cmd/jcbench/main.go
+++ b/cmd/jcbench/main.go
@@ -2,8 +2,9 @@
 package main
 
 import (
-	"jacinthcross/internal/bench/cmds"
 	"os"
+
+	"jacinthcross/internal/bench/cmds"
 )
 
 func main() {
--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -3,10 +3,11 @@
 
 import (
 	"crypto/sha256"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"net/netip"
 	"time"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 // A Field is one header field.
--- a/internal/base/errs/table_test.go
+++ b/internal/base/errs/table_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/errs"
 	"os"
 	"slices"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/errs"
 )
 
 // Guards against a page for callers that names other error kinds, statuses or outcomes than the program.
--- a/internal/base/event/event_test.go
+++ b/internal/base/event/event_test.go
@@ -1,10 +1,11 @@
 package event_test
 
 import (
-	"jacinthcross/internal/base/event"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/event"
 )
 
 // Guards against events that the metric of events misses.
--- a/internal/base/event/list_test.go
+++ b/internal/base/event/list_test.go
@@ -6,7 +6,6 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
-	"jacinthcross/internal/base/event"
 	"os"
 	"path/filepath"
 	"slices"
@@ -14,6 +13,8 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/event"
 )
 
 // Guards against a catalogue that misses an event, names one that does not exist, or gives another level.
--- a/internal/base/form/form_test.go
+++ b/internal/base/form/form_test.go
@@ -1,10 +1,11 @@
 package form_test
 
 import (
-	"jacinthcross/internal/base/form"
 	"testing"
 
 	"github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/form"
 )
 
 // Guards against mistakes that name a wrong line or key, and against a run that stops at the first mistake.
--- a/internal/base/meter/bench_test.go
+++ b/internal/base/meter/bench_test.go
@@ -1,12 +1,13 @@
 package meter_test
 
 import (
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/meter"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/meter"
 )
 
 // BenchmarkCalled measures what counting costs each call.
--- a/internal/base/meter/label.go
+++ b/internal/base/meter/label.go
@@ -1,12 +1,13 @@
 package meter
 
 import (
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"sync"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/metric"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 // maxLabels bounds the kept attribute sets, since a caller may name any service. It is above the
--- a/internal/base/meter/label_test.go
+++ b/internal/base/meter/label_test.go
@@ -2,15 +2,16 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/base/meter"
 	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/meter"
 )
 
 // TestCalledLabels guards against calls counted under the attributes of another service or outcome,
--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -3,8 +3,6 @@
 
 import (
 	"context"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"net/http"
 	"time"
 
@@ -15,6 +13,9 @@
 	otelprom "go.opentelemetry.io/otel/exporters/prometheus"
 	"go.opentelemetry.io/otel/metric"
 	sdk "go.opentelemetry.io/otel/sdk/metric"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 // A Direction tells whether bytes were sent or received.
--- a/internal/base/meter/meter_test.go
+++ b/internal/base/meter/meter_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/meter"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -15,6 +13,9 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/meter"
 )
 
 // recordings use each instrument of a Meter once.
--- a/internal/bench/cmds/cmds_test.go
+++ b/internal/bench/cmds/cmds_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"jacinthcross/internal/bench/cmds"
 	"os"
 	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/bench/cmds"
 )
 
 // A wrong exit code would let a script take a mistake in its input for a result.
--- a/internal/bench/cmds/config.go
+++ b/internal/bench/cmds/config.go
@@ -2,12 +2,13 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/bench/config"
 	"net/netip"
 	"os"
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/config"
 )
 
 type configCommand struct {
--- a/internal/bench/cmds/fleet.go
+++ b/internal/bench/cmds/fleet.go
@@ -1,8 +1,9 @@
 package cmds
 
 import (
-	"jacinthcross/internal/bench/fleet"
 	"time"
+
+	"jacinthcross/internal/bench/fleet"
 )
 
 type fleetCommand struct {
--- a/internal/bench/cmds/overhead.go
+++ b/internal/bench/cmds/overhead.go
@@ -1,8 +1,9 @@
 package cmds
 
 import (
-	"jacinthcross/internal/bench/cost"
 	"time"
+
+	"jacinthcross/internal/bench/cost"
 )
 
 type overheadCommand struct {
--- a/internal/bench/cmds/report.go
+++ b/internal/bench/cmds/report.go
@@ -2,10 +2,11 @@
 
 import (
 	"bytes"
-	"jacinthcross/internal/bench/report"
 	"os"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/report"
 )
 
 type reportCommand struct {
--- a/internal/bench/cmds/run.go
+++ b/internal/bench/cmds/run.go
@@ -2,15 +2,16 @@
 
 import (
 	"fmt"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/bench/load"
 	"jacinthcross/internal/bench/report"
 	"jacinthcross/internal/bench/setup"
 	"jacinthcross/internal/bench/stage"
 	"jacinthcross/internal/bench/target"
-	"os"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 type runCommand struct {
--- a/internal/bench/cmds/target.go
+++ b/internal/bench/cmds/target.go
@@ -1,8 +1,6 @@
 package cmds
 
 import (
-	"jacinthcross/internal/bench/tally"
-	"jacinthcross/internal/bench/target"
 	"net/netip"
 	"os"
 	"os/signal"
@@ -10,6 +8,9 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
 )
 
 type targetCommand struct {
--- a/internal/bench/config/config.go
+++ b/internal/bench/config/config.go
@@ -4,8 +4,6 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
 	"net"
 	"net/http"
 	"net/netip"
@@ -14,6 +12,9 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
 )
 
 // VMList is the key of the list of live and leaving VMs.
--- a/internal/bench/config/config_test.go
+++ b/internal/bench/config/config_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"jacinthcross/internal/bench/config"
-	"jacinthcross/internal/task/watch"
 	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/task/watch"
 )
 
 // A stand-in that does not fail as the platform does would leave the daemon's handling of it untested.
--- a/internal/bench/cost/cost.go
+++ b/internal/bench/cost/cost.go
@@ -4,11 +4,6 @@
 import (
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/bench/proc"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/stage"
-	"jacinthcross/internal/wire/header"
 	"maps"
 	"math/rand/v2"
 	"net/http"
@@ -20,6 +15,12 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/proc"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/wire/header"
 )
 
 // connections is the number of connections of a caller, as many as a target of the deployments has.
--- a/internal/bench/delay/delay.go
+++ b/internal/bench/delay/delay.go
@@ -3,14 +3,15 @@
 
 import (
 	"io"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
 	"net"
 	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
 )
 
 // A Message is what the task receives.
--- a/internal/bench/delay/delay_test.go
+++ b/internal/bench/delay/delay_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"io"
-	"jacinthcross/internal/bench/delay"
-	"jacinthcross/internal/bench/stage"
 	"net"
 	"net/netip"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/bench/delay"
+	"jacinthcross/internal/bench/stage"
 )
 
 const oneWay = 30 * time.Millisecond
--- a/internal/bench/demo/demo.go
+++ b/internal/bench/demo/demo.go
@@ -5,15 +5,16 @@
 	"flag"
 	"fmt"
 	"io"
-	"jacinthcross/internal/bench/load"
-	"jacinthcross/internal/bench/report"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/stage"
 	"text/tabwriter"
 	"time"
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/report"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
 )
 
 // Times of the demo. withdrawn is when a withdrawn target must have no new work.
--- a/internal/bench/demo/demo_test.go
+++ b/internal/bench/demo/demo_test.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
-	"jacinthcross/internal/bench/report"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/bench/report"
 )
 
 // A demo that ends with success after a broken promise would tell people the opposite of what happened.
--- a/internal/bench/fail/fail_test.go
+++ b/internal/bench/fail/fail_test.go
@@ -5,16 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/bench/config"
-	"jacinthcross/internal/bench/load"
-	"jacinthcross/internal/bench/proc"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/stage"
-	"jacinthcross/internal/bench/tally"
-	"jacinthcross/internal/bench/target"
-	"jacinthcross/internal/wire/header"
 	"net/http"
 	"os"
 	"os/exec"
@@ -25,6 +15,17 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/proc"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
+	"jacinthcross/internal/wire/header"
 )
 
 // programs builds the daemon and the load tool once for all tests. The folder is removed by TestMain.
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -4,16 +4,17 @@
 import (
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/bench/load"
-	"jacinthcross/internal/bench/proc"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/stage"
 	"net/http"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/proc"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
 )
 
 // maxDaemons is the most processes that one machine is to run.
--- a/internal/bench/fleet/table_test.go
+++ b/internal/bench/fleet/table_test.go
@@ -2,12 +2,13 @@
 
 import (
 	"bytes"
-	"jacinthcross/internal/bench/setup"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/setup"
 )
 
 // A wrong slope would give wrong figures at the design scale.
--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -4,12 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/stage"
-	"jacinthcross/internal/wire/header"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -19,6 +13,13 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/wire/header"
 )
 
 // A caller sends the calls of one run.
--- a/internal/bench/load/load_test.go
+++ b/internal/bench/load/load_test.go
@@ -1,13 +1,14 @@
 package load
 
 import (
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/stage"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/google/go-cmp/cmp"
+
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
 )
 
 // Balancers that got different calls could not be compared.
--- a/internal/bench/load/pick.go
+++ b/internal/bench/load/pick.go
@@ -1,13 +1,14 @@
 package load
 
 import (
+	"math/rand/v2"
+	"time"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/bench/setup"
 	"jacinthcross/internal/bench/stage"
 	"jacinthcross/internal/super/tree"
-	"math/rand/v2"
-	"time"
 )
 
 // A policy is one of random, roundRobin, staleLeast and oracle.
--- a/internal/bench/load/plan.go
+++ b/internal/bench/load/plan.go
@@ -1,10 +1,11 @@
 package load
 
 import (
-	"jacinthcross/internal/bench/setup"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"jacinthcross/internal/bench/setup"
 )
 
 // A planned call is one arrival of the schedule.
--- a/internal/bench/load/record.go
+++ b/internal/bench/load/record.go
@@ -1,12 +1,13 @@
 package load
 
 import (
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/super/tree"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/super/tree"
 )
 
 // A finish is one of answered, refused and unknown.
--- a/internal/bench/load/run.go
+++ b/internal/bench/load/run.go
@@ -4,14 +4,15 @@
 import (
 	"fmt"
 	"io"
+	"net/http"
+	"sync"
+	"time"
+
 	"jacinthcross/internal/bench/config"
 	"jacinthcross/internal/bench/proc"
 	"jacinthcross/internal/bench/setup"
 	"jacinthcross/internal/bench/stage"
 	"jacinthcross/internal/bench/target"
-	"net/http"
-	"sync"
-	"time"
 )
 
 // lateAfter is how far behind its schedule a send counts as late. Timers fire up to 1 ms late.
--- a/internal/bench/policy/model.go
+++ b/internal/bench/policy/model.go
@@ -3,11 +3,12 @@
 import (
 	"container/heap"
 	"fmt"
+	"math/rand/v2"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/policy/route"
-	"math/rand/v2"
-	"time"
 )
 
 // A Size is the number of targets of a service and where they are.
--- a/internal/bench/policy/policy.go
+++ b/internal/bench/policy/policy.go
@@ -2,9 +2,10 @@
 package policy
 
 import (
+	"slices"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/policy/route"
-	"slices"
 )
 
 // A Policy is a way to choose a target: Random, RoundRobin, StaleReport, TwoChoices, Table or Oracle.
--- a/internal/bench/policy/policy_test.go
+++ b/internal/bench/policy/policy_test.go
@@ -1,12 +1,13 @@
 package policy
 
 import (
-	"jacinthcross/internal/policy/route"
 	"os"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/policy/route"
 )
 
 // BenchmarkCompare prints the comparison of all policies.
--- a/internal/bench/proc/embed.go
+++ b/internal/bench/proc/embed.go
@@ -1,13 +1,14 @@
 package proc
 
 import (
+	"os"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/daemon"
 	"jacinthcross/internal/super/tree"
-	"os"
-
-	"github.com/juju/errors"
 )
 
 // An Embedded owns a daemon in this process.
--- a/internal/bench/proc/proc.go
+++ b/internal/bench/proc/proc.go
@@ -2,14 +2,15 @@
 package proc
 
 import (
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
 	"os"
 	"os/exec"
 	"syscall"
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
 )
 
 // A Message is what a task that runs a daemon receives.
--- a/internal/bench/report/report_test.go
+++ b/internal/bench/report/report_test.go
@@ -3,14 +3,15 @@
 import (
 	"bytes"
 	"encoding/xml"
-	"jacinthcross/internal/bench/report"
-	"jacinthcross/internal/bench/setup"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/report"
+	"jacinthcross/internal/bench/setup"
 )
 
 func result(balancer setup.Balancer, p99 float64) *report.Result {
--- a/internal/bench/report/result.go
+++ b/internal/bench/report/result.go
@@ -3,12 +3,13 @@
 
 import (
 	"encoding/json"
-	"jacinthcross/internal/bench/load"
-	"jacinthcross/internal/bench/setup"
 	"os"
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/load"
+	"jacinthcross/internal/bench/setup"
 )
 
 // A Result is what one run of a scenario showed.
--- a/internal/bench/setup/layout.go
+++ b/internal/bench/setup/layout.go
@@ -3,9 +3,10 @@
 
 import (
 	"fmt"
+	"time"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/policy/route"
-	"time"
 )
 
 // A Layout is a deployment: data centres and the services in them.
--- a/internal/bench/setup/scene.go
+++ b/internal/bench/setup/scene.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"fmt"
-	"jacinthcross/internal/base/ident"
 	"os"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
 	"github.com/pelletier/go-toml/v2"
+
+	"jacinthcross/internal/base/ident"
 )
 
 // A Balancer decides which target a call of the load goes to.
--- a/internal/bench/setup/scene_test.go
+++ b/internal/bench/setup/scene_test.go
@@ -1,12 +1,13 @@
 package setup_test
 
 import (
-	"jacinthcross/internal/bench/setup"
 	"path/filepath"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/setup"
 )
 
 // A scenario file that does not load would be found only when somebody runs the experiment.
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -2,6 +2,14 @@
 
 import (
 	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/bench/delay"
@@ -11,13 +19,6 @@
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/super/tree"
-	"net/netip"
-	"os"
-	"path/filepath"
-	"strings"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 // A Member is a target with the daemon beside it.
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -6,13 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/bench/config"
-	"jacinthcross/internal/bench/setup"
-	"jacinthcross/internal/bench/tally"
-	"jacinthcross/internal/bench/target"
-	"jacinthcross/internal/super/tree"
-	"jacinthcross/internal/task/admin"
 	"net"
 	"net/http"
 	"net/netip"
@@ -23,6 +16,14 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
+	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/admin"
 )
 
 // A DaemonMode is one of None, Embedded and Processes.
--- a/internal/bench/tally/tally.go
+++ b/internal/bench/tally/tally.go
@@ -2,9 +2,10 @@
 package tally
 
 import (
+	"maps"
+
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
-	"maps"
 )
 
 // A Message is what the task receives.
--- a/internal/bench/target/http.go
+++ b/internal/bench/target/http.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/wire/header"
 	"net/http"
 	"strings"
 	"time"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/wire/header"
 )
 
 // Paths that are not calls.
--- a/internal/bench/target/target.go
+++ b/internal/bench/target/target.go
@@ -2,10 +2,6 @@
 package target
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/bench/tally"
-	"jacinthcross/internal/super/tree"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +9,11 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/super/tree"
 )
 
 // Settings are the properties of a target.
--- a/internal/bench/target/target_test.go
+++ b/internal/bench/target/target_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"io"
-	"jacinthcross/internal/bench/stage"
-	"jacinthcross/internal/bench/tally"
-	"jacinthcross/internal/bench/target"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -12,6 +9,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/bench/tally"
+	"jacinthcross/internal/bench/target"
 )
 
 type running struct {
--- a/internal/cli/cmds/check.go
+++ b/internal/cli/cmds/check.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/fleet/note"
 	"os"
+
+	"jacinthcross/internal/fleet/note"
 )
 
 type releaseCheckCommand struct {
--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -4,10 +4,11 @@
 import (
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/form"
 
 	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/form"
 )
 
 // Version is the version of the program.
--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -3,8 +3,6 @@
 import (
 	"crypto/sha256"
 	"fmt"
-	"jacinthcross/internal/bench/stage"
-	"jacinthcross/internal/cli/cmds"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -18,6 +16,9 @@
 
 	"github.com/juju/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"jacinthcross/internal/bench/stage"
+	"jacinthcross/internal/cli/cmds"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+
 	"jacinthcross/internal/cli/conf"
 )
 
--- a/internal/cli/cmds/pack.go
+++ b/internal/cli/cmds/pack.go
@@ -1,8 +1,9 @@
 package cmds
 
 import (
-	"jacinthcross/internal/fleet/note"
 	"os"
+
+	"jacinthcross/internal/fleet/note"
 )
 
 type releasePackCommand struct {
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -1,11 +1,12 @@
 package cmds
 
 import (
-	"jacinthcross/internal/cli/conf"
-	"jacinthcross/internal/super/daemon"
 	"os"
 	"os/signal"
 	"syscall"
+
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/super/daemon"
 )
 
 type serveCommand struct {
--- a/internal/cli/cmds/status.go
+++ b/internal/cli/cmds/status.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/task/admin"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -14,6 +12,9 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/task/admin"
 )
 
 type statusCommand struct {
--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -2,9 +2,6 @@
 package conf
 
 import (
-	"jacinthcross/internal/base/form"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/policy/route"
 	"net/netip"
 	"net/url"
 	"os"
@@ -12,6 +9,10 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/policy/route"
 )
 
 // Settings are the checked settings of a daemon.
--- a/internal/cli/conf/conf_test.go
+++ b/internal/cli/conf/conf_test.go
@@ -1,14 +1,15 @@
 package conf_test
 
 import (
-	"jacinthcross/internal/base/form"
-	"jacinthcross/internal/cli/conf"
-	"jacinthcross/internal/policy/route"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/policy/route"
 )
 
 const valid = `VM = "vm-1"
--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -2,13 +2,14 @@
 package member
 
 import (
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/fleet/relay"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
 )
 
 // A State is the state of a peer daemon as this daemon sees it.
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -1,14 +1,15 @@
 package member_test
 
 import (
-	"jacinthcross/internal/fleet/member"
-	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/fleet/relay"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"jacinthcross/internal/fleet/member"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
 )
 
 var (
--- a/internal/fleet/note/apply.go
+++ b/internal/fleet/note/apply.go
@@ -1,11 +1,12 @@
 package note
 
 import (
-	"jacinthcross/internal/base/form"
-	"jacinthcross/internal/base/ident"
 	"maps"
 	"net/netip"
 	"slices"
+
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/base/ident"
 )
 
 // Apply returns the release that follows r by note n, or all mistakes of the note.
--- a/internal/fleet/note/note.go
+++ b/internal/fleet/note/note.go
@@ -2,13 +2,14 @@
 
 import (
 	"crypto/sha256"
-	"jacinthcross/internal/base/form"
-	"jacinthcross/internal/base/ident"
 	"math"
 	"net/netip"
 	"regexp"
 	"strings"
 	"time"
+
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/base/ident"
 )
 
 // MaxNoteSize is the largest text of a note, in bytes.
--- a/internal/fleet/note/note_test.go
+++ b/internal/fleet/note/note_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/note"
 	"maps"
 	"strings"
 	"testing"
 
 	"github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
 )
 
 func target(name, service, vm, dataCentre string, n int) string {
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -2,12 +2,13 @@
 package note
 
 import (
-	"jacinthcross/internal/base/ident"
 	"maps"
 	"net/netip"
 	"slices"
 	"sync"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 // A Service is a service of a release.
--- a/internal/fleet/note/snapshot.go
+++ b/internal/fleet/note/snapshot.go
@@ -4,14 +4,15 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
-	"jacinthcross/internal/base/form"
-	"jacinthcross/internal/base/ident"
 	"maps"
 	"math"
 	"slices"
 	"strings"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/base/ident"
 )
 
 // MaxSnapshotSize is the largest text of a snapshot, in bytes: the largest value of the configuration service.
--- a/internal/fleet/relay/confirm.go
+++ b/internal/fleet/relay/confirm.go
@@ -1,8 +1,9 @@
 package relay
 
 import (
-	"jacinthcross/internal/base/ident"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 const (
--- a/internal/fleet/relay/list.go
+++ b/internal/fleet/relay/list.go
@@ -1,10 +1,11 @@
 package relay
 
 import (
-	"jacinthcross/internal/base/ident"
 	"maps"
 	"slices"
 	"strings"
+
+	"jacinthcross/internal/base/ident"
 )
 
 // A List is the VM list as a daemon knows it. Its version never becomes lower.
--- a/internal/fleet/relay/message.go
+++ b/internal/fleet/relay/message.go
@@ -2,9 +2,10 @@
 package relay
 
 import (
-	"jacinthcross/internal/base/ident"
 	"net/netip"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 // A Message is what daemons tell each other of releases: Digest, Offer, Pull, Notes, Snapshot, Ack, PullListing or Listing.
--- a/internal/fleet/relay/place.go
+++ b/internal/fleet/relay/place.go
@@ -3,13 +3,14 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/note"
 	"maps"
 	"net/netip"
 	"slices"
 	"strings"
 	"time"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
 )
 
 // A Node is a daemon that takes part in distribution.
--- a/internal/fleet/relay/place_test.go
+++ b/internal/fleet/relay/place_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/relay"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
 )
 
 var start = time.Unix(1_700_000_000, 0)
--- a/internal/fleet/relay/relay_test.go
+++ b/internal/fleet/relay/relay_test.go
@@ -4,14 +4,15 @@
 	"crypto/sha256"
 	"flag"
 	"fmt"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/fleet/relay"
 	"os"
 	"testing"
 
 	"github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
 )
 
 // TestMain fixes the seed of the properties, unless the command line names one.
--- a/internal/fleet/relay/replica.go
+++ b/internal/fleet/relay/replica.go
@@ -2,10 +2,11 @@
 
 import (
 	"crypto/sha256"
+	"slices"
+
 	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
-	"slices"
 )
 
 const (
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -2,11 +2,12 @@
 package admit
 
 import (
+	"slices"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
-	"slices"
-	"time"
 )
 
 type waiting struct {
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -1,13 +1,14 @@
 package admit
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 // TestSteps guards against service out of rank, runs of expired calls, and starvation by a full queue.
--- a/internal/policy/admit/decide.go
+++ b/internal/policy/admit/decide.go
@@ -1,10 +1,11 @@
 package admit
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
-	"time"
 )
 
 // A Decision is what to do with an arriving call: Start, Wait or Refuse.
--- a/internal/policy/admit/overload_test.go
+++ b/internal/policy/admit/overload_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"container/heap"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/ident"
 	"math/rand"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
 )
 
 // A simulation runs calls through a Gate to one target in virtual time.
--- a/internal/policy/crash/blame.go
+++ b/internal/policy/crash/blame.go
@@ -2,8 +2,9 @@
 package crash
 
 import (
-	"jacinthcross/internal/base/ident"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 // A Blame is the evidence against one request, by its digest.
--- a/internal/policy/crash/table.go
+++ b/internal/policy/crash/table.go
@@ -1,9 +1,10 @@
 package crash
 
 import (
-	"jacinthcross/internal/base/ident"
 	"slices"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 const (
--- a/internal/policy/crash/table_test.go
+++ b/internal/policy/crash/table_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"encoding/binary"
-	"jacinthcross/internal/base/ident"
 	"math"
 	"math/rand"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/ident"
 )
 
 func digest(n int) ident.Digest {
--- a/internal/policy/ledger/key.go
+++ b/internal/policy/ledger/key.go
@@ -6,9 +6,10 @@
 	"encoding/base64"
 	"encoding/binary"
 	"hash/crc32"
+	"strings"
+
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
-	"strings"
 )
 
 // A Key names the one daemon process that may run a call.
--- a/internal/policy/ledger/ledger.go
+++ b/internal/policy/ledger/ledger.go
@@ -1,10 +1,11 @@
 package ledger
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
-	"time"
 )
 
 // Limits bound the memory and the time of a Ledger.
--- a/internal/policy/ledger/ledger_test.go
+++ b/internal/policy/ledger/ledger_test.go
@@ -1,14 +1,15 @@
 package ledger
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"runtime"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 var testLimits = Limits{EpochLength: time.Minute, MaxEntries: 2, MaxBytes: 100, MaxJoined: 2}
--- a/internal/policy/ledger/machine_test.go
+++ b/internal/policy/ledger/machine_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"flag"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 func init() {
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -2,10 +2,11 @@
 package retry
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
 	"net/netip"
 	"time"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
 )
 
 // A Decision is what to do after an attempt: Stop, Again or Reattach.
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"flag"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -12,6 +10,9 @@
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
 )
 
 var (
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -3,11 +3,12 @@
 
 import (
 	"hash/fnv"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/ident"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
 )
 
 // A Candidate is a target that a daemon may choose.
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -3,14 +3,15 @@
 import (
 	"flag"
 	"fmt"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/ident"
 	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
 )
 
 var start = time.Unix(1000, 0)
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -1,11 +1,12 @@
 package route
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/ident"
 	"math"
 	"slices"
 	"time"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
 )
 
 const (
--- a/internal/policy/route/status.go
+++ b/internal/policy/route/status.go
@@ -1,8 +1,9 @@
 package route
 
 import (
-	"jacinthcross/internal/base/ident"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 // A State is the condition of a candidate as operators see it.
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -3,6 +3,10 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
@@ -13,9 +17,6 @@
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 // drainTimeout bounds how long the calls in flight may take at a planned stop.
--- a/internal/super/daemon/daemon_test.go
+++ b/internal/super/daemon/daemon_test.go
@@ -3,12 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/event"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/bench/config"
-	"jacinthcross/internal/cli/conf"
-	"jacinthcross/internal/super/daemon"
-	"jacinthcross/internal/super/tree"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +12,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/super/daemon"
+	"jacinthcross/internal/super/tree"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/super/daemon/dial_test.go
+++ b/internal/super/daemon/dial_test.go
@@ -1,6 +1,12 @@
 package daemon_test
 
 import (
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/mail"
@@ -9,11 +15,6 @@
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"net"
-	"testing"
-	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // Guards against a dial for each call to a dead peer.
--- a/internal/super/daemon/link_test.go
+++ b/internal/super/daemon/link_test.go
@@ -3,6 +3,14 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"net"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
@@ -13,13 +21,6 @@
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"net"
-	"net/netip"
-	"runtime"
-	"testing"
-	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // patience bounds waits in tests. It is no verdict on speed.
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -1,6 +1,8 @@
 package daemon
 
 import (
+	"sync/atomic"
+
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
@@ -23,7 +25,6 @@
 	"jacinthcross/internal/task/tick"
 	"jacinthcross/internal/task/watch"
 	"jacinthcross/internal/wire/codec"
-	"sync/atomic"
 )
 
 // Sizes of the mailboxes. Calls wait in them only while a task works on the message before;
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -1,8 +1,12 @@
 package daemon
 
 import (
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
+	fleet "jacinthcross/internal/fleet/member"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
@@ -12,10 +16,6 @@
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/wire/codec"
-	"net/netip"
-	"time"
-
-	fleet "jacinthcross/internal/fleet/member"
 )
 
 // linkReported passes on what a dialled connection shows of a peer.
--- a/internal/super/tree/tree_test.go
+++ b/internal/super/tree/tree_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
 )
 
 // patience bounds waits in tests. It is no verdict on speed.
--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -4,6 +4,13 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/lesismal/nbio/nbhttp"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
@@ -14,12 +21,6 @@
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
-	"net/http"
-	"net/netip"
-	"time"
-
-	"github.com/juju/errors"
-	"github.com/lesismal/nbio/nbhttp"
 )
 
 // A Task owns the socket for operators.
--- a/internal/task/admin/admin_test.go
+++ b/internal/task/admin/admin_test.go
@@ -2,6 +2,12 @@
 
 import (
 	"io"
+	"net/http"
+	"sync"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/bench/stage"
 	"jacinthcross/internal/task/admin"
@@ -9,11 +15,6 @@
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/router"
-	"net/http"
-	"sync"
-	"testing"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // TestNewConnections guards against a data race between the listener and the reader of a new
--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -1,18 +1,19 @@
 package front
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/task/router"
-	"jacinthcross/internal/wire/header"
 	"net/netip"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/task/router"
+	"jacinthcross/internal/wire/header"
 )
 
 // A caller is one connection of a caller. The task owns it, but for intake, which the
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -3,12 +3,6 @@
 
 import (
 	"context"
-	"jacinthcross/internal/base/alarm"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/clock"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
-	"jacinthcross/internal/task/router"
 	"net"
 	"net/netip"
 	"runtime"
@@ -18,6 +12,13 @@
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"jacinthcross/internal/base/alarm"
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/clock"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/router"
 )
 
 // Bounds of the task. The connections are those of two large services with 260 connections
--- a/internal/task/front/front_test.go
+++ b/internal/task/front/front_test.go
@@ -4,12 +4,6 @@
 	"bufio"
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/event"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/task/front"
-	"jacinthcross/internal/task/router"
 	"net"
 	"net/http"
 	"net/netip"
@@ -18,6 +12,13 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/task/front"
+	"jacinthcross/internal/task/router"
 )
 
 // patience bounds waits in tests. It is no verdict on speed.
--- a/internal/task/front/parse.go
+++ b/internal/task/front/parse.go
@@ -2,8 +2,6 @@
 
 import (
 	"bytes"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/policy/pause"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -12,6 +10,9 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/policy/pause"
 )
 
 // A request is one parsed HTTP request. The body counts against the memory limit until it is released.
--- a/internal/task/front/parse_test.go
+++ b/internal/task/front/parse_test.go
@@ -2,14 +2,15 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/task/front"
-	"jacinthcross/internal/task/router"
 	"net/http"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/task/front"
+	"jacinthcross/internal/task/router"
 )
 
 // Guards against requests that two HTTP implementations read differently, and against
--- a/internal/task/front/pause_test.go
+++ b/internal/task/front/pause_test.go
@@ -1,13 +1,14 @@
 package front_test
 
 import (
-	"jacinthcross/internal/task/front"
-	"jacinthcross/internal/task/router"
 	"net/http"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/task/front"
+	"jacinthcross/internal/task/router"
 )
 
 // Guards against a call that waited in the socket during a pause and gets its whole time again, and
--- a/internal/task/front/write.go
+++ b/internal/task/front/write.go
@@ -1,13 +1,14 @@
 package front
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/wire/header"
 	"math"
 	"net/http"
 	"strconv"
 	"time"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/wire/header"
 )
 
 // maxJoined is the largest body that is copied behind its header, so that both leave in one write.
--- a/internal/task/keeper/keeper.go
+++ b/internal/task/keeper/keeper.go
@@ -1,6 +1,10 @@
 package keeper
 
 import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
@@ -10,9 +14,6 @@
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/links"
-	"math/rand/v2"
-	"net/netip"
-	"time"
 )
 
 // A Task owns the release in force and the notes that led to it.
--- a/internal/task/keeper/message.go
+++ b/internal/task/keeper/message.go
@@ -2,13 +2,14 @@
 package keeper
 
 import (
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/task/link"
-	"net/netip"
-	"time"
 )
 
 // A Message is what the task receives.
--- a/internal/task/keeper/peers.go
+++ b/internal/task/keeper/peers.go
@@ -1,6 +1,12 @@
 package keeper
 
 import (
+	"maps"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"time"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/meter"
@@ -8,11 +14,6 @@
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/wire/codec"
-	"maps"
-	"math/rand/v2"
-	"net/netip"
-	"slices"
-	"time"
 )
 
 const (
--- a/internal/task/link/carry.go
+++ b/internal/task/link/carry.go
@@ -1,13 +1,14 @@
 package link
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/wire/codec"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/wire/codec"
 )
 
 // replyGrace is how long the reply of the daemon beside the target may follow the deadline.
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -2,18 +2,19 @@
 
 import (
 	"context"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/event"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
-	"jacinthcross/internal/wire/codec"
 	"net"
 	"net/netip"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/wire/codec"
 )
 
 const (
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -2,12 +2,13 @@
 package link
 
 import (
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/wire/codec"
-	"net/netip"
-	"time"
 )
 
 // A Message is what the task receives.
--- a/internal/task/link/session.go
+++ b/internal/task/link/session.go
@@ -3,13 +3,14 @@
 import (
 	"encoding/binary"
 	"io"
-	"jacinthcross/internal/wire/codec"
 	"net"
 	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/wire/codec"
 )
 
 // Bounds of a session. The write timeout ends a write whose peer accepts nothing.
--- a/internal/task/links/links.go
+++ b/internal/task/links/links.go
@@ -2,16 +2,17 @@
 package links
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
-	"jacinthcross/internal/task/link"
 	"net/netip"
 	"slices"
 	"time"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/link"
 )
 
 // A Message asks to forward a message to the link to a peer. A link.Notify goes only to a
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -1,11 +1,6 @@
 package listen
 
 import (
-	"jacinthcross/internal/base/event"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/super/tree"
-	"jacinthcross/internal/task/link"
-	"jacinthcross/internal/wire/codec"
 	"net"
 	"net/netip"
 	"sync"
@@ -13,6 +8,12 @@
 
 	"github.com/juju/errors"
 	"github.com/oklog/run"
+
+	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/wire/codec"
 )
 
 // Bounds of the accepted sessions. A daemon dials one connection to each peer in use; the
--- a/internal/task/listen/message.go
+++ b/internal/task/listen/message.go
@@ -1,10 +1,11 @@
 package listen
 
 import (
+	"net/netip"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/wire/codec"
-	"net/netip"
 )
 
 // A Message is what the task receives.
--- a/internal/task/listen/pause_test.go
+++ b/internal/task/listen/pause_test.go
@@ -1,6 +1,13 @@
 package listen_test
 
 import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
@@ -8,12 +15,6 @@
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"net"
-	"net/netip"
-	"testing"
-	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // patience bounds waits in tests. It is no verdict on speed.
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -2,6 +2,10 @@
 package listen
 
 import (
+	"time"
+
+	"github.com/hashicorp/yamux"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
@@ -12,9 +16,6 @@
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"time"
-
-	"github.com/hashicorp/yamux"
 )
 
 // A Server serves the streams that a peer opens, whichever end dialled the connection.
--- a/internal/task/local/answer.go
+++ b/internal/task/local/answer.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/wire/header"
 	"net"
 	"net/http"
 	"slices"
@@ -15,6 +12,10 @@
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio/nbhttp"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/wire/header"
 )
 
 // completed turns what the library reports into the end of a call.
--- a/internal/task/local/answer_test.go
+++ b/internal/task/local/answer_test.go
@@ -2,9 +2,6 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/fleet/note"
 	"net"
 	"net/http"
 	"strings"
@@ -12,6 +9,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/fleet/note"
 )
 
 // summary gives the parts of an outcome that callers act on.
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -4,10 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/wire/header"
 	"net"
 	"net/http"
 	"net/netip"
@@ -16,6 +12,11 @@
 	"time"
 
 	"github.com/lesismal/nbio/nbhttp"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/wire/header"
 )
 
 // dialTimeout bounds the opening of a connection to the target, which takes about 1 ms.
--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -1,13 +1,14 @@
 package local
 
 import (
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/policy/admit"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 func (t *Task) reply(id call.ID, to *mail.Box[call.Result], o call.Outcome, retries int) {
--- a/internal/task/local/health.go
+++ b/internal/task/local/health.go
@@ -1,11 +1,12 @@
 package local
 
 import (
+	"net"
+	"time"
+
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
-	"net"
-	"time"
 )
 
 const (
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -1,6 +1,12 @@
 package local
 
 import (
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/lesismal/nbio/nbhttp"
+
 	"jacinthcross/internal/base/alarm"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
@@ -13,11 +19,6 @@
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/super/tree"
-	"sync"
-	"time"
-
-	"github.com/juju/errors"
-	"github.com/lesismal/nbio/nbhttp"
 )
 
 // A Task owns the admission to the target on its VM, the ledger of keys and the target connections.
--- a/internal/task/local/local_test.go
+++ b/internal/task/local/local_test.go
@@ -2,10 +2,6 @@
 
 import (
 	"fmt"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/policy/crash"
 	"net"
 	"net/http"
 	"sync"
@@ -14,6 +10,11 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/crash"
 )
 
 // TestKeyed guards against a second run of a key and against a false "not run".
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -2,13 +2,14 @@
 package local
 
 import (
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/crash"
-	"net/netip"
-	"time"
 )
 
 // A Message is what the task receives.
--- a/internal/task/local/pool.go
+++ b/internal/task/local/pool.go
@@ -1,9 +1,10 @@
 package local
 
 import (
-	"jacinthcross/internal/base/event"
 	"slices"
 	"time"
+
+	"jacinthcross/internal/base/event"
 )
 
 const (
--- a/internal/task/local/raw_test.go
+++ b/internal/task/local/raw_test.go
@@ -3,11 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/policy/ledger"
 	"net"
 	"net/http"
 	"net/netip"
@@ -17,6 +12,12 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/ledger"
 )
 
 const resultTimeout = 5 * time.Second
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -1,6 +1,8 @@
 package local
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
@@ -8,7 +10,6 @@
 	"jacinthcross/internal/policy/admit"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/policy/ledger"
-	"time"
 )
 
 func (t *Task) setRelease(r *note.Release) {
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -1,15 +1,16 @@
 package local
 
 import (
+	"slices"
+	"strconv"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/policy/admit"
 	"jacinthcross/internal/policy/ledger"
-	"slices"
-	"strconv"
-	"time"
 )
 
 // A run is a call that is queued, or dispatched when it has a conn. It keeps the gate and the
--- a/internal/task/member/member.go
+++ b/internal/task/member/member.go
@@ -2,6 +2,9 @@
 package member
 
 import (
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
@@ -9,8 +12,6 @@
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/super/tree"
-	"net/netip"
-	"time"
 )
 
 // A Message is what the task receives.
--- a/internal/task/member/member_test.go
+++ b/internal/task/member/member_test.go
@@ -1,15 +1,16 @@
 package member_test
 
 import (
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/fleet/member"
-	"jacinthcross/internal/fleet/note"
-	task "jacinthcross/internal/task/member"
 	"net/netip"
 	"testing"
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/member"
+	"jacinthcross/internal/fleet/note"
+	task "jacinthcross/internal/task/member"
 )
 
 // Guards against a lost peer that is never told to be down because no further message arrives.
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -1,6 +1,10 @@
 package router
 
 import (
+	"net/http"
+	"slices"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/fleet/note"
@@ -10,9 +14,6 @@
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
-	"net/http"
-	"slices"
-	"time"
 )
 
 // An attempt is one send of a call to a target.
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"slices"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
@@ -8,8 +11,6 @@
 	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/task/local"
-	"slices"
-	"time"
 )
 
 const (
--- a/internal/task/router/chain_test.go
+++ b/internal/task/router/chain_test.go
@@ -1,16 +1,17 @@
 package router
 
 import (
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/task/link"
-	"jacinthcross/internal/task/local"
 	"net/http"
 	"strconv"
 	"testing"
 
 	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/local"
 )
 
 // A chain is one daemon per level. A call at a level calls the next level in parallel, and any attempt may fail.
--- a/internal/task/router/count.go
+++ b/internal/task/router/count.go
@@ -1,10 +1,11 @@
 package router
 
 import (
+	"slices"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/policy/retry"
-	"slices"
 )
 
 // count counts a call and its outcome.
--- a/internal/task/router/load.go
+++ b/internal/task/router/load.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"slices"
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
@@ -12,8 +15,6 @@
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"slices"
-	"time"
 )
 
 const (
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -2,6 +2,8 @@
 package router
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
@@ -9,7 +11,6 @@
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/task/local"
-	"time"
 )
 
 // A Message is what the task receives.
--- a/internal/task/router/peer.go
+++ b/internal/task/router/peer.go
@@ -1,12 +1,13 @@
 package router
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/task/local"
-	"time"
 )
 
 // A PeerState is what other tasks have told of a VM.
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -1,6 +1,9 @@
 package router
 
 import (
+	"net/netip"
+	"time"
+
 	"jacinthcross/internal/base/alarm"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
@@ -13,8 +16,6 @@
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
-	"net/netip"
-	"time"
 )
 
 // A Task owns the routing state of the daemon and the calls that entered here.
--- a/internal/task/router/router_test.go
+++ b/internal/task/router/router_test.go
@@ -3,6 +3,13 @@
 import (
 	"flag"
 	"fmt"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
@@ -14,12 +21,6 @@
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
-	"net/http"
-	"net/netip"
-	"testing"
-	"time"
-
-	qt "github.com/frankban/quicktest"
 )
 
 // The verdict of a run must not depend on chance. -rapid.seed overrides the seed.
--- a/internal/task/tick/tick.go
+++ b/internal/task/tick/tick.go
@@ -2,10 +2,11 @@
 package tick
 
 import (
-	"jacinthcross/internal/policy/pause"
-	"jacinthcross/internal/super/tree"
 	"sync/atomic"
 	"time"
+
+	"jacinthcross/internal/policy/pause"
+	"jacinthcross/internal/super/tree"
 )
 
 // An Arrivals holds the ticks of a Task, which alone writes them. Readers of sockets consult it.
--- a/internal/task/tick/tick_test.go
+++ b/internal/task/tick/tick_test.go
@@ -1,11 +1,12 @@
 package tick_test
 
 import (
-	"jacinthcross/internal/task/tick"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/task/tick"
 )
 
 // Guards against a stopped task after which every read is taken for one after a pause.
--- a/internal/task/watch/fleet_test.go
+++ b/internal/task/watch/fleet_test.go
@@ -5,16 +5,6 @@
 	"crypto/sha256"
 	"flag"
 	"fmt"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/base/mail"
-	"jacinthcross/internal/base/meter"
-	"jacinthcross/internal/fleet/note"
-	"jacinthcross/internal/fleet/relay"
-	"jacinthcross/internal/task/keeper"
-	"jacinthcross/internal/task/link"
-	"jacinthcross/internal/task/links"
-	"jacinthcross/internal/task/watch"
-	"jacinthcross/internal/wire/codec"
 	"net/netip"
 	"os"
 	"slices"
@@ -26,6 +16,17 @@
 
 	"github.com/juju/errors"
 	"k8s.io/klog/v2"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/meter"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/task/keeper"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/links"
+	"jacinthcross/internal/task/watch"
+	"jacinthcross/internal/wire/codec"
 )
 
 func TestMain(m *testing.M) {
--- a/internal/task/watch/follow.go
+++ b/internal/task/watch/follow.go
@@ -4,16 +4,17 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"math"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/form"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/task/keeper"
-	"math"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 // notesBeforeBase is the number of missing notes from which on a snapshot is read instead, when there is one.
--- a/internal/task/watch/watch.go
+++ b/internal/task/watch/watch.go
@@ -2,15 +2,16 @@
 
 import (
 	"context"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/keeper"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 const (
--- a/internal/task/watch/watch_test.go
+++ b/internal/task/watch/watch_test.go
@@ -3,6 +3,12 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/note"
@@ -12,11 +18,6 @@
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/watch"
 	"jacinthcross/internal/wire/codec"
-	"net/netip"
-	"testing"
-	"time"
-
-	"github.com/frankban/quicktest"
 )
 
 // Guards against a note that a reachable daemon never gets, with the service in order, and
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -2,18 +2,19 @@
 
 import (
 	"bytes"
-	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/fleet/relay"
-	"jacinthcross/internal/policy/crash"
-	"jacinthcross/internal/wire/codec"
 	"net/netip"
 	"reflect"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/policy/crash"
+	"jacinthcross/internal/wire/codec"
 )
 
 var now = time.Unix(1_700_000_000, 0)
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -1,16 +1,17 @@
 package codec
 
 import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/wire/peerpb"
-	"net/netip"
-	"time"
-
-	"github.com/juju/errors"
 )
 
 func decode(e *peerpb.Envelope, now time.Time) (Message, error) {
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -1,11 +1,12 @@
 package codec
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/wire/peerpb"
-	"time"
 )
 
 func encode(m Message, now time.Time) *peerpb.Envelope {
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -3,11 +3,12 @@
 import (
 	"encoding/binary"
 	"io"
-	"jacinthcross/internal/wire/peerpb"
 	"time"
 
 	"github.com/juju/errors"
 	"google.golang.org/protobuf/proto"
+
+	"jacinthcross/internal/wire/peerpb"
 )
 
 const lengthBytes = 4
--- a/internal/wire/header/header.go
+++ b/internal/wire/header/header.go
@@ -2,9 +2,10 @@
 package header
 
 import (
-	"jacinthcross/internal/base/call"
 	"net/http"
 	"strings"
+
+	"jacinthcross/internal/base/call"
 )
 
 // The header fields that callers and targets see.
--- a/main.go
+++ b/main.go
@@ -2,8 +2,9 @@
 package main
 
 import (
-	"jacinthcross/internal/cli/cmds"
 	"os"
+
+	"jacinthcross/internal/cli/cmds"
 )
 
 func main() {
