Refuse calls that a stopping daemon would lose, and claim nothing about earlier sends

A keyed call that met a full router was told NotRun, although an earlier send may have run. Conclusion: a refusal says only what this daemon knows.

--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -102,8 +102,13 @@
 // start submits the current request of a connection.
 func (t *Task) start(c *caller) {
 	r := c.current
-	if len(t.calls) >= maxCalls {
-		t.write(c, refusal(errs.Busy, strconv.Itoa(maxCalls)+" calls are outstanding"))
+	switch {
+	case len(t.calls) >= maxCalls:
+		t.refuse(c, errs.Busy, strconv.Itoa(maxCalls)+" calls are outstanding")
+		return
+	case t.draining && t.empty == nil:
+		// The calls have been awaited and the router may stop at any time.
+		t.refuse(c, errs.Draining, "the daemon stops")
 		return
 	}
 	id := call.NextID()
@@ -119,13 +124,21 @@
 	if !t.router.TryPut(router.Submit{
 		ID: id, Request: *q, Arrived: r.arrived, Host: r.header.Get("Host"), Context: r.header.Get(header.Context), Reply: t.answers,
 	}) {
-		t.write(c, refusal(errs.Busy, "the mailbox of the router is full"))
+		t.refuse(c, errs.Busy, "the mailbox of the router is full")
 		return
 	}
 	c.id = id
 	t.calls[id] = c
 }
 
+// refuse answers a request that does not reach the router. That proves nothing about earlier sends of its key.
+func (t *Task) refuse(c *caller, kind errs.Kind, detail string) {
+	if c.current.header.Get(header.Key) != "" {
+		kind, detail = errs.OwnerUnreachable, string(kind)+": "+detail
+	}
+	t.write(c, refusal(kind, detail))
+}
+
 // answer gives a caller the outcome of its call. An answer for a connection that has gone reaches nobody.
 func (t *Task) answer(id call.ID, o call.Outcome) {
 	c, ok := t.calls[id]
--- a/internal/task/front/front_test.go
+++ b/internal/task/front/front_test.go
@@ -285,17 +285,27 @@
 	}
 }
 
-// Guards against callers that wait while the router cannot take their calls.
+// Guards against callers that wait while the router cannot take their calls, and against a refusal
+// that claims that no earlier send of a key has run.
 func TestFullRouterIsBusy(t *testing.T) {
 	f := start(t)
 	for f.router.TryPut(router.Cancel{}) {
 	}
 	c := dial(t, f)
-	for _, path := range []string{"/", "/.well-known/jacinthcross/key?service=a"} {
-		c.send("GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n")
+	for _, test := range []struct {
+		path, key string
+		kind      errs.Kind
+		outcome   errs.Outcome
+	}{
+		{"/", "", errs.Busy, errs.NotRun},
+		{"/", "Idempotency-Key: k\r\n", errs.OwnerUnreachable, errs.NotRunEarlierUnknown},
+		{"/.well-known/jacinthcross/key?service=a", "", errs.Busy, errs.NotRun},
+	} {
+		c.send("GET " + test.path + " HTTP/1.1\r\nHost: a\r\n" + test.key + "\r\n")
 		r := c.response(http.MethodGet)
 		qt.Assert(t, r.status, qt.Equals, 503)
-		qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.Busy))
+		qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(test.kind))
+		qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, string(test.outcome))
 		qt.Assert(t, r.header.Get("Retry-After"), qt.Equals, "1")
 	}
 }
@@ -335,10 +345,11 @@
 	}
 }
 
-// Guards against a planned stop that cuts callers off.
+// Guards against a planned stop that cuts callers off, and against calls that a stopping router takes
+// after the others were awaited: their outcome would be unknown.
 func TestDrainEndsCallsFirst(t *testing.T) {
 	f := start(t)
-	busy, idle := dial(t, f), dial(t, f)
+	busy, idle, late := dial(t, f), dial(t, f), dial(t, f)
 	busy.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
 	s := next[router.Submit](t, f)
 	empty := make(chan struct{})
@@ -362,4 +373,9 @@
 	qt.Assert(t, r.body, qt.Equals, "one")
 	qt.Assert(t, r.close, qt.IsTrue)
 	busy.ended()
+	late.send("GET /3 HTTP/1.1\r\nHost: a\r\n\r\n")
+	r = late.response(http.MethodGet)
+	qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.Draining))
+	qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, string(errs.NotRun))
+	qt.Assert(t, r.close, qt.IsTrue)
 }
