Hold keyed calls until the release is confirmed

Cause: a daemon refused keyed calls as Unconfirmed until it had compared its release with two peers. A booking that came right after a start failed although the confirmation was milliseconds away.

A withdrawal or a planned stop answers them as not run. The ledger takes the key at the arrival, so a resend joins a held call.

--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -44,8 +44,9 @@
 	t.checkEmpty()
 }
 
-// flush answers all queued calls as not run.
+// flush answers all queued and held calls as not run.
 func (t *Task) flush(kind errs.Kind) {
+	t.refuseHeld(kind)
 	if t.gate != nil {
 		t.step(t.gate.Flush(kind), t.clock.Now())
 	}
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -50,6 +50,7 @@
 	runs    map[call.ID]*run
 	waiters map[ledger.Key][]waiter
 	joined  map[call.ID]ledger.Key
+	held    []call.ID // calls that wait for the confirmation
 	tokens  map[string]call.ID
 
 	open       sync.WaitGroup // goroutines of connections
@@ -86,7 +87,7 @@
 	return func(t *Task) { t.onBlame = notify }
 }
 
-// WithConfirmation makes the task refuse keyed calls until Confirmed says that the release was compared with
+// WithConfirmation makes the task hold keyed calls until Confirmed says that the release was compared with
 // peers: a daemon that has just started may hold an old release, in which its target is not withdrawn yet.
 func WithConfirmation() Option { return func(t *Task) { t.confirmed = false } }
 
@@ -182,7 +183,7 @@
 	case probed:
 		t.probed(m, t.clock.Now())
 	case Confirmed:
-		t.confirmed = true
+		t.confirm()
 	case Blamed:
 		if m.Service == t.target.Service {
 			t.crashes.Merge(m.From, m.Entries, t.clock.Now())
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -62,7 +62,16 @@
 		return
 	}
 	t.runs[m.ID] = r
-	switch d := t.gate.Arrive(admit.Arrival{Call: m.ID, Rank: m.Request.Rank, Deadline: m.Request.Deadline}, now).(type) {
+	if !t.confirmed && r.ledger != nil {
+		t.hold(r)
+		return
+	}
+	t.admit(r, now)
+}
+
+// admit asks the gate for a slot of the target.
+func (t *Task) admit(r *run, now time.Time) {
+	switch d := r.gate.Arrive(admit.Arrival{Call: r.ID, Rank: r.Request.Rank, Deadline: r.Request.Deadline}, now).(type) {
 	case admit.Start:
 		t.dispatch(r, now)
 	case admit.Wait:
@@ -109,8 +118,6 @@
 	switch {
 	case !t.present:
 		return errs.Withdrawn, true
-	case !t.confirmed && r.ledger != nil:
-		return errs.Unconfirmed, true
 	case t.draining:
 		return errs.Draining, true
 	case t.down:
@@ -193,9 +200,13 @@
 	c.close()
 }
 
-// expire ends a dispatched call whose deadline has passed. Its connection is closed, so that
-// the late answer reaches nobody and the target sees the cancellation.
+// expire ends a held or dispatched call whose deadline has passed. The connection of a dispatched
+// one is closed, so that the late answer reaches nobody and the target sees the cancellation.
 func (t *Task) expire(id call.ID) {
+	if r, ok := t.runs[id]; ok && r.conn == nil {
+		t.refuseRun(r, errs.DeadlineExceeded)
+		return
+	}
 	t.abandon(id, call.Unknown{Kind: errs.DeadlineInFlight, Detail: "the deadline passed while the target ran the call"})
 }
 
