Bound the memory of answers that callers do not read

Cause: MaxBodyMemory counted request bodies only. A caller that does not read keeps its answer in memory for up to 30 s, and 10,000 connections with 8 MiB each have no common bound.

Change: requests and answers take from one quota that tasks share. A request is refused when the quota is used up; an answer of a call that has run is always taken, so the quota can be exceeded by the calls admitted before. A task that ends gives back what it holds.

Conclusion: bodies from peers are not counted yet.

--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -29,7 +29,7 @@
 	Seeds      []netip.AddrPort
 	MaxBody    int
 	MaxHeader  int
-	// MaxBodyMemory bounds the bytes of all request bodies under way.
+	// MaxBodyMemory bounds the bytes of the bodies of all requests and responses in flight.
 	MaxBodyMemory int
 	KeyEpoch      time.Duration
 }
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -7,6 +7,7 @@
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/meter"
+	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
@@ -79,6 +80,7 @@
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
+	bodies := quota.New(s.MaxBodyMemory)
 	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of))
 	control := tree.NewSupervisor("control", []tree.Child{
 		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
@@ -102,7 +104,7 @@
 	edge := tree.NewSupervisor("edge", []tree.Child{
 		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server, b.listen) }},
 		{Name: "front", Start: func() (tree.Task, error) {
-			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithMaxBodyMemory(s.MaxBodyMemory), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of))
+			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithQuota(bodies), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of))
 		}},
 		{Name: "admin", Start: func() (tree.Task, error) {
 			return admin.New(s.Admin, admin.Config{
--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -27,6 +27,8 @@
 	unsent atomic.Int64
 	// held is the number of bytes that an incomplete request holds of the memory limit.
 	held atomic.Int64
+	// answered is the number of bytes that the body of an answer holds until the system has taken all of it.
+	answered int
 	// queue holds the requests that wait for the answer to the current one.
 	queue   []*request
 	current *request
@@ -43,16 +45,22 @@
 }
 
 // giveHeld gives back what an incomplete request holds.
-func (c *caller) giveHeld() { c.task.memory.give(int(c.held.Swap(0))) }
+func (c *caller) giveHeld() { c.task.memory.Give(int(c.held.Swap(0))) }
+
+// giveAnswered gives back what the last answer holds.
+func (t *Task) giveAnswered(c *caller) {
+	t.memory.Give(c.answered)
+	c.answered = 0
+}
 
 func (t *Task) arrive(m arrived) {
 	c := m.caller
 	switch {
 	case c.task != t || c.gone || c.closing || c.refusal != nil:
-		c.task.memory.give(m.request.reserved)
+		c.task.memory.Give(m.request.reserved)
 		return
 	case len(c.queue) >= maxPipelined:
-		c.task.memory.give(m.request.reserved)
+		c.task.memory.Give(m.request.reserved)
 		c.refusal = &refused{caller: c, kind: errs.Busy, detail: "more than " + strconv.Itoa(maxPipelined) + " requests wait on the connection"}
 	default:
 		c.queue = append(c.queue, m.request)
@@ -67,6 +75,7 @@
 			t.alarms.Set(c, t.clock.Now().Add(unsentPoll))
 			return
 		}
+		t.giveAnswered(c)
 		if c.taking {
 			// The library does not clear the limit when its poller has sent the rest.
 			c.taking = false
@@ -159,12 +168,13 @@
 	}
 	c.gone = true
 	t.alarms.Clear(c)
+	t.giveAnswered(c)
 	for _, r := range c.queue {
-		t.memory.give(r.reserved)
+		t.memory.Give(r.reserved)
 	}
 	c.queue = nil
 	if c.current != nil {
-		t.memory.give(c.current.reserved)
+		t.memory.Give(c.current.reserved)
 		// The router waits for no task, so that this does not block for long.
 		t.router.Put(router.Cancel{ID: c.id}, t.Stopping())
 	}
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -17,6 +17,7 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/router"
 )
@@ -57,7 +58,8 @@
 	maxHeader int
 	sendLimit time.Duration
 	keepalive time.Duration
-	memory    *memory
+	quota     *quota.Quota
+	memory    *quota.Share
 	open      atomic.Int64
 	alarms    *alarm.Queue[*caller]
 	calls     map[call.ID]*caller
@@ -75,14 +77,8 @@
 // WithMaxHeader bounds the size of the header of a request in bytes.
 func WithMaxHeader(n int) Option { return func(t *Task) { t.maxHeader = n } }
 
-// WithMaxBodyMemory bounds the size of all request bodies under way in bytes. Zero leaves the default.
-func WithMaxBodyMemory(n int) Option {
-	return func(t *Task) {
-		if n > 0 {
-			t.memory.limit = int64(n)
-		}
-	}
-}
+// WithQuota sets the bound of the memory of all bodies, which tasks share.
+func WithQuota(q *quota.Quota) Option { return func(t *Task) { t.quota = q } }
 
 // WithSendLimit bounds the time from the first byte of a request to its last.
 func WithSendLimit(d time.Duration) Option { return func(t *Task) { t.sendLimit = d } }
@@ -98,9 +94,6 @@
 	return func(t *Task) { t.arrival = arrival }
 }
 
-// defaultBodyMemory is the default of WithMaxBodyMemory: half of the memory budget of a daemon.
-const defaultBodyMemory = 32 << 20
-
 // New starts the task that listens for callers at an address. It reads from inbox.
 func New(at netip.AddrPort, inbox *mail.Box[Message], box *mail.Box[router.Message], options ...Option) (*Task, error) {
 	t := &Task{
@@ -114,13 +107,14 @@
 		maxHeader: 64 << 10,
 		sendLimit: sendLimit,
 		keepalive: 120 * time.Second,
-		memory:    &memory{limit: defaultBodyMemory},
+		quota:     quota.New(0),
 		alarms:    alarm.NewQueue[*caller](),
 		calls:     map[call.ID]*caller{},
 	}
 	for _, o := range options {
 		o(t)
 	}
+	t.memory = t.quota.Open()
 	if err := t.listen(at); err != nil {
 		return nil, errors.Annotatef(err, "listen for callers at %s", at)
 	}
@@ -201,6 +195,7 @@
 
 func (t *Task) loop() error {
 	defer t.alarms.Stop()
+	defer t.memory.Close()
 	for {
 		select {
 		case m := <-t.inbox.C():
--- a/internal/task/front/front_test.go
+++ b/internal/task/front/front_test.go
@@ -17,6 +17,7 @@
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/task/front"
 	"jacinthcross/internal/task/router"
 )
@@ -264,7 +265,7 @@
 
 // Guards against an unbounded sum of bodies, and against memory that is never given back.
 func TestBodyMemoryIsBounded(t *testing.T) {
-	f := start(t, front.WithMaxBodyMemory(1500))
+	f := start(t, front.WithQuota(quota.New(1500)))
 	request := "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000\r\n\r\n"
 	for range 3 {
 		half := dial(t, f)
--- a/internal/task/front/parse.go
+++ b/internal/task/front/parse.go
@@ -163,7 +163,7 @@
 	if n <= 0 {
 		return true
 	}
-	if !i.task.memory.take(n) {
+	if !i.task.memory.TryTake(n) {
 		i.refuse(errs.Busy, "the bodies under way use all of the memory for bodies")
 		return false
 	}
--- a/internal/task/front/write.go
+++ b/internal/task/front/write.go
@@ -18,7 +18,7 @@
 func (t *Task) write(c *caller, o call.Outcome) {
 	r := c.current
 	c.current, c.id = nil, 0
-	t.memory.give(r.reserved)
+	t.memory.Give(r.reserved)
 	asked := r.close()
 	c.closing = c.closing || asked || t.draining
 	status, fields, body := answerOf(o)
@@ -36,11 +36,14 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	if len(body) <= maxJoined {
+	size := len(body)
+	if size <= maxJoined {
 		b = append(b, body...)
 		body = nil
 	}
 	t.buffer = b[:0]
+	c.answered += size
+	t.memory.Take(size)
 	t.send(c, b)
 	t.send(c, body)
 	if c.closing {
@@ -52,7 +55,7 @@
 // bytes of the caller may be under way, and a close at once could destroy the answer.
 func (t *Task) endConnection(c *caller, asked bool) {
 	for _, r := range c.queue {
-		t.memory.give(r.reserved)
+		t.memory.Give(r.reserved)
 	}
 	c.queue = nil
 	now := t.clock.Now()
