Read the command lines of both programs in one place

Change: internal/cli/args does it for both; a command returns an error and the package turns it into the exit code.

--- a/internal/bench/cmds/cmds_test.go
+++ b/internal/bench/cmds/cmds_test.go
@@ -43,7 +43,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			var out, failure bytes.Buffer
-			got := cmds.Main(test.args, cmds.Env{Out: &out, Err: &failure})
+			got := cmds.Main(test.args, &out, &failure)
 			qt.Assert(t, got, qt.Equals, test.want, qt.Commentf("%s", failure.String()))
 			qt.Assert(t, failure.Len() > 0, qt.Equals, test.want != 0)
 		})
--- a/internal/bench/cmds/compare.go
+++ b/internal/bench/cmds/compare.go
@@ -1,13 +1,16 @@
 package cmds
 
-import "jacinthcross/internal/bench/report"
+import (
+	"jacinthcross/internal/bench/report"
+	"jacinthcross/internal/cli/args"
+)
 
 type compareCommand struct {
 	A string `arg:"positional,required" help:"first result"`
 	B string `arg:"positional,required" help:"second result"`
 }
 
-func (c *compareCommand) run(env Env) error {
+func (c *compareCommand) Run(env args.Env) error {
 	a, err := report.Read(c.A)
 	if err != nil {
 		return err
--- a/internal/bench/cmds/config.go
+++ b/internal/bench/cmds/config.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/cli/args"
 )
 
 type configCommand struct {
@@ -21,7 +22,7 @@
 	Slow    time.Duration `arg:"--slow" default:"500ms" help:"delay of each answer in mode slow"`
 }
 
-func (c *configCommand) run(env Env) error {
+func (c *configCommand) Run(env args.Env) error {
 	at, err := netip.ParseAddrPort(c.Address)
 	if err != nil {
 		return errors.NewNotValid(err, "--address")
--- a/internal/bench/cmds/demo.go
+++ b/internal/bench/cmds/demo.go
@@ -1,7 +1,10 @@
 package cmds
 
-import "jacinthcross/internal/bench/demo"
+import (
+	"jacinthcross/internal/bench/demo"
+	"jacinthcross/internal/cli/args"
+)
 
 type demoCommand struct{}
 
-func (demoCommand) run(env Env) error { return demo.Run(env.Out) }
+func (demoCommand) Run(env args.Env) error { return demo.Run(env.Out) }
--- a/internal/bench/cmds/fleet.go
+++ b/internal/bench/cmds/fleet.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthcross/internal/bench/fleet"
+	"jacinthcross/internal/cli/args"
 )
 
 type fleetCommand struct {
@@ -15,7 +16,7 @@
 	Daemon      string        `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
 }
 
-func (c *fleetCommand) run(env Env) error {
+func (c *fleetCommand) Run(env args.Env) error {
 	if len(c.Daemons) == 0 {
 		c.Daemons = []int{10, 30, 100, 200}
 	}
--- a/internal/bench/cmds/overhead.go
+++ b/internal/bench/cmds/overhead.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthcross/internal/bench/cost"
+	"jacinthcross/internal/cli/args"
 )
 
 type overheadCommand struct {
@@ -11,7 +12,7 @@
 	Each   time.Duration `arg:"--each" default:"5s" help:"length of each of the 18 measurements"`
 }
 
-func (c *overheadCommand) run(env Env) error {
+func (c *overheadCommand) Run(env args.Env) error {
 	path, clean, err := daemonProgram(c.Daemon, false)
 	if err != nil {
 		return err
--- a/internal/bench/cmds/report.go
+++ b/internal/bench/cmds/report.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/bench/report"
+	"jacinthcross/internal/cli/args"
 )
 
 type reportCommand struct {
@@ -14,7 +15,7 @@
 	Out     string   `arg:"--out,required" help:"file of the page" placeholder:"FILE"`
 }
 
-func (c *reportCommand) run(Env) error {
+func (c *reportCommand) Run(args.Env) error {
 	var results []*report.Result
 	for _, file := range c.Results {
 		r, err := report.Read(file)
--- a/internal/bench/cmds/run.go
+++ b/internal/bench/cmds/run.go
@@ -12,6 +12,7 @@
 	"jacinthcross/internal/bench/setup"
 	"jacinthcross/internal/bench/stage"
 	"jacinthcross/internal/bench/target"
+	"jacinthcross/internal/cli/args"
 )
 
 type runCommand struct {
@@ -21,7 +22,7 @@
 	InProcess bool   `arg:"--in-process" help:"run the daemons in this process"`
 }
 
-func (c *runCommand) run(env Env) error {
+func (c *runCommand) Run(env args.Env) error {
 	s, err := setup.ReadScenario(c.Scenario)
 	if err != nil {
 		return err
@@ -51,7 +52,7 @@
 }
 
 // runBalancer runs the scenario in a new deployment, so that each balancer starts from the same state.
-func runBalancer(env Env, s *setup.Scenario, b setup.Balancer, path string) (report.Run, error) {
+func runBalancer(env args.Env, s *setup.Scenario, b setup.Balancer, path string) (report.Run, error) {
 	v := stage.Config{
 		Layout: s.Layout, Seed: s.Seed, Daemons: stage.None{}, ShedAbove: s.ShedAbove,
 		Noise: target.Noise{Period: time.Duration(s.Noise.Period), Share: s.Noise.Share, Factor: s.Noise.Factor},
--- a/internal/bench/cmds/target.go
+++ b/internal/bench/cmds/target.go
@@ -11,6 +11,7 @@
 
 	"jacinthcross/internal/bench/tally"
 	"jacinthcross/internal/bench/target"
+	"jacinthcross/internal/cli/args"
 )
 
 type targetCommand struct {
@@ -31,7 +32,7 @@
 	Daemon      string        `arg:"--daemon" help:"address for callers of the daemon beside this target"`
 }
 
-func (c *targetCommand) run(Env) error {
+func (c *targetCommand) Run(args.Env) error {
 	s := target.Settings{
 		Name: c.Name, Slots: c.Slots, Times: target.LogNormal{Median: c.Median, Sigma: c.Sigma}, Seed: c.Seed,
 		Noise:     target.Noise{Period: c.NoisePeriod, Share: c.NoiseShare, Factor: c.NoiseFactor},
--- a/internal/cli/cmds/check.go
+++ b/internal/cli/cmds/check.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 
+	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/fleet/note"
 )
 
@@ -12,21 +13,21 @@
 	Against string `arg:"--against" help:"snapshot of the release before the note; without it, the note is the first one" placeholder:"FILE"`
 }
 
-func (c *releaseCheckCommand) run(env Env) int {
+func (c *releaseCheckCommand) Run(env args.Env) error {
 	before := note.NewRelease()
 	if c.Against != "" {
 		var err error
 		if before, err = readSnapshot(c.Against); err != nil {
-			return exitFile(env, c.Against, err)
+			return fileError(env, c.Against, err)
 		}
 	}
 	text, err := os.ReadFile(c.File)
 	if err != nil {
-		return exitFile(env, c.File, err)
+		return fileError(env, c.File, err)
 	}
 	after, mistakes := note.Check(before, text)
 	if len(mistakes) > 0 {
-		return exitFile(env, c.File, mistakes)
+		return fileError(env, c.File, mistakes)
 	}
 	for _, d := range note.Diff(before, after) {
 		fmt.Fprintf(env.Out, "%-9s %-7s %s", d.Kind, d.What, d.Name)
@@ -36,7 +37,7 @@
 		fmt.Fprintln(env.Out)
 	}
 	fmt.Fprintf(env.Out, "%s: valid release note %d with digest %s\n", c.File, after.Head.Serial, after.Head.Digest)
-	return exitSuccess
+	return nil
 }
 
 func readSnapshot(path string) (*note.Release, error) {
--- a/internal/cli/cmds/cmds.go
+++ b/internal/cli/cmds/cmds.go
@@ -5,28 +5,15 @@
 	"fmt"
 	"io"
 
-	"github.com/alexflint/go-arg"
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/form"
+	"jacinthcross/internal/cli/args"
 )
 
 // Version is the version of the program.
 const Version = "0.1.0"
 
-// Exit codes of all commands.
-const (
-	exitSuccess = 0
-	exitFailure = 1
-	exitInvalid = 2
-)
-
-// An Env is what a command may use of its process.
-type Env struct {
-	Out io.Writer
-	Err io.Writer
-}
-
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run the daemon"`
 	Release *releaseCommand `arg:"subcommand:release" help:"check release notes and pack snapshots"`
@@ -61,65 +48,19 @@
 Exit codes: 0 success, 1 failure, 2 invalid input.`
 }
 
-// Main runs the command that the arguments name and returns its exit code.
-func Main(args []string, env Env) int {
-	var a arguments
-	p, err := arg.NewParser(arg.Config{Program: "jacinthcross", Out: env.Out}, &a)
-	if err != nil {
-		fmt.Fprintln(env.Err, "jacinthcross:", err)
-		return exitFailure
-	}
-	err = p.Parse(args)
-	switch {
-	case errors.Is(err, arg.ErrHelp):
-		if err := p.WriteHelpForSubcommand(env.Out, p.SubcommandNames()...); err != nil {
-			return exitFailure
-		}
-		return exitSuccess
-	case err != nil:
-		fmt.Fprintln(env.Err, "jacinthcross:", err)
-		return exitInvalid
-	}
-	switch c := p.Subcommand().(type) {
-	case *serveCommand:
-		return c.run(env)
-	case *releaseCheckCommand:
-		return c.run(env)
-	case *releasePackCommand:
-		return c.run(env)
-	case *statusCommand:
-		return c.run(env)
-	case *configCheckCommand:
-		return c.run(env)
-	case *versionCommand:
-		return c.run(env)
-	}
-	if err := p.WriteHelpForSubcommand(env.Err, p.SubcommandNames()...); err != nil {
-		return exitFailure
-	}
-	return exitInvalid
-}
-
-// exit reports an error and returns the code for it.
-func exit(env Env, err error) int {
-	if err == nil {
-		return exitSuccess
-	}
-	fmt.Fprintln(env.Err, "jacinthcross:", err)
-	if errors.Is(err, errors.NotValid) {
-		return exitInvalid
-	}
-	return exitFailure
+// Main runs the command that the words name and returns its exit code.
+func Main(words []string, out, err io.Writer) args.Code {
+	return args.Env{Program: "jacinthcross", Out: out, Err: err}.Main(words, &arguments{})
 }
 
-// exitFile reports an error about a file, with one line for each mistake, and returns the code for it.
-func exitFile(env Env, path string, err error) int {
+// fileError returns an error about a file, after it has written one line for each mistake in it.
+func fileError(env args.Env, path string, err error) error {
 	var mistakes form.Errors
 	if !errors.As(err, &mistakes) {
-		return exit(env, errors.Annotate(err, path))
+		return errors.Annotate(err, path)
 	}
 	for _, m := range mistakes {
 		fmt.Fprintf(env.Err, "%s: %s\n", path, m)
 	}
-	return exitInvalid
+	return args.ReportedError{Code: args.Invalid}
 }
--- a/internal/cli/cmds/cmds_test.go
+++ b/internal/cli/cmds/cmds_test.go
@@ -23,7 +23,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"jacinthcross": func() { os.Exit(cmds.Main(os.Args[1:], cmds.Env{Out: os.Stdout, Err: os.Stderr})) },
+		"jacinthcross": func() { os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr)) },
 	})
 }
 
@@ -91,7 +91,7 @@
 	var out strings.Builder
 	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
 		out.Reset()
-		cmds.Main(args[1:], cmds.Env{Out: &out, Err: &out})
+		cmds.Main(args[1:], &out, &out)
 		if pattern.MatchString(out.String()) {
 			return
 		}
--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/cli/conf"
 )
 
@@ -10,11 +11,11 @@
 	File string `arg:"positional,required" help:"file with the settings" placeholder:"FILE"`
 }
 
-func (c *configCheckCommand) run(env Env) int {
+func (c *configCheckCommand) Run(env args.Env) error {
 	s, err := conf.Load(c.File)
 	if err != nil {
-		return exitFile(env, c.File, err)
+		return fileError(env, c.File, err)
 	}
 	fmt.Fprintf(env.Out, "%s: valid settings of VM %s in data centre %s\n", c.File, s.VM, s.DataCentre)
-	return exitSuccess
+	return nil
 }
--- a/internal/cli/cmds/pack.go
+++ b/internal/cli/cmds/pack.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 
+	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/fleet/note"
 )
 
@@ -11,25 +12,25 @@
 	Base  string   `arg:"--base" help:"snapshot before the first of the notes" placeholder:"FILE"`
 }
 
-func (c *releasePackCommand) run(env Env) int {
+func (c *releasePackCommand) Run(env args.Env) error {
 	release := note.NewRelease()
 	if c.Base != "" {
 		var err error
 		if release, err = readSnapshot(c.Base); err != nil {
-			return exitFile(env, c.Base, err)
+			return fileError(env, c.Base, err)
 		}
 	}
 	for _, path := range c.Notes {
 		text, err := os.ReadFile(path)
 		if err != nil {
-			return exitFile(env, path, err)
+			return fileError(env, path, err)
 		}
 		next, mistakes := note.Check(release, text)
 		if len(mistakes) > 0 {
-			return exitFile(env, path, mistakes)
+			return fileError(env, path, mistakes)
 		}
 		release = next
 	}
 	_, err := env.Out.Write(release.Snapshot())
-	return exit(env, err)
+	return err
 }
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -5,6 +5,7 @@
 	"os/signal"
 	"syscall"
 
+	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/daemon"
 )
@@ -13,16 +14,16 @@
 	Config string `arg:"--config,required" help:"file with the settings" placeholder:"FILE"`
 }
 
-func (c *serveCommand) run(env Env) int {
+func (c *serveCommand) Run(env args.Env) error {
 	settings, err := conf.Load(c.Config)
 	if err != nil {
-		return exitFile(env, c.Config, err)
+		return fileError(env, c.Config, err)
 	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(settings, Version)
 	if err != nil {
-		return exit(env, err)
+		return err
 	}
 	select {
 	case <-signals:
@@ -34,5 +35,5 @@
 		d.Drain()
 	case <-d.Done():
 	}
-	return exit(env, d.Err())
+	return d.Err()
 }
--- a/internal/cli/cmds/status.go
+++ b/internal/cli/cmds/status.go
@@ -14,6 +14,7 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/task/admin"
 )
 
@@ -34,26 +35,25 @@
 // maxStatus bounds the size of the status of a daemon in bytes.
 const maxStatus = 4 << 20
 
-func (c *statusCommand) run(env Env) int {
+func (c *statusCommand) Run(env args.Env) error {
 	reports := make([]report, len(c.Addresses))
 	for i, text := range c.Addresses {
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return exit(env, errors.NotValidf("address %q (want an IP address with a port, such as 10.0.0.1:7001)", text))
+			return errors.NotValidf("address %q (want an IP address with a port, such as 10.0.0.1:7001)", text)
 		}
 		reports[i].Address = a
 	}
 	c.ask(reports)
-	code := exitSuccess
+	if err := c.print(env, reports); err != nil {
+		return err
+	}
 	for _, r := range reports {
 		if r.Error != "" {
-			code = exitFailure
+			return args.ReportedError{Code: args.Failure}
 		}
 	}
-	if err := c.print(env, reports); err != nil {
-		return exit(env, err)
-	}
-	return code
+	return nil
 }
 
 // ask asks all daemons at once and marks those whose release is older than that of another.
@@ -104,7 +104,7 @@
 	return s, nil
 }
 
-func (c *statusCommand) print(env Env, reports []report) error {
+func (c *statusCommand) print(env args.Env, reports []report) error {
 	if c.JSON {
 		e := json.NewEncoder(env.Out)
 		e.SetIndent("", "  ")
--- a/internal/cli/cmds/version.go
+++ b/internal/cli/cmds/version.go
@@ -1,10 +1,14 @@
 package cmds
 
-import "fmt"
+import (
+	"fmt"
+
+	"jacinthcross/internal/cli/args"
+)
 
 type versionCommand struct{}
 
-func (versionCommand) run(env Env) int {
+func (versionCommand) Run(env args.Env) error {
 	fmt.Fprintln(env.Out, "jacinthcross", Version)
-	return exitSuccess
+	return nil
 }
--- a/main.go
+++ b/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	os.Exit(cmds.Main(os.Args[1:], cmds.Env{Out: os.Stdout, Err: os.Stderr}))
+	os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
 }
