Show failures, runs and the reasons of refusals in the HTML report

Cause: the page left out the columns Failed, Runs and Platform calls of the printed table, and showed the reasons of refusals and unknown outcomes only as titles under the pointer, which a printed page lacks.

Change: the columns and the reasons are on the page; a test holds the reasons there.

Before: a failed call of a balancer was not on the page. Conclusion: the page says what the terminal says.

--- a/internal/bench/report/html.go
+++ b/internal/bench/report/html.go
@@ -6,6 +6,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -107,13 +108,19 @@
 	return list
 }
 
+func reasonsOf(r Run) string {
+	var b strings.Builder
+	PrintReasons(&b, r)
+	return b.String()
+}
+
 // HTML writes a page with the plots and tables of results. It needs no network.
 func HTML(out io.Writer, results []*Result) error {
 	return errors.Annotate(page.Execute(out, results), "write page")
 }
 
 var page = template.Must(template.New("page").Funcs(template.FuncMap{
-	"plots": plots, "total": Total, "reasons": reasons,
+	"plots": plots, "total": Total, "reasons": reasonsOf,
 	"width": func() float64 { return plotWidth }, "height": func() float64 { return plotHeight },
 	"left": func() float64 { return marginLeft }, "right": func() float64 { return plotWidth - marginRight },
 	"bottom": func() float64 { return plotHeight - marginY },
@@ -134,11 +141,12 @@
 {{end}}{{range .Marks}}<text x="{{.At}}" y="{{bottom}}" dy="18" text-anchor="middle">{{.Label}}</text>
 {{end}}{{range .Curves}}<polyline fill="none" stroke="{{.Colour}}" stroke-width="2" points="{{range .Points}}{{printf "%.1f,%.1f " .X .Y}}{{end}}"/><text x="{{right}}" y="{{.LabelY}}" dx="10" style="fill:{{.Colour}}">{{.Name}}</text>
 {{end}}</svg></figure>
-{{end}}<table><tr><th>Balancer</th><th>Load</th><th>Calls</th><th>Answered</th><th>Refused</th><th>Unknown</th><th>Good/s</th><th>p50 ms</th><th>p99 ms</th><th>p99.9 ms</th></tr>
-{{range $run := .Runs}}{{range .Loads}}<tr><td>{{$run.Balancer}}</td><td>{{.Name}}</td><td>{{.Calls}}</td><td>{{.Answered}}</td><td title="{{reasons .Refused}}">{{total .Refused}}</td><td title="{{reasons .Unknown}}">{{total .Unknown}}</td><td>{{printf "%.1f" .Goodput}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .P999}}</td></tr>
+{{end}}<table><tr><th>Balancer</th><th>Load</th><th>Calls</th><th>Answered</th><th>Failed</th><th>Refused</th><th>Unknown</th><th>Good/s</th><th>p50 ms</th><th>p99 ms</th><th>p99.9 ms</th></tr>
+{{range $run := .Runs}}{{range .Loads}}<tr><td>{{$run.Balancer}}</td><td>{{.Name}}</td><td>{{.Calls}}</td><td>{{.Answered}}</td><td>{{.Failed}}</td><td>{{total .Refused}}</td><td>{{total .Unknown}}</td><td>{{printf "%.1f" .Goodput}}</td><td>{{printf "%.1f" .P50}}</td><td>{{printf "%.1f" .P99}}</td><td>{{printf "%.1f" .P999}}</td></tr>
 {{end}}{{end}}</table>
-<table><tr><th>Balancer</th><th>Deployment</th><th>Sent</th><th>Late</th><th>Amplification</th><th>Probes/call</th><th>Control B/call</th><th>Second runs</th><th>False refusals</th><th>Foreign answers</th></tr>
-{{$d := .Deployment}}{{range .Runs}}<tr><td>{{.Balancer}}</td><td>{{$d}}</td><td>{{.Sent}}</td><td>{{.Late}}</td><td>{{printf "%.3f" .Amplification}}</td><td>{{printf "%.4f" .ProbesPerCall}}</td><td>{{printf "%.1f" .ControlBytesPerCall}}</td><td>{{.SecondRuns}}</td><td>{{.FalseRefusals}}</td><td>{{.Foreign}}</td></tr>
+<table><tr><th>Balancer</th><th>Deployment</th><th>Sent</th><th>Late</th><th>Runs</th><th>Amplification</th><th>Probes/call</th><th>Control B/call</th><th>Platform calls</th><th>Second runs</th><th>False refusals</th><th>Foreign answers</th></tr>
+{{$d := .Deployment}}{{range .Runs}}<tr><td>{{.Balancer}}</td><td>{{$d}}</td><td>{{.Sent}}</td><td>{{.Late}}</td><td>{{.TargetRuns}}</td><td>{{printf "%.3f" .Amplification}}</td><td>{{printf "%.4f" .ProbesPerCall}}</td><td>{{printf "%.1f" .ControlBytesPerCall}}</td><td>{{.PlatformCalls}}</td><td>{{.SecondRuns}}</td><td>{{.FalseRefusals}}</td><td>{{.Foreign}}</td></tr>
 {{end}}</table>
-{{end}}</body></html>
+{{range .Runs}}<pre>{{reasons .}}</pre>
+{{end}}{{end}}</body></html>
 `))
--- a/internal/bench/report/report_test.go
+++ b/internal/bench/report/report_test.go
@@ -75,6 +75,7 @@
 	start, end := strings.Index(page, "<svg"), strings.Index(page, "</svg>")
 	c.Assert(xml.Unmarshal([]byte(page[start:end+len("</svg>")]), &struct{}{}), qt.IsNil)
 	c.Assert(page, qt.Contains, "sum&lt;maries&gt;")
+	c.Assert(page, qt.Contains, "refused: Busy 1, Overloaded 1")
 	c.Assert(strings.Contains(page, "NaN"), qt.IsFalse)
 }
 
