Model conflicts of one serial and the confirmation

Cause: the model of releases left out two notes of one serial and the two-peer rule of the confirmation. The new models found a fault of the rule, and the property test one of the code: - A new daemon counted a peer with another note of its own serial. Trace of confirm-serial: the daemon reads note 2B from a stale service, a peer that holds 2A, which withdraws the daemon's target, answers with serial 2 and is counted, and a keyed call runs on the withdrawn target. - A winning note whose branch parts before its serial was reported as Refused with a mistake, remembered as invalid, and not pulled.

Change: spec/conflict.pml and spec/confirm.pml with 11 broken variants. A peer is counted when its head equals the own one or has a lower serial. Such a note is Behind, which pulls its branch.

--- a/internal/fleet/relay/confirm.go
+++ b/internal/fleet/relay/confirm.go
@@ -33,9 +33,11 @@
 }
 
 // Answered counts a peer that told its head in answer to a request, when the own head is not behind it.
+// Another head of the own serial does not count: which of the two notes wins is known only after a pull,
+// and the other one may withdraw the own target (spec/broken/confirm-serial.pml).
 // An answer to a request from before the start does not count, since it may be older than what is to be confirmed.
 func (c *Confirmation) Answered(vm ident.VM, peer, own ident.Head, sent time.Time) {
-	if own.Serial >= peer.Serial && !sent.Before(c.started) {
+	if (own == peer || own.Serial > peer.Serial) && !sent.Before(c.started) {
 		c.answered[vm] = true
 	}
 }
--- a/internal/fleet/relay/place_test.go
+++ b/internal/fleet/relay/place_test.go
@@ -160,29 +160,33 @@
 // Guards against keyed calls before the head was compared with peers, against an answer from before a
 // pause that counts as a comparison after it, and against a daemon that never serves keyed calls.
 func TestConfirmation(t *testing.T) {
-	own := ident.Head{Serial: 5}
+	own := ident.Head{Serial: 5, Digest: ident.Digest{1}}
+	lower, higher, other := ident.Head{Serial: 4}, ident.Head{Serial: 6}, ident.Head{Serial: 5, Digest: ident.Digest{2}}
 	tests := []struct {
 		name  string
-		heads []ident.Serial
+		heads []ident.Head
 		peers int
 		sent  time.Duration
 		after time.Duration
 		want  bool
 	}{
 		{"no answer", nil, 5, 0, time.Second, false},
-		{"one of many", []ident.Serial{5}, 5, 0, time.Second, false},
-		{"two", []ident.Serial{5, 4}, 5, 0, time.Second, true},
-		{"two to requests from before the start", []ident.Serial{5, 4}, 5, -time.Millisecond, time.Second, false},
-		{"two, one ahead", []ident.Serial{5, 6}, 5, 0, time.Second, false},
-		{"the only one", []ident.Serial{5}, 1, 0, time.Second, true},
+		{"one of many", []ident.Head{own}, 5, 0, time.Second, false},
+		{"two", []ident.Head{own, lower}, 5, 0, time.Second, true},
+		{"two to requests from before the start", []ident.Head{own, lower}, 5, -time.Millisecond, time.Second, false},
+		{"two, one ahead", []ident.Head{own, higher}, 5, 0, time.Second, false},
+		{"two, one with another note of the serial", []ident.Head{own, other}, 5, 0, time.Second, false},
+		{"two with another note of the serial", []ident.Head{other, other}, 5, 0, time.Second, false},
+		{"the only one", []ident.Head{own}, 1, 0, time.Second, true},
+		{"the only one has another note of the serial", []ident.Head{other}, 1, 0, time.Second, false},
 		{"alone", nil, 0, 0, 0, true},
 		{"time is over", nil, 5, 0, 1500 * time.Millisecond, true},
 	}
 	for _, test := range tests {
 		c := quicktest.New(t)
 		confirmation := relay.NewConfirmation(start)
-		for i, s := range test.heads {
-			confirmation.Answered(ident.VM(fmt.Sprint(i)), ident.Head{Serial: s}, own, start.Add(test.sent))
+		for i, h := range test.heads {
+			confirmation.Answered(ident.VM(fmt.Sprint(i)), h, own, start.Add(test.sent))
 		}
 		c.Check(confirmation.Done(test.peers, start.Add(test.after)), quicktest.Equals, test.want, quicktest.Commentf(test.name))
 	}
--- a/internal/fleet/relay/replica.go
+++ b/internal/fleet/relay/replica.go
@@ -163,6 +163,10 @@
 	if slices.Contains(r.refused, digest) {
 		return Refused, nil
 	}
+	if n, err := note.Parse(o.Text); err == nil && n.Serial == o.Serial && !r.before.Head.IsZero() && n.Previous != r.before.Head.Digest.String() {
+		// The branches part before this serial. The peer has the notes that this one follows.
+		return Behind, nil
+	}
 	next, mistakes := note.Check(r.before, o.Text)
 	if len(mistakes) > 0 {
 		r.refuse(digest)
--- /dev/null
+++ b/internal/fleet/relay/rules_test.go
@@ -0,0 +1,177 @@
+package relay_test
+
+import (
+	"crypto/sha256"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/relay"
+)
+
+// A published is a note with the version that the service gave it, or 0 when that is unknown.
+type published struct {
+	head    ident.Head
+	parent  ident.Head
+	version uint64
+}
+
+// A reference is the state of a Replica by the rules of the design page: the heads since the last
+// snapshot, and whether the release before the last note is known.
+type reference struct {
+	last   published
+	before ident.Head
+	known  bool
+	chain  []ident.Head
+}
+
+// wins reports whether a note replaces another one of its serial: lower version first, unknown last, then the digest.
+func wins(a, b published) bool {
+	switch {
+	case a.version == b.version:
+		return slices.Compare(a.head.Digest[:], b.head.Digest[:]) < 0
+	case a.version == 0 || b.version == 0:
+		return b.version == 0
+	default:
+		return a.version < b.version
+	}
+}
+
+func (r *reference) offer(p published) relay.Verdict {
+	own := r.last.head
+	switch {
+	case p.head.Serial < own.Serial:
+		for _, h := range r.chain {
+			if h.Serial == p.head.Serial && h != p.head {
+				return relay.Conflict
+			}
+		}
+		return relay.Known
+	case p.head == own:
+		if wins(published{version: p.version}, published{version: r.last.version}) {
+			r.last.version = p.version
+		}
+		return relay.Known
+	case p.head.Serial == own.Serial && !wins(p, r.last):
+		return relay.Conflict
+	case p.head.Serial == own.Serial && r.known && p.parent == r.before:
+		r.last = p
+		r.chain = append(slices.Clone(r.chain[:len(r.chain)-1]), p.head)
+		return relay.Replaced
+	case p.head.Serial == own.Serial+1 && p.parent == own:
+		r.before, r.known, r.last = own, true, p
+		r.chain = append(slices.Clone(r.chain), p.head)
+		return relay.Applied
+	default:
+		return relay.Behind
+	}
+}
+
+func (r *reference) take(p published) relay.Verdict {
+	own := r.last.head
+	verdict := relay.Applied
+	switch {
+	case p.head == own || p.head.Serial < own.Serial:
+		return relay.Known
+	case p.head.Serial == own.Serial && !wins(p, r.last):
+		return relay.Conflict
+	case p.head.Serial == own.Serial:
+		verdict = relay.Replaced
+	}
+	*r = reference{last: p}
+	return verdict
+}
+
+// Guards against a daemon that decides otherwise than the rules say: a head that goes to a lower serial or
+// to the loser of a conflict, a valid note that is refused, and daemons on two branches that do not converge.
+func TestReplicaFollowsRules(t *testing.T) {
+	const daemons = 3
+	type state struct {
+		published
+		offer    relay.Offer
+		snapshot []byte
+	}
+	var states []state
+	for i, branch := range [][]relay.Offer{chain(6, 99, ""), chain(6, 3, "other"), chain(6, 4, "third")} {
+		r, parent := relay.NewReplica("source", "d"), ident.Head{}
+		for _, o := range branch {
+			// The second branch has later versions than the first, and the third has equal ones.
+			if i == 1 {
+				o.Version += 5
+			}
+			r.Offer(o)
+			states = append(states, state{
+				published{ident.Head{Serial: o.Serial, Digest: sha256.Sum256(o.Text)}, parent, o.Version}, o, r.Release().Snapshot(),
+			})
+			parent = r.Head()
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		var replicas [daemons]*relay.Replica
+		var references [daemons]reference
+		for i := range replicas {
+			replicas[i] = relay.NewReplica(ident.VM(rune('a'+i)), "d")
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			r, want := replicas[i], &references[i]
+			// Most states are near the own one, so that conflicts and following notes are frequent.
+			near := slices.DeleteFunc(slices.Clone(states), func(s state) bool {
+				own := want.last.head.Serial
+				return s.head.Serial > own+1 || s.head.Serial < own
+			})
+			if rapid.IntRange(0, 3).Draw(t, "any") == 0 {
+				near = states
+			}
+			s := rapid.SampledFrom(near).Draw(t, "state")
+			if !rapid.Bool().Draw(t, "version known") {
+				s.version, s.offer.Version = 0, 0
+			}
+			before := r.Head()
+			var got relay.Result
+			var verdict relay.Verdict
+			switch action := rapid.SampledFrom([]string{"offer", "offer", "offer", "take", "restart"}).Draw(t, "action"); action {
+			case "offer":
+				got, verdict = r.Offer(s.offer), want.offer(s.published)
+			case "take":
+				got = r.Take(relay.Snapshot{Head: s.head, Text: s.snapshot, Version: s.version})
+				verdict = want.take(s.published)
+			case "restart":
+				replicas[i], *want = relay.NewReplica(ident.VM(rune('a'+i)), "d"), reference{}
+				continue
+			}
+			if got.Verdict != verdict || r.Head() != want.last.head {
+				t.Fatalf("head %v, state %v: verdict %s and head %v, want %s and %v", before, s.published, got.Verdict, r.Head(), verdict, want.last.head)
+			}
+			if r.Head().Serial < before.Serial {
+				t.Fatalf("serial went from %d to %d", before.Serial, r.Head().Serial)
+			}
+		}
+		converge(t, replicas[:])
+	})
+}
+
+// converge lets all pairs exchange digests in both directions and checks that one head remains, which is
+// of the highest serial that a daemon held.
+func converge(t *rapid.T, replicas []*relay.Replica) {
+	highest := ident.Serial(0)
+	for _, r := range replicas {
+		highest = max(highest, r.Head().Serial)
+	}
+	for range 2 {
+		for _, a := range replicas {
+			for _, b := range replicas {
+				if a != b {
+					exchange(a, b)
+				}
+			}
+		}
+	}
+	for _, r := range replicas {
+		if r.Head() != replicas[0].Head() || r.Head().Serial != highest {
+			t.Fatalf("heads %v and %v after the exchange, highest serial %d", replicas[0].Head(), r.Head(), highest)
+		}
+	}
+}
--- /dev/null
+++ b/spec/broken/confirm-behind.pml
@@ -0,0 +1,2 @@
+#define BROKEN_BEHIND
+#include "../confirm.pml"
--- /dev/null
+++ b/spec/broken/confirm-one.pml
@@ -0,0 +1,2 @@
+#define BROKEN_ONE
+#include "../confirm.pml"
--- /dev/null
+++ b/spec/broken/confirm-sent.pml
@@ -0,0 +1,2 @@
+#define BROKEN_SENT
+#include "../confirm.pml"
--- /dev/null
+++ b/spec/broken/confirm-serial.pml
@@ -0,0 +1,2 @@
+#define BROKEN_SERIAL
+#include "../confirm.pml"
--- /dev/null
+++ b/spec/broken/confirm-unconfirmed.pml
@@ -0,0 +1,2 @@
+#define BROKEN_UNCONFIRMED
+#include "../confirm.pml"
--- /dev/null
+++ b/spec/broken/conflict-conflict.pml
@@ -0,0 +1,2 @@
+#define BROKEN_CONFLICT
+#include "../conflict.pml"
--- /dev/null
+++ b/spec/broken/conflict-holders.pml
@@ -0,0 +1,2 @@
+#define BROKEN_HOLDERS
+#include "../conflict.pml"
--- /dev/null
+++ b/spec/broken/conflict-lower.pml
@@ -0,0 +1,2 @@
+#define BROKEN_LOWER
+#include "../conflict.pml"
--- /dev/null
+++ b/spec/broken/conflict-once.pml
@@ -0,0 +1,2 @@
+#define BROKEN_ONCE
+#include "../conflict.pml"
--- /dev/null
+++ b/spec/broken/conflict-precedes.pml
@@ -0,0 +1,2 @@
+#define BROKEN_PRECEDES
+#include "../conflict.pml"
--- /dev/null
+++ b/spec/broken/conflict-snapshot.pml
@@ -0,0 +1,2 @@
+#define BROKEN_SNAPSHOT
+#include "../conflict.pml"
