Tell routers when a target stops accepting connections

Change: a load says whether the target refuses connections. The daemon beside the target tells its router and its peers when that changes, at most once a second for a target that restarts in a loop. Routing leaves such a target out while another is left, probes it, and starts it slowly when it returns. A refused dial marks the target down before the reply is sent, so that the reply says so.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -83,6 +83,8 @@
 	Epoch       ident.Epoch
 	Head        ident.Head
 	Draining    bool
+	// Down is true while the target refuses connections.
+	Down bool
 }
 
 // A Result is the outcome of one attempt.
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -167,14 +167,14 @@
 	return h.Sum64()
 }
 
-// Pick chooses a target that is not excluded. Draining targets are never chosen. Targets that are
-// ejected or down are chosen only when no other is left, since then the fault may be on this side.
+// Pick chooses a target that is not excluded. Draining targets are never chosen. Targets that are ejected or
+// down, or whose VM is down, are chosen only when no other is left, since then the fault may be on this side.
 func (t *Table) Pick(now time.Time, excluded []ident.Target) (ident.Target, bool) {
 	var healthy, unhealthy []*state
 	for _, s := range t.states {
 		switch {
 		case s.draining || slices.Contains(excluded, s.Target):
-		case s.down || s.ejected(now):
+		case s.isDown() || s.ejected(now):
 			unhealthy = append(unhealthy, s)
 		default:
 			healthy = append(healthy, s)
@@ -234,7 +234,7 @@
 func (t *Table) Probe(now time.Time) (ident.Target, bool) {
 	var oldest *state
 	for _, s := range t.states {
-		if !s.heard.IsZero() && !s.down && !s.draining || now.Sub(s.contact()) < probeAge<<min(s.probes, maxProbeDoublings) {
+		if !s.heard.IsZero() && !s.isDown() && !s.draining || now.Sub(s.contact()) < probeAge<<min(s.probes, maxProbeDoublings) {
 			continue
 		}
 		if oldest == nil || s.contact().Before(oldest.contact()) {
@@ -324,6 +324,7 @@
 func (t *Table) Discard() {
 	for _, s := range t.states {
 		s.others, s.reported = 0, time.Time{}
+		s.load.Down = false
 		s.failures, s.ejections, s.until = 0, 0, time.Time{}
 	}
 }
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -113,6 +113,22 @@
 			table.SetDown("vm1", true, now)
 			return now
 		}, "t1", 0, 0},
+		{"a target that refuses connections by its last report is left out", func(table *Table, now time.Time) time.Time {
+			table.Heard("t1", call.Load{Limit: 10, Incarnation: ident.Incarnation{1}, Down: true}, now)
+			return now.Add(time.Second)
+		}, "t1", 0, 0},
+		{"and starts slowly when it accepts them again", func(table *Table, now time.Time) time.Time {
+			table.Heard("t1", call.Load{Limit: 10, Incarnation: ident.Incarnation{1}, Down: true}, now)
+			now = now.Add(time.Second)
+			table.Heard("t1", call.Load{Limit: 10, Incarnation: ident.Incarnation{1}}, now)
+			return now
+		}, "t1", 0, .01},
+		{"all targets that refuse connections are all used", func(table *Table, now time.Time) time.Time {
+			for _, c := range targets(3) {
+				table.Heard(c.Target, call.Load{Limit: 10, Incarnation: ident.Incarnation{1}, Down: true}, now)
+			}
+			return now
+		}, "t1", .2, .5},
 		{"all targets down are all used", func(table *Table, now time.Time) time.Time {
 			for _, c := range targets(3) {
 				table.SetDown(c.VM, true, now)
@@ -207,6 +223,9 @@
 	}{
 		{"silent", func(*Table) {}, 0},
 		{"down", func(table *Table) { table.SetDown("vm1", true, start) }, 7},
+		{"refuses connections", func(table *Table) {
+			table.Heard("t1", call.Load{Limit: 10, Incarnation: ident.Incarnation{1}, Down: true}, start)
+		}, 7},
 		{"draining", func(table *Table) { table.SetDraining("vm1") }, 7},
 	} {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -231,7 +231,8 @@
 	return min(1, slowStartShare+(1-slowStartShare)*now.Sub(s.since).Seconds()/slowStart.Seconds())
 }
 
-// report takes a load report. A new incarnation is a restarted daemon, whose target may be cold.
+// report takes a load report. A new incarnation is a restarted daemon and a target that was down is a
+// restarted one: both may be cold.
 func (s *state) report(load call.Load, now time.Time) {
 	if load.Incarnation.IsZero() {
 		return
@@ -242,15 +243,21 @@
 		}
 		s.draining = false
 	}
+	if s.load.Down && !load.Down {
+		s.since = now
+	}
 	s.draining = s.draining || load.Draining
 	s.down = false
 	s.load, s.heard, s.reported = load, now, now
-	if !s.draining {
+	if !s.draining && !load.Down {
 		s.probes = 0
 	}
 	s.others = max(0, float64(load.InFlight+load.Queued-len(s.inFlight)))
 }
 
+// isDown reports whether the VM of the target is down, or the target by its last report.
+func (s *state) isDown() bool { return s.down || s.load.Down }
+
 func (s *state) contact() time.Time {
 	if s.probed.After(s.heard) {
 		return s.probed
--- a/internal/policy/route/status.go
+++ b/internal/policy/route/status.go
@@ -54,7 +54,7 @@
 	switch {
 	case s.draining:
 		return Draining
-	case s.down:
+	case s.isDown():
 		return Down
 	case s.ejected(v.now):
 		return Ejected
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -166,6 +166,7 @@
 		local.WithContexts(func(c local.Context) { b.router.TryPut(router.ContextChanged{Context: c}) }),
 		local.WithPause(b.paused),
 		local.WithConfirmation(),
+		local.WithTargetReports(b.targetChanged),
 		local.WithBlame(func(service ident.Service, entries []crash.Blame) { b.blame(s.VM, service, entries) }),
 	)
 }
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -4,6 +4,7 @@
 	"net/netip"
 	"time"
 
+	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	fleet "jacinthcross/internal/fleet/member"
@@ -37,6 +38,8 @@
 		// digests that the peer exchanges tell its head.
 	case listen.Draining:
 		b.member.TryPut(member.Drained{VM: r.VM})
+	case listen.TargetChanged:
+		b.router.TryPut(router.TargetReported{Target: r.Report.Target, Load: r.Report.Load})
 	case listen.Blamed:
 		b.local.TryPut(local.Blamed{From: r.Blame.From, Service: r.Blame.Service, Entries: r.Blame.Entries})
 	}
@@ -93,6 +96,14 @@
 // confirmTimeout ends the wait for a keeper that was restarted. The router waits for less.
 const confirmTimeout = 5 * time.Second
 
+// targetChanged tells the own router and the peers that the own target has stopped or begun to accept connections.
+func (b *boxes) targetChanged(target ident.Target, load call.Load) {
+	b.router.TryPut(router.TargetReported{Target: target, Load: load})
+	m := codec.TargetReport{Target: target, Load: load}
+	b.links.TryPut(links.Message{Message: link.Notify{Message: m}})
+	b.listen.TryPut(listen.Notify{Message: m})
+}
+
 // blame tells the peers which requests were in flight when the own target crashed.
 func (b *boxes) blame(vm ident.VM, service ident.Service, entries []crash.Blame) {
 	m := codec.Blame{From: vm, Service: service, Entries: entries}
--- a/internal/task/listen/message.go
+++ b/internal/task/listen/message.go
@@ -46,6 +46,10 @@
 // A Blamed carries the requests that were in flight when a peer's target crashed.
 type Blamed struct{ Blame codec.Blame }
 
-func (Greeted) report()  {}
-func (Draining) report() {}
-func (Blamed) report()   {}
+// A TargetChanged says that a peer's target has stopped or begun to accept connections.
+type TargetChanged struct{ Report codec.TargetReport }
+
+func (TargetChanged) report() {}
+func (Greeted) report()       {}
+func (Draining) report()      {}
+func (Blamed) report()        {}
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -122,6 +122,9 @@
 	case codec.Blame:
 		s.report(Blamed{Blame: m})
 		return codec.Done{}
+	case codec.TargetReport:
+		s.report(TargetChanged{Report: m})
+		return codec.Done{}
 	case codec.Hello, codec.Done, codec.Reply, codec.LoadReply:
 		return codec.Done{}
 	}
--- a/internal/task/local/answer_test.go
+++ b/internal/task/local/answer_test.go
@@ -12,6 +12,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
 )
 
@@ -118,7 +119,10 @@
 	address := target.address()
 	target.crash()
 	b := newBench(t, note.Target{Name: "b1", Address: address})
-	qt.Assert(t, summary(b.do(call.Request{})), qt.Equals, "Refused TargetDown")
+	refused, _ := b.send(call.Request{})
+	r := <-refused.C()
+	qt.Assert(t, summary(r.Outcome), qt.Equals, "Refused TargetDown")
+	qt.Assert(t, r.Load.Down, qt.IsTrue)
 	again := newRawTarget(t, address.String(), answerOK)
 	b.until("the target is used again", func() bool {
 		_, refused := b.do(call.Request{}).(call.Refused)
@@ -128,6 +132,36 @@
 	qt.Assert(t, errs.AnswerTo(errs.TargetDown).Outcome, qt.Equals, errs.NotRun)
 }
 
+// TestTargetReports guards against routers that go on to choose a target that is down, or that never
+// learn of its return, and against reports without bound of a target that restarts in a loop.
+func TestTargetReports(t *testing.T) {
+	target := newRawTarget(t, "127.0.0.1:0", answerOK)
+	reports := make(chan bool, 8)
+	c := &jumpClock{}
+	b := newBench(t, note.Target{Name: "b1", Address: target.address()}, WithClock(c), WithTargetReports(func(name ident.Target, l call.Load) {
+		qt.Check(t, name, qt.Equals, ident.Target("b1"))
+		reports <- l.Down
+	}))
+	// restart takes the target down and up again, as the task sees it.
+	restart := func() {
+		target.crash()
+		b.until("the target is down", func() bool {
+			b.do(call.Request{})
+			return b.load().Down
+		})
+		target = newRawTarget(t, target.address().String(), answerOK)
+		b.until("the target is up", func() bool { return !b.load().Down })
+	}
+	restart()
+	qt.Assert(t, []bool{<-reports, <-reports}, qt.DeepEquals, []bool{true, false})
+	c.offset.Add(-int64(10 * reportGap)) // the next crash is within the gap however long the first took
+	restart()
+	qt.Assert(t, reports, qt.HasLen, 0)
+	c.offset.Add(int64(12 * reportGap))
+	restart()
+	qt.Assert(t, []bool{<-reports, <-reports}, qt.DeepEquals, []bool{true, false})
+}
+
 func answerOK(w net.Conn, _ *http.Request, body []byte) bool {
 	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	return err == nil
--- a/internal/task/local/health.go
+++ b/internal/task/local/health.go
@@ -17,6 +17,8 @@
 	// settleTime is how long the resets of the other connections may take to arrive after the
 	// first when the process has died.
 	settleTime = 50 * time.Millisecond
+	// reportGap bounds the reports of a target that goes down again and again. Replies carry its state as well.
+	reportGap = time.Second
 )
 
 // A suspicion is a connection that the target ended while calls were in flight: the process
@@ -104,6 +106,7 @@
 	case t.down:
 		t.down, t.blamed = false, false
 		event.TargetUp.Log("target", t.target.Name, "address", t.target.Address)
+		t.reportHealth(now)
 	case t.suspicion != nil:
 		t.alarms.Set(settleAlarm{}, now.Add(settleTime))
 	}
@@ -118,12 +121,23 @@
 		t.settle(true, now)
 		t.closeIdle(now.Add(time.Nanosecond))
 		t.flush(errs.TargetDown)
+		t.reportHealth(now)
 	} else {
 		t.probeDelay = min(2*t.probeDelay, maxProbeDelay)
 	}
 	t.alarms.Set(probeAlarm{}, now.Add(t.probeDelay))
 }
 
+// reportHealth tells the routers that the target is down or up again. A daemon that goes on to issue keys
+// for a target that is down makes their callers wait for its restart, since no other target may run them.
+func (t *Task) reportHealth(now time.Time) {
+	if t.down == t.told || t.down && now.Sub(t.toldAt) < reportGap {
+		return
+	}
+	t.told, t.toldAt = t.down, now
+	t.onHealth(t.target.Name, t.load())
+}
+
 // settle ends a suspicion. When the process has died, the calls that were in flight are blamed.
 func (t *Task) settle(dead bool, now time.Time) {
 	s := t.suspicion
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -31,6 +31,7 @@
 	confirmed bool
 	onPause   func(time.Duration)
 	onBlame   func(ident.Service, []crash.Blame)
+	onHealth  func(ident.Target, call.Load)
 	limits    ledger.Limits
 	maxBody   int
 	engine    *nbhttp.Engine
@@ -60,6 +61,8 @@
 	blamed     bool // the crash that took the target down was blamed
 	probing    bool
 	probeDelay time.Duration
+	told       bool // the last report to the routers said that the target is down
+	toldAt     time.Time
 }
 
 // The keys of the alarm queue besides the ID of a call, whose deadline it is.
@@ -87,6 +90,11 @@
 	return func(t *Task) { t.onBlame = notify }
 }
 
+// WithTargetReports sets what is called when the target stops or begins to accept connections, for the routers.
+func WithTargetReports(notify func(ident.Target, call.Load)) Option {
+	return func(t *Task) { t.onHealth = notify }
+}
+
 // WithConfirmation makes the task hold keyed calls until Confirmed says that the release was compared with
 // peers: a daemon that has just started may hold an old release, in which its target is not withdrawn yet.
 func WithConfirmation() Option { return func(t *Task) { t.confirmed = false } }
@@ -108,6 +116,7 @@
 		notify:    func(Context) {},
 		onPause:   func(time.Duration) {},
 		onBlame:   func(ident.Service, []crash.Blame) {},
+		onHealth:  func(ident.Target, call.Load) {},
 		limits:    ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
 		maxBody:   8 << 20,
 		alarms:    alarm.NewQueue[any](),
@@ -225,7 +234,7 @@
 }
 
 func (t *Task) load() call.Load {
-	l := call.Load{Incarnation: t.self, Head: t.head, Draining: t.draining}
+	l := call.Load{Incarnation: t.self, Head: t.head, Draining: t.draining, Down: t.present && t.down}
 	if t.gate != nil {
 		l.InFlight, l.Queued, l.Limit = t.gate.InFlight(), t.gate.Queued(), t.gate.Limit()
 		l.QueueDelay, l.Latency = t.gate.QueueDelay(), t.gate.Latency()
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -181,10 +181,11 @@
 	default:
 		t.drop(m.conn)
 	}
-	t.end(r, m.outcome)
 	if m.refused && m.conn.target == t.target.Address && t.present {
+		// Before the reply, whose load then says so.
 		t.markDown(dialError(m.outcome), now)
 	}
+	t.end(r, m.outcome)
 	t.advanceGate(now)
 }
 
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -268,7 +268,8 @@
 	case call.Answered:
 		return route.Served{Latency: age, Load: r.Load}
 	case call.Refused:
-		if o.Kind == errs.PeerUnreachable || o.Kind == errs.TargetDown {
+		// A load that says that the target is down takes it out of the choice at once.
+		if o.Kind == errs.PeerUnreachable || o.Kind == errs.TargetDown && !r.Load.Down {
 			return route.Failed{}
 		}
 		return route.Declined{Load: r.Load}
--- a/internal/task/router/load.go
+++ b/internal/task/router/load.go
@@ -149,6 +149,11 @@
 		t.table(target.Service).Heard(m.target, m.load, now)
 	}
 	usable := known && !m.load.Draining && !m.load.Incarnation.IsZero()
+	if usable && m.load.Down {
+		// A key whose owner cannot run calls is worth issuing only when there is no other owner.
+		_, other := t.table(target.Service).Pick(now, []ident.Target{m.target})
+		usable = !other
+	}
 	for _, w := range t.takeWaits(m.target) {
 		if !usable {
 			t.elsewhere(w, m.target)
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -82,6 +82,12 @@
 // A PeerUp says that the daemon on a VM answers, after it was down or draining.
 type PeerUp struct{ VM ident.VM }
 
+// A TargetReported tells that a target has stopped or begun to accept connections.
+type TargetReported struct {
+	Target ident.Target
+	Load   call.Load
+}
+
 // A Paused says that the process did not run for a time. New calls wait until Confirmed, but at most holdTime.
 type Paused struct{}
 
@@ -106,6 +112,7 @@
 func (PeerDraining) message()   {}
 func (PeerDown) message()       {}
 func (PeerUp) message()         {}
+func (TargetReported) message() {}
 func (Paused) message()         {}
 func (Confirmed) message()      {}
 func (loadKnown) message()      {}
--- a/internal/task/router/peer.go
+++ b/internal/task/router/peer.go
@@ -89,6 +89,14 @@
 	}
 }
 
+// targetReported notes what the daemon beside a target tells of it. A service that is not in use here
+// gets no table for it.
+func (t *Task) targetReported(m TargetReported) {
+	if table, ok := t.tables[t.release.Targets[m.Target].Service]; ok {
+		table.Heard(m.Target, m.Load, t.clock.Now())
+	}
+}
+
 // holdTime bounds how long new calls wait after a pause for the keeper to compare its head with peers.
 const holdTime = 500 * time.Millisecond
 
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -165,6 +165,8 @@
 		t.setPeer(m.VM, PeerIsDown)
 	case PeerUp:
 		t.setPeer(m.VM, PeerIsUp)
+	case TargetReported:
+		t.targetReported(m)
 	case Paused:
 		t.pause()
 	case Confirmed:
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -25,7 +25,7 @@
 	head := ident.Head{Serial: 7, Digest: ident.Digest{4, 5}}
 	fields := []call.Field{{Name: "Accept", Value: "text/plain"}, {Name: "X", Value: ""}}
 	load := call.Load{
-		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true,
+		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true,
 	}
 	return []codec.Message{
 		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true},
@@ -39,6 +39,7 @@
 		codec.Reply{Result: call.Result{Load: load, Outcome: call.Unknown{Kind: errs.AnswerCut, Detail: "detail"}}},
 		codec.LoadRequest{Target: "target"},
 		codec.LoadReply{Load: load},
+		codec.TargetReport{Target: "target", Load: load},
 		codec.Control{Message: relay.Pull{After: head}},
 		codec.Blame{Service: "service", Entries: []crash.Blame{{Digest: ident.Digest{9}, Weight: 0.5, Crashes: 2, Expires: time.Minute}}},
 		codec.Drain{VM: "vm"},
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -27,6 +27,9 @@
 	case *peerpb.Envelope_LoadReply:
 		l, err := decodeLoad(b.LoadReply.GetLoad())
 		return LoadReply{Load: l}, err
+	case *peerpb.Envelope_TargetReport:
+		l, err := decodeLoad(b.TargetReport.GetLoad())
+		return TargetReport{Target: ident.Target(b.TargetReport.GetTarget()), Load: l}, err
 	case *peerpb.Envelope_Blame:
 		return decodeBlame(b.Blame)
 	case *peerpb.Envelope_Drain:
@@ -133,6 +136,7 @@
 		InFlight: int(p.GetInFlight()), Queued: int(p.GetQueued()), Limit: int(p.GetLimit()),
 		QueueDelay: time.Duration(p.GetQueueDelayNanoseconds()), Latency: time.Duration(p.GetLatencyNanoseconds()),
 		Incarnation: i, Epoch: ident.Epoch(p.GetEpoch()), Head: h, Draining: p.GetDraining(),
+		Down: p.GetDown(),
 	}, err
 }
 
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -24,6 +24,10 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_LoadRequest{LoadRequest: &peerpb.LoadRequest{Target: string(m.Target)}}}
 	case LoadReply:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_LoadReply{LoadReply: &peerpb.LoadReply{Load: encodeLoad(m.Load)}}}
+	case TargetReport:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_TargetReport{TargetReport: &peerpb.TargetReport{
+			Target: string(m.Target), Load: encodeLoad(m.Load),
+		}}}
 	case Control:
 		return encodeControl(m.Message)
 	case Blame:
@@ -80,6 +84,7 @@
 		InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		QueueDelayNanoseconds: int64(l.QueueDelay), LatencyNanoseconds: int64(l.Latency),
 		Incarnation: l.Incarnation[:], Epoch: uint32(l.Epoch), Head: encodeHead(l.Head), Draining: l.Draining,
+		Down: l.Down,
 	}
 }
 
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -39,6 +39,12 @@
 // A LoadReply answers a LoadRequest.
 type LoadReply struct{ Load call.Load }
 
+// A TargetReport tells the load of a target that has stopped or begun to accept connections.
+type TargetReport struct {
+	Target ident.Target
+	Load   call.Load
+}
+
 // A Control carries a message on releases or on the VM list.
 type Control struct{ Message relay.Message }
 
@@ -55,12 +61,13 @@
 // A Done answers a message that needs no other answer.
 type Done struct{}
 
-func (Hello) message()       {}
-func (Call) message()        {}
-func (Reply) message()       {}
-func (LoadRequest) message() {}
-func (LoadReply) message()   {}
-func (Control) message()     {}
-func (Blame) message()       {}
-func (Drain) message()       {}
-func (Done) message()        {}
+func (Hello) message()        {}
+func (Call) message()         {}
+func (Reply) message()        {}
+func (LoadRequest) message()  {}
+func (LoadReply) message()    {}
+func (TargetReport) message() {}
+func (Control) message()      {}
+func (Blame) message()        {}
+func (Drain) message()        {}
+func (Done) message()         {}
