--- a/internal/fleet/note/apply.go
+++ b/internal/fleet/note/apply.go
@@ -40,7 +40,7 @@
 	a.release.Head = ident.Head{Serial: n.Serial, Digest: n.digest}
 	a.forgetWithdrawals()
 	if len(a.mistakes) == 0 {
-		if size := len(a.release.Snapshot()); size > MaxSnapshotSize {
+		if size := a.release.SnapshotSize(); size > MaxSnapshotSize {
 			a.mistakes = append(a.mistakes, n.source.At("Serial", "the release would have %d bytes, want at most %d: withdraw targets or services first", size, MaxSnapshotSize))
 		}
 	}
@@ -165,8 +165,8 @@
 // checkWhole checks what no single entry shows: references and uniqueness. It goes
 // through the release in the order of names, so that each daemon reports the same.
 func (a *applier) checkWhole() {
-	onVM := map[ident.VM]ident.Target{}
-	at := map[netip.AddrPort]ident.Target{}
+	onVM := make(map[ident.VM]ident.Target, len(a.release.Targets))
+	at := make(map[netip.AddrPort]ident.Target, 2*len(a.release.Targets))
 	region := map[ident.DataCentre]ident.Target{}
 	for _, name := range slices.Sorted(maps.Keys(a.release.Targets)) {
 		t := a.release.Targets[name]
--- a/internal/fleet/note/note_test.go
+++ b/internal/fleet/note/note_test.go
@@ -118,6 +118,7 @@
 	t.Logf("%d services, %d targets: %d bytes", len(r.Services), len(r.Targets), len(text))
 	c.Assert(len(r.Services), quicktest.Equals, 220)
 	c.Assert(len(text) <= note.MaxSnapshotSize, quicktest.IsTrue)
+	c.Assert(r.SnapshotSize(), quicktest.Equals, len(text))
 	back, err := note.ParseSnapshot(text)
 	c.Assert(err, quicktest.IsNil)
 	c.Assert(string(back.Snapshot()), quicktest.Equals, string(text))
@@ -128,6 +129,24 @@
 	c.Assert(last.Name, quicktest.Equals, ident.Target("target-number-1800"))
 }
 
+// Guards against a text of a release that other versions would write differently: daemons compare checksums of it.
+// Also guards against a size that differs from the text, which would let daemons disagree on the largest release.
+func TestSnapshotText(t *testing.T) {
+	c := quicktest.New(t)
+	service := "[[AddService]]\nName = \"s\"\nHosts = [\"s.example\", \"t.example\"]\nRank = \"Urgent\"\nKeyRequired = true\nTimeout = \"1m30s\"\n"
+	withoutRegion := strings.Replace(target("b", "s", "vm-b", "e", 2), "Region = \"r\"\n", "", 1)
+	r, m := note.Check(note.NewRelease(), []byte("Serial = 1\n"+service+"[[AddTarget]]\n"+target("a", "s", "vm-a", "d", 1)+"[[AddTarget]]\n"+withoutRegion))
+	c.Assert(m, quicktest.HasLen, 0)
+	r, m = note.Check(r, fmt.Appendf(nil, "Serial = 2\nPrevious = %q\n[[WithdrawTarget]]\nName = \"b\"\n", r.Head.Digest))
+	c.Assert(m, quicktest.HasLen, 0)
+	text := string(r.Snapshot())
+	c.Assert(text, quicktest.Contains, "\nHosts = [\"s.example\", \"t.example\"]\n")
+	c.Assert(text, quicktest.Contains, "\n\n[[Withdrawn]]\nSerial = 2\nName = \"b\"\n")
+	c.Assert(r.SnapshotSize(), quicktest.Equals, len(text))
+	first, _, _ := strings.Cut(text, "\n")
+	c.Assert(first, quicktest.Equals, "Checksum = \"80dea456f8f0eae4ec12c8cd1fb317e67bfe9b412b76a34fa4cbbe3a74a6afeb\"")
+}
+
 // Guards against a damaged snapshot that is taken for a release.
 func TestParseSnapshotRefusesDamage(t *testing.T) {
 	c := quicktest.New(t)
--- a/internal/fleet/note/snapshot.go
+++ b/internal/fleet/note/snapshot.go
@@ -7,6 +7,7 @@
 	"maps"
 	"math"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -22,40 +23,104 @@
 
 // Snapshot returns the release as text. Two equal releases have the same text.
 func (r *Release) Snapshot() []byte {
-	var b strings.Builder
-	fmt.Fprintf(&b, "Serial = %d\nDigest = %q\n", r.Head.Serial, r.Head.Digest)
+	b := r.appendHead(nil)
 	for _, name := range slices.Sorted(maps.Keys(r.Services)) {
-		s := r.Services[name]
-		fmt.Fprintf(&b, "\n[[Service]]\nName = %q\nHosts = %s\nRank = %q\nKeyRequired = %t\nIdempotentMethods = %s\nTimeout = %q\n",
-			s.Name, list(s.Hosts), s.Rank, s.KeyRequired, list(s.IdempotentMethods), s.Timeout)
+		b = appendService(b, r.Services[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.Targets)) {
-		b.WriteString("\n[[Target]]\n")
-		writeTarget(&b, r.Targets[name])
+		b = appendTarget(append(b, "\n[[Target]]\n"...), r.Targets[name])
 	}
 	for _, name := range slices.Sorted(maps.Keys(r.Withdrawn)) {
-		w := r.Withdrawn[name]
-		fmt.Fprintf(&b, "\n[[Withdrawn]]\nSerial = %d\n", w.Serial)
-		writeTarget(&b, w.Target)
+		b = appendWithdrawal(b, r.Withdrawn[name])
 	}
-	sum := sha256.Sum256([]byte(b.String()))
-	return []byte(fmt.Sprintf(checksumLine, hex.EncodeToString(sum[:])) + b.String())
+	return append(checksumOf(b), b...)
 }
 
-func writeTarget(b *strings.Builder, t Target) {
-	fmt.Fprintf(b, "Name = %q\nService = %q\nVM = %q\nDataCentre = %q\n", t.Name, t.Service, t.VM, t.DataCentre)
-	if t.Region != "" {
-		fmt.Fprintf(b, "Region = %q\n", t.Region)
+// SnapshotSize returns the length of Snapshot. Each note is checked against it, so it neither orders nor keeps the text.
+func (r *Release) SnapshotSize() int {
+	b := r.appendHead(nil)
+	size := len(checksumOf(b)) + len(b)
+	for _, s := range r.Services {
+		b = appendService(b[:0], s)
+		size += len(b)
+	}
+	for _, t := range r.Targets {
+		b = appendTarget(append(b[:0], "\n[[Target]]\n"...), t)
+		size += len(b)
 	}
-	fmt.Fprintf(b, "Daemon = %q\nAddress = %q\nSlots = %d\n", t.Daemon, t.Address, t.Slots)
+	for _, w := range r.Withdrawn {
+		b = appendWithdrawal(b[:0], w)
+		size += len(b)
+	}
+	return size
+}
+
+func checksumOf(text []byte) []byte {
+	sum := sha256.Sum256(text)
+	return fmt.Appendf(nil, checksumLine, hex.EncodeToString(sum[:]))
+}
+
+func (r *Release) appendHead(b []byte) []byte {
+	return fmt.Appendf(b, "Serial = %d\nDigest = %q\n", r.Head.Serial, r.Head.Digest)
 }
 
-func list(texts []string) string {
-	quoted := make([]string, len(texts))
-	for i, t := range texts {
-		quoted[i] = fmt.Sprintf("%q", t)
+// The entries of a release are many, so their texts are built without reflection.
+
+func appendText(b []byte, key, value string) []byte {
+	b = append(append(b, key...), " = "...)
+	return append(appendQuoted(b, value), '\n')
+}
+
+// appendQuoted is strconv.AppendQuote, which goes rune by rune, with a shorter way for texts without escapes.
+func appendQuoted(b []byte, text string) []byte {
+	for i := range len(text) {
+		if c := text[i]; c < ' ' || c > '~' || c == '"' || c == '\\' {
+			return strconv.AppendQuote(b, text)
+		}
 	}
-	return "[" + strings.Join(quoted, ", ") + "]"
+	return append(append(append(b, '"'), text...), '"')
+}
+
+func appendTexts(b []byte, key string, values []string) []byte {
+	b = append(append(b, key...), " = ["...)
+	for i, v := range values {
+		if i > 0 {
+			b = append(b, ", "...)
+		}
+		b = appendQuoted(b, v)
+	}
+	return append(b, "]\n"...)
+}
+
+func appendNumber(b []byte, key string, value int64) []byte {
+	b = append(append(b, key...), " = "...)
+	return append(strconv.AppendInt(b, value, 10), '\n')
+}
+
+func appendService(b []byte, s Service) []byte {
+	b = appendText(append(b, "\n[[Service]]\n"...), "Name", string(s.Name))
+	b = appendTexts(b, "Hosts", s.Hosts)
+	b = appendText(b, "Rank", string(s.Rank))
+	b = append(strconv.AppendBool(append(b, "KeyRequired = "...), s.KeyRequired), '\n')
+	b = appendTexts(b, "IdempotentMethods", s.IdempotentMethods)
+	return appendText(b, "Timeout", s.Timeout.String())
+}
+
+func appendTarget(b []byte, t Target) []byte {
+	b = appendText(b, "Name", string(t.Name))
+	b = appendText(b, "Service", string(t.Service))
+	b = appendText(b, "VM", string(t.VM))
+	b = appendText(b, "DataCentre", string(t.DataCentre))
+	if t.Region != "" {
+		b = appendText(b, "Region", string(t.Region))
+	}
+	b = appendText(b, "Daemon", t.Daemon.String())
+	b = appendText(b, "Address", t.Address.String())
+	return appendNumber(b, "Slots", int64(t.Slots))
+}
+
+func appendWithdrawal(b []byte, w Withdrawal) []byte {
+	return appendTarget(appendNumber(append(b, "\n[[Withdrawn]]\n"...), "Serial", int64(w.Serial)), w.Target)
 }
 
 // ParseSnapshot reads a release from the text of a snapshot.
--- a/internal/fleet/relay/replica.go
+++ b/internal/fleet/relay/replica.go
@@ -274,9 +274,6 @@
 			i = n + 1
 		}
 	}
-	if r.snapshot == nil {
-		r.snapshot = r.release.Snapshot()
-	}
 	size := 0
 	var m Notes
 	for n := i; n >= 0 && n < len(r.chain); n++ {
@@ -285,7 +282,10 @@
 		m.Notes = append(m.Notes, o)
 		size += len(o.Text)
 	}
-	if i < 0 || size > len(r.snapshot) {
+	if i < 0 || size > r.release.SnapshotSize() {
+		if r.snapshot == nil {
+			r.snapshot = r.release.Snapshot()
+		}
 		return Snapshot{Head: head, Text: r.snapshot, Version: r.version, Accepted: r.accepted}
 	}
 	return m
