Measure the restart of a data centre with daemon processes

The stand-in of the service has the mode "older" for this.

A daemon that starts reads all notes from the service although its peers answer first: 12 to 15 calls each with 80 notes. For 150 daemons that is 1,700 to 2,300 calls/s, which passes the limit of 2,000.

--- a/internal/bench/cmds/config.go
+++ b/internal/bench/cmds/config.go
@@ -17,7 +17,7 @@
 	Every   time.Duration `arg:"--every" default:"0s" help:"time between two notes"`
 	VMList  string        `arg:"--vm-list" help:"file with the list of VMs"`
 	Lag     time.Duration `arg:"--lag" help:"how far the list of VMs lags"`
-	Mode    string        `arg:"--mode" default:"normal" help:"normal, down, slow, stale or garbage"`
+	Mode    string        `arg:"--mode" default:"normal" help:"normal, down, slow, stale, older or garbage"`
 	Slow    time.Duration `arg:"--slow" default:"500ms" help:"delay of each answer in mode slow"`
 }
 
@@ -72,6 +72,8 @@
 		return config.Slow{By: c.Slow}, nil
 	case "stale":
 		return config.Stale{}, nil
+	case "older":
+		return config.Older{}, nil
 	case "garbage":
 		return config.Garbage{}, nil
 	}
--- a/internal/bench/cmds/fleet.go
+++ b/internal/bench/cmds/fleet.go
@@ -12,6 +12,7 @@
 	Changes     int           `arg:"--changes" default:"5" help:"release notes that are published and measured"`
 	Idle        time.Duration `arg:"--idle" default:"5s" help:"length of the measurement without changes"`
 	Gap         time.Duration `arg:"--gap" default:"3s" help:"time between two changes"`
+	Restart     bool          `arg:"--restart" help:"instead, kill all daemons of a data centre and start them again"`
 	Daemon      string        `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
 }
 
@@ -28,6 +29,9 @@
 	if err := f.Check(c.Daemons); err != nil {
 		return err
 	}
+	if c.Restart {
+		return c.restart(f, env)
+	}
 	var rows []fleet.Row
 	for _, n := range c.Daemons {
 		row, err := fleet.Measure(f, n, env.Err)
@@ -38,3 +42,15 @@
 	}
 	return fleet.Print(env.Out, rows)
 }
+
+func (c *fleetCommand) restart(f fleet.Config, env Env) error {
+	var rows []fleet.Restart
+	for _, n := range c.Daemons {
+		more, err := fleet.MeasureRestarts(f, n, env.Err)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, more...)
+	}
+	return fleet.PrintRestarts(env.Out, rows)
+}
--- a/internal/bench/config/config.go
+++ b/internal/bench/config/config.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -56,7 +57,7 @@
 func (giveUp) message()   {}
 func (countAsk) message() {}
 
-// A Mode is one of Normal, Down, Slow, Stale and Garbage.
+// A Mode is one of Normal, Down, Slow, Stale, Older and Garbage.
 type Mode interface{ mode() }
 
 // A Normal service answers in milliseconds.
@@ -71,6 +72,9 @@
 // A Stale service goes on answering with the values that it had when it became stale.
 type Stale struct{}
 
+// An Older service answers with the values that it has now, but with the head before the newest one.
+type Older struct{}
+
 // A Garbage service answers with bytes that are no value.
 type Garbage struct{}
 
@@ -78,6 +82,7 @@
 func (Down) mode()    {}
 func (Slow) mode()    {}
 func (Stale) mode()   {}
+func (Older) mode()   {}
 func (Garbage) mode() {}
 
 type value struct {
@@ -101,6 +106,8 @@
 	calls   int
 	serial  int
 	last    string
+	// before is the head before the newest one.
+	before value
 }
 
 const mailbox = 4096
@@ -200,17 +207,19 @@
 	text := fmt.Sprintf("Serial = %d\nPrevious = %q\n%s", t.serial, t.last, body)
 	t.last = fmt.Sprintf("%x", sha256.Sum256([]byte(text)))
 	t.put(fmt.Sprintf("note/%d", t.serial), text)
+	t.before = t.values["head"]
 	t.put("head", fmt.Sprintf("Serial = %d\nDigest = %q\n", t.serial, t.last))
 	return text
 }
 
 func (t *Task) behave(m Mode) {
 	t.mode, t.stale = m, nil
-	if _, ok := m.(Stale); ok {
-		t.stale = map[string]value{}
-		for k, v := range t.values {
-			t.stale[k] = v
-		}
+	switch m.(type) {
+	case Stale:
+		t.stale = maps.Clone(t.values)
+	case Older:
+		t.stale = maps.Clone(t.values)
+		t.stale["head"] = t.before
 	}
 	t.wake()
 }
@@ -304,7 +313,7 @@
 		case <-r.Context().Done():
 			return
 		}
-	case Normal, Stale:
+	case Normal, Stale, Older:
 	}
 	switch {
 	case !v.found:
--- a/internal/bench/config/config_test.go
+++ b/internal/bench/config/config_test.go
@@ -53,6 +53,21 @@
 	return s
 }
 
+// A service that answers with the newest head would not show that daemons keep a release that it has lost.
+func TestOlder(t *testing.T) {
+	c := qt.New(t)
+	s := start(c)
+	s.Publish("# one\n")
+	s.Publish("# two\n")
+	s.Send(config.Behave{Mode: config.Older{}})
+	reader := watch.NewHTTPReader(s.URL())
+	v, err := reader.Read(context.Background(), "head", 0, 0)
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(v.Text), qt.Contains, "Serial = 1\n")
+	_, err = reader.Read(context.Background(), "head", 4, 0)
+	c.Assert(err, qt.ErrorIs, watch.ErrUnchanged)
+}
+
 // A watch that misses a change, or that counts more than once, would falsify the cost of watching.
 func TestWatch(t *testing.T) {
 	c := qt.New(t)
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -96,17 +96,14 @@
 // Measure starts daemons as processes, measures, and ends them.
 func Measure(f Config, daemons int, out io.Writer) (Row, error) {
 	fmt.Fprintf(out, "%d daemons: start\n", daemons)
-	start := time.Now()
-	st, err := stage.Start(stage.Config{
-		Layout: layout(daemons, f.DataCentres), Seed: 1, Daemons: stage.Processes{Path: f.Program}, NoTargets: true, NoRelays: true,
-	})
+	began := time.Now()
+	m, err := start(f, daemons)
 	if err != nil {
 		return Row{}, err
 	}
-	defer st.Close()
-	row := Row{Daemons: daemons, Start: time.Since(start)}
-	m := &measurement{config: f, stage: st}
-	for _, v := range st.Members {
+	defer m.stage.Close()
+	row := Row{Daemons: daemons, Start: time.Since(began)}
+	for _, v := range m.stage.Members {
 		pid, ok := v.PID()
 		if !ok {
 			return Row{}, errors.Errorf("the daemon on %s does not run", v.VM)
@@ -126,6 +123,17 @@
 	return row, m.resident(&row)
 }
 
+// start starts daemons as processes, with the first release in force.
+func start(f Config, daemons int) (*measurement, error) {
+	st, err := stage.Start(stage.Config{
+		Layout: layout(daemons, f.DataCentres), Seed: 1, Daemons: stage.Processes{Path: f.Program}, NoTargets: true, NoRelays: true,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &measurement{config: f, stage: st}, nil
+}
+
 // idle measures without changes and returns what all daemons use in a second.
 func (m *measurement) idle(row *Row) (reading, error) {
 	before, err := m.read()
--- a/internal/bench/fleet/table.go
+++ b/internal/bench/fleet/table.go
@@ -66,6 +66,39 @@
 	return errors.Trace(w.Flush())
 }
 
+// PrintRestarts writes a column for each restart of a data centre.
+func PrintRestarts(out io.Writer, rows []Restart) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	line := func(name string, value func(Restart) string) {
+		fmt.Fprintf(w, "%s\t", name)
+		for _, r := range rows {
+			fmt.Fprintf(w, "%s\t", value(r))
+		}
+		fmt.Fprintln(w)
+	}
+	line("Configuration service", func(r Restart) string { return r.Service })
+	line("Daemons", func(r Restart) string { return fmt.Sprint(r.Daemons) })
+	line("Restarted", func(r Restart) string { return fmt.Sprint(r.Restarted) })
+	line("Serving ms, median", func(r Restart) string { return spread(r.Serving, middle) })
+	line("Serving ms, last", func(r Restart) string { return spread(r.Serving, largest) })
+	line("Served an older release", func(r Restart) string { return fmt.Sprint(r.Older) })
+	line("Not serving in the window", func(r Restart) string { return fmt.Sprint(r.Missing) })
+	line("Platform calls/s, peak", func(r Restart) string { return fmt.Sprint(r.PlatformPeak) })
+	line("Others: control B/s, mean", func(r Restart) string { return fmt.Sprintf("%.0f", r.Others.Bytes) })
+	line("Others: control B/s, largest", func(r Restart) string { return fmt.Sprintf("%.0f", r.Others.MaxBytes) })
+	line("Others: CPU, % of a core, mean", func(r Restart) string { return fmt.Sprintf("%.2f", 100*r.Others.CPU) })
+	line("Others: CPU, % of a core, largest", func(r Restart) string { return fmt.Sprintf("%.2f", 100*r.Others.MaxCPU) })
+	return errors.Trace(w.Flush())
+}
+
+// spread returns a figure of times in milliseconds, or a dash when there are none.
+func spread(list []time.Duration, of func([]time.Duration) time.Duration) string {
+	if len(list) == 0 {
+		return "-"
+	}
+	return fmt.Sprint(of(list).Milliseconds())
+}
+
 type point struct{ x, y float64 }
 
 // slope fits a line by least squares. There is none for points with one x only.
--- a/internal/bench/fleet/table_test.go
+++ b/internal/bench/fleet/table_test.go
@@ -78,3 +78,44 @@
 	c.Assert(Print(&out, []Row{{Daemons: 10, Median: middle(spread), Last: largest(spread)}}), qt.IsNil)
 	c.Assert(out.String(), qt.Matches, `(?s).*In force ms, median +20.00 .*In force ms, slowest +30.00 .*`)
 }
+
+// A peak over another window than a second would hide calls above the platform's limit.
+func TestPeak(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		counts  []int
+		samples int
+		want    int
+	}{
+		{"none", nil, 2, 0},
+		{"steady", []int{10, 11, 12, 13}, 2, 2},
+		{"burst between samples", []int{0, 0, 5, 9, 9, 9}, 2, 9},
+		{"shorter than the window", []int{3, 7}, 10, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, peak(test.counts, test.samples), qt.Equals, test.want)
+		})
+	}
+}
+
+// A mean without the largest value would hide one daemon above its budget.
+func TestCost(t *testing.T) {
+	before := []use{{100, time.Second}, {0, 0}}
+	after := []use{{300, time.Second}, {1000, 2 * time.Second}}
+	got := cost(before, after, 10*time.Second)
+	qt.Assert(t, got, qt.Equals, Cost{Bytes: 60, MaxBytes: 100, CPU: 0.1, MaxCPU: 0.2})
+}
+
+// A table that mixes the columns or hides daemons that did not serve would report a failure as a success.
+func TestPrintRestarts(t *testing.T) {
+	c := qt.New(t)
+	var out bytes.Buffer
+	c.Assert(PrintRestarts(&out, []Restart{
+		{Service: "up", Serving: []time.Duration{time.Second, 3 * time.Second, 2 * time.Second}}, {Service: "down", Older: 4, Missing: 7},
+	}), qt.IsNil)
+	for _, want := range []string{
+		`service +up +down`, `median +2000 +-`, `last +3000 +-`, `older release +0 +4`, `window +0 +7`,
+	} {
+		c.Check(out.String(), qt.Matches, `(?s).*`+want+`.*`)
+	}
+}
--- a/internal/bench/proc/embed.go
+++ b/internal/bench/proc/embed.go
@@ -36,7 +36,7 @@
 		select {
 		case m := <-t.inbox.C():
 			switch m := m.(type) {
-			case Terminate:
+			case Terminate, End:
 				t.daemon.Drain()
 				return nil
 			case Restart, Kill:
--- a/internal/bench/proc/proc.go
+++ b/internal/bench/proc/proc.go
@@ -25,6 +25,9 @@
 // A Kill ends the process at once. The daemon is started again.
 type Kill struct{}
 
+// An End ends the process at once. The daemon is not started again.
+type End struct{}
+
 // A Pause stops the process without ending it, until a Continue.
 type Pause struct{}
 
@@ -37,6 +40,7 @@
 func (Terminate) message() {}
 func (Restart) message()   {}
 func (Kill) message()      {}
+func (End) message()       {}
 func (Pause) message()     {}
 func (Continue) message()  {}
 func (AskPID) message()    {}
@@ -112,6 +116,9 @@
 		t.signal(syscall.SIGTERM)
 	case Kill:
 		t.signal(syscall.SIGKILL)
+	case End:
+		t.again = false
+		t.signal(syscall.SIGKILL)
 	case Pause:
 		t.signal(syscall.SIGSTOP)
 	case Continue:
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -65,7 +65,7 @@
 	config   Config
 	dir      string
 	serial   ident.Serial
-	daemons  *branch
+	daemons  []*branch
 	platform *branch
 	client   *http.Client
 }
@@ -144,7 +144,7 @@
 		}
 	}
 	s.platform = newBranch("platform", platform)
-	s.daemons = newBranch("daemons", daemons)
+	s.daemons = []*branch{newBranch("daemons", daemons)}
 	s.Publish(s.firstNote())
 	if err := s.waitForTargets(); err != nil || len(daemons) == 0 {
 		return err
@@ -276,7 +276,9 @@
 
 // Close stops everything, daemons first, and removes the settings and logs.
 func (s *Stage) Close() {
-	s.daemons.stop()
+	for _, b := range s.daemons {
+		b.stop()
+	}
 	s.platform.stop()
 	if s.Platform != nil {
 		s.Platform.Stop()
