--- a/internal/bench/cmds/fleet.go
+++ b/internal/bench/cmds/fleet.go
@@ -44,7 +44,7 @@
 	return fleet.Print(env.Out, rows)
 }
 
-func (c *fleetCommand) restart(f fleet.Config, env Env) error {
+func (c *fleetCommand) restart(f fleet.Config, env args.Env) error {
 	var rows []fleet.Restart
 	for _, n := range c.Daemons {
 		more, err := fleet.MeasureRestarts(f, n, env.Err)
