Prefer the targets of the own region in large services

Cause: the setting Region was read and not used. A service of more than 16 targets got its 4 candidates of other data centres by hash alone, so that with 6 regions 5 of 6 of them were a region away.

Change: of these 4 candidates 2 are of the own region and 2 of other regions, where both exist; the choice of candidates has its own file.

Before: with 80 targets in 2 regions of 2 data centres the choice did not depend on the region. After: 12 own, 2 of the region, 2 elsewhere, by the table of TestCandidateCap; its earlier cases pass unchanged. Conclusion: services of up to 16 targets, the average at the design scale is 8, are not affected.

--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -2,7 +2,6 @@
 package route
 
 import (
-	"hash/fnv"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,14 +10,6 @@
 	"jacinthcross/internal/base/ident"
 )
 
-// A Candidate is a target that a daemon may choose.
-type Candidate struct {
-	Target     ident.Target
-	VM         ident.VM
-	DataCentre ident.DataCentre
-	Slots      int
-}
-
 // A Feedback is what an attempt showed of a target: Served, Declined, Failed, Expired or Cancelled.
 type Feedback interface{ feedback() }
 
@@ -47,18 +38,11 @@
 func (Expired) feedback()   {}
 func (Cancelled) feedback() {}
 
-const (
-	// candidateCap bounds the state, links and messages that one service costs a daemon.
-	candidateCap = 16
-	// remoteCandidates is the part of them that other data centres get at least, so that the
-	// loss of the own targets does not leave a large service without candidates.
-	remoteCandidates = 4
-)
-
 // A Table is what a daemon knows of the targets of one service.
 type Table struct {
 	vm         ident.VM
 	dataCentre ident.DataCentre
+	region     ident.Region
 	profile    Profile
 	random     *rand.Rand
 	budget     *Budget
@@ -75,6 +59,9 @@
 // WithRandom sets the source of random choices.
 func WithRandom(r *rand.Rand) Option { return func(t *Table) { t.random = r } }
 
+// WithRegion sets the region of the daemon. Without it all other data centres are equally far.
+func WithRegion(r ident.Region) Option { return func(t *Table) { t.region = r } }
+
 // WithProfile sets the settings profile.
 func WithProfile(p Profile) Option { return func(t *Table) { t.profile = p } }
 
@@ -122,51 +109,6 @@
 	t.limitEjections(now)
 }
 
-// choose keeps the first candidates of the order and among them some of other data centres.
-func (t *Table) choose(candidates []Candidate) []Candidate {
-	if len(candidates) <= candidateCap {
-		return candidates
-	}
-	remote := slices.IndexFunc(candidates, func(c Candidate) bool { return c.DataCentre != t.dataCentre && c.VM != t.vm })
-	if remote < 0 {
-		return candidates[:candidateCap]
-	}
-	near := min(remote, max(candidateCap-remoteCandidates, candidateCap-(len(candidates)-remote)))
-	return slices.Concat(candidates[:near], candidates[remote:remote+candidateCap-near])
-}
-
-// compare orders the own target first, then the own data centre, then by rendezvous hash.
-func (t *Table) compare(a, b Candidate) int {
-	if n := order(a.VM == t.vm, b.VM == t.vm); n != 0 {
-		return n
-	}
-	if n := order(a.DataCentre == t.dataCentre, b.DataCentre == t.dataCentre); n != 0 {
-		return n
-	}
-	if t.weight(a.Target) > t.weight(b.Target) {
-		return -1
-	}
-	return 1
-}
-
-func order(a, b bool) int {
-	switch {
-	case a == b:
-		return 0
-	case a:
-		return -1
-	}
-	return 1
-}
-
-func (t *Table) weight(target ident.Target) uint64 {
-	h := fnv.New64a()
-	h.Write([]byte(t.vm))
-	h.Write([]byte{0})
-	h.Write([]byte(target))
-	return h.Sum64()
-}
-
 // Pick chooses a target that is not excluded. Draining targets are never chosen. Targets that are ejected or
 // down, or whose VM is down, are chosen only when no other is left, since then the fault may be on this side.
 func (t *Table) Pick(now time.Time, excluded []ident.Target) (ident.Target, bool) {
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -185,30 +185,46 @@
 }
 
 // TestCandidateCap guards against state that grows with the service, against the loss of the own target,
-// and against a service that is lost with one data centre although others have targets of it.
+// against a service that is lost with one data centre or region although others have targets of it, and
+// against calls to other regions while the own one has targets.
 func TestCandidateCap(t *testing.T) {
 	tests := []struct {
 		name    string
-		targets int // a third of them in the own data centre
+		targets int            // one of each data centre in turn
+		regions []ident.Region // of the data centres
 		total   int
-		own     int
+		own     int // of the own data centre
+		near    int // of other data centres of the own region
 	}{
-		{"few targets", 9, 9, 3},
-		{"few in the own data centre", 27, candidateCap, 9},
-		{"many in the own data centre", 50, candidateCap, candidateCap - remoteCandidates},
+		{"few targets", 9, []ident.Region{"", "", ""}, 9, 3, 0},
+		{"few in the own data centre", 27, []ident.Region{"", "", ""}, candidateCap, 9, 0},
+		{"many in the own data centre", 50, []ident.Region{"", "", ""}, candidateCap, candidateCap - remoteCandidates, 0},
+		{"many in all regions", 80, []ident.Region{"a", "a", "b", "b"}, candidateCap, candidateCap - remoteCandidates, remoteCandidates / 2},
+		{"few in the own data centre, many in the region", 18, []ident.Region{"a", "a", "b"}, candidateCap, 6, 6},
+		{"one region", 50, []ident.Region{"a", "a"}, candidateCap, candidateCap - remoteCandidates, remoteCandidates},
+		{"no other data centre of the region", 50, []ident.Region{"a", "b"}, candidateCap, candidateCap - remoteCandidates, 0},
+		{"one data centre", 50, []ident.Region{"a"}, candidateCap, candidateCap, 0},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			statuses := newTable(targets(test.targets)).Status(start)
-			qt.Assert(t, statuses, qt.HasLen, test.total)
-			qt.Assert(t, statuses[0].Target, qt.Equals, ident.Target("t0"))
-			own := 0
-			for _, s := range statuses {
-				if s.DataCentre == "dc0" {
+			candidates := targets(test.targets)
+			for i := range candidates {
+				centre := i % len(test.regions)
+				candidates[i].DataCentre, candidates[i].Region = ident.DataCentre(fmt.Sprintf("dc%d", centre)), test.regions[centre]
+			}
+			table := newTable(candidates, WithRegion(test.regions[0]))
+			qt.Assert(t, table.states, qt.HasLen, test.total)
+			qt.Assert(t, table.states[0].Target, qt.Equals, ident.Target("t0"))
+			own, near := 0, 0
+			for _, s := range table.states {
+				switch {
+				case s.DataCentre == "dc0":
 					own++
+				case s.Region != "" && s.Region == test.regions[0]:
+					near++
 				}
 			}
-			qt.Assert(t, own, qt.Equals, test.own)
+			qt.Assert(t, []int{own, near}, qt.DeepEquals, []int{test.own, test.near})
 		})
 	}
 }
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -132,7 +132,7 @@
 func startRouter(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
 	b.tell(func(r *note.Release) { b.router.TryPut(router.ReleaseChanged{Release: r}) })
 	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links},
-		router.WithMeter(m), router.WithProfile(s.Profile), router.WithHeads(b.headSeen))
+		router.WithMeter(m), router.WithProfile(s.Profile), router.WithRegion(s.Region), router.WithHeads(b.headSeen))
 }
 
 func startKeeper(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
--- a/internal/task/router/peer.go
+++ b/internal/task/router/peer.go
@@ -46,7 +46,7 @@
 func (t *Task) table(service ident.Service) *route.Table {
 	table, ok := t.tables[service]
 	if !ok {
-		table = route.NewTable(t.vm, t.dataCentre, route.WithProfile(t.profile), route.WithBudget(t.budget))
+		table = route.NewTable(t.vm, t.dataCentre, route.WithRegion(t.region), route.WithProfile(t.profile), route.WithBudget(t.budget))
 		table.SetCandidates(t.candidates(service), t.clock.Now())
 		for vm, state := range t.peers {
 			t.tell(table, vm, state)
@@ -61,7 +61,7 @@
 	var candidates []route.Candidate
 	for _, target := range t.release.TargetsOf(service) {
 		candidates = append(candidates, route.Candidate{
-			Target: target.Name, VM: target.VM, DataCentre: target.DataCentre, Slots: target.Slots,
+			Target: target.Name, VM: target.VM, DataCentre: target.DataCentre, Region: target.Region, Slots: target.Slots,
 		})
 	}
 	return candidates
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -23,6 +23,7 @@
 	*tree.Loop
 	vm         ident.VM
 	dataCentre ident.DataCentre
+	region     ident.Region
 	inbox      *mail.Box[Message]
 	results    *mail.Box[call.Result]
 	local      *mail.Box[local.Message]
@@ -68,6 +69,9 @@
 // WithProfile sets the settings profile of the routing.
 func WithProfile(p route.Profile) Option { return func(t *Task) { t.profile = p } }
 
+// WithRegion sets the region of the daemon, whose targets are preferred among those of other data centres.
+func WithRegion(r ident.Region) Option { return func(t *Task) { t.region = r } }
+
 // WithMaxCalls bounds the calls that have no outcome yet.
 func WithMaxCalls(n int) Option { return func(t *Task) { t.maxCalls = n } }
 
