Pass over interim responses of targets

Cause: the HTTP library's client takes a 1xx response as the final one, so a target that sent 100 or 103 first was answered Unknown (AnswerCut), and its connection was closed.

Change: a Processor around the client's own drops the parts of interim responses as they are parsed. It is set by the engine's OnOpen callback, which runs after the client has set up the connection and before the first read. An interim response with a body ends the connection, since what follows could belong to either response. 101 stays Unknown. run.go and conn.go are unchanged.

--- a/internal/task/local/answer.go
+++ b/internal/task/local/answer.go
@@ -41,7 +41,7 @@
 
 // outcome checks that the response is whole.
 func (c *conn) outcome(method string, r *http.Response) call.Outcome {
-	// The library reports a response of unknown length as complete and empty, and an interim one as final.
+	// The library reports a response of unknown length as complete and empty.
 	if !framed(method, r) {
 		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("target %s: the response has neither Content-Length nor chunked encoding", c.target)}
 	}
@@ -66,6 +66,7 @@
 
 // framed reports whether the end of the response is known.
 func framed(method string, r *http.Response) bool {
+	// No final response follows a switch of protocols.
 	if r.StatusCode < http.StatusOK {
 		return false
 	}
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -131,6 +131,7 @@
 		o(t)
 	}
 	t.engine = nbhttp.NewEngine(nbhttp.Config{Name: "target", NPoller: 1, MaxHTTPBodySize: t.maxBody})
+	t.engine.Engine.OnOpen(skipInterim)
 	if err := t.engine.Start(); err != nil {
 		return nil, errors.Annotate(err, "start the engine of target connections")
 	}
