Let a daemon that starts ask its peers before it reads all notes

Cause: a daemon without a release read the configuration service at once, with one call for each note, although its peers hand it the release within 150 ms. With 80 notes that was 12 to 15 calls for each of 25 daemons that started together; 150 daemons would pass the platform's 2,000 reads/s.

Change: a daemon that knows peers reads the service only after 250 to 750 ms without a release, spread by its jitter. One that knows none reads at once. Both leave time to serve within 2 s.

Conclusion: the calls no longer grow with the number of daemons that start, while one of their peers is left.

--- a/internal/fleet/relay/place.go
+++ b/internal/fleet/relay/place.go
@@ -139,12 +139,10 @@
 	Direct Duty = "Direct"
 )
 
-// DutyOf returns the duty of a daemon of a rank when the service was read age ago.
+// DutyOf returns the duty of a daemon with a release and of a rank when the service was read age ago.
 // jitter, from 0 to 1, is a random number that the daemon keeps.
-func DutyOf(rank int, hasRelease bool, age time.Duration, jitter float64) Duty {
+func DutyOf(rank int, age time.Duration, jitter float64) Duty {
 	switch {
-	case !hasRelease:
-		return Direct
 	case rank < 0:
 		return Idle
 	case rank < Watchers:
@@ -155,6 +153,25 @@
 	return Idle
 }
 
+const (
+	// firstWait is how long a daemon without a release leaves it to its peers to answer, which takes a few
+	// round trips. Each would otherwise read all notes from the service: when a data centre of 150 daemons
+	// starts at once, that alone passes the service's limit of 2,000 reads/s.
+	firstWait = 250 * time.Millisecond
+	// firstSpread is added in part, so that daemons whose peers do not answer do not read all at once. Both
+	// together leave time to read the release and to serve within 2 s of the start.
+	firstSpread = 500 * time.Millisecond
+)
+
+// FirstDuty returns the duty of a daemon without a release that started a time ago. jitter, from 0 to 1,
+// is a random number that the daemon keeps.
+func FirstDuty(knowsPeers bool, waited time.Duration, jitter float64) Duty {
+	if knowsPeers && waited < firstWait+time.Duration(jitter*float64(firstSpread)) {
+		return Idle
+	}
+	return Direct
+}
+
 // An Age tells how long ago a watcher read the configuration service. Each
 // daemon counts on its own clock, so the time that a message waits adds up along its path.
 type Age struct {
--- a/internal/fleet/relay/place_test.go
+++ b/internal/fleet/relay/place_test.go
@@ -79,7 +79,7 @@
 		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(time.Second) {
 			reads := 0
 			for _, n := range live {
-				switch relay.DutyOf(relay.PlaceOf(n.VM, n.DataCentre, all).Rank, true, age+2*time.Second, jitter) {
+				switch relay.DutyOf(relay.PlaceOf(n.VM, n.DataCentre, all).Rank, age+2*time.Second, jitter) {
 				case relay.Watch:
 					readers++
 				case relay.Direct:
@@ -103,6 +103,30 @@
 	})
 }
 
+// Guards against daemons that start at once and all read the service before their peers could answer,
+// and against one that does not read it in time to serve within 2 s of its start.
+func TestFirstDuty(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		knowsPeers bool
+		waited     time.Duration
+		jitter     float64
+		want       relay.Duty
+	}{
+		{"no peers", false, 0, 1, relay.Direct},
+		{"peers may answer", true, 200 * time.Millisecond, 0, relay.Idle},
+		{"spread", true, 500 * time.Millisecond, 0.9, relay.Idle},
+		{"early part of the spread", true, 500 * time.Millisecond, 0.1, relay.Direct},
+		{"no answer", true, time.Second, 1, relay.Direct},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			if got := relay.FirstDuty(test.knowsPeers, test.waited, test.jitter); got != test.want {
+				t.Fatalf("duty %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
 // Guards against direct reads above one per 10 s.
 func TestGate(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/internal/task/keeper/keeper.go
+++ b/internal/task/keeper/keeper.go
@@ -263,13 +263,8 @@
 
 // tellDuty tells the duty when it or the head has changed.
 func (t *Task) tellDuty() {
-	now := t.clock.Now()
-	age, known := t.age.Since(now)
-	if !known {
-		age = now.Sub(t.started)
-	}
 	d := Duty{
-		Kind:        relay.DutyOf(t.place.Rank, !t.replica.Head().IsZero(), age, t.jitter),
+		Kind:        t.dutyKind(),
 		Head:        t.replica.Head(),
 		ListVersion: t.list.Version(),
 	}
@@ -279,6 +274,19 @@
 	}
 }
 
+func (t *Task) dutyKind() relay.Duty {
+	now := t.clock.Now()
+	waited := now.Sub(t.started)
+	if t.replica.Head().IsZero() {
+		return relay.FirstDuty(len(t.somePeers(1)) > 0, waited, t.jitter)
+	}
+	age, known := t.age.Since(now)
+	if !known {
+		age = waited
+	}
+	return relay.DutyOf(t.place.Rank, age, t.jitter)
+}
+
 func (t *Task) status() Status {
 	s := Status{
 		Head: t.replica.Head(), Since: t.since, Release: t.replica.Release(), Refusals: append([]string(nil), t.refusals...),
