--- a/internal/bench/cmds/cmds_test.go
+++ b/internal/bench/cmds/cmds_test.go
@@ -37,7 +37,7 @@
 		{"compare without a common balancer", []string{"compare", result, other}, 2},
 		{"report", []string{"report", result, "--out", filepath.Join(dir, "r.html")}, 0},
 		{"report without a file", []string{"report", result}, 2},
-		{"fleet of too many daemons", []string{"fleet", "--daemons", "201", "--daemon", "unused"}, 2},
+		{"fleet of too many daemons", []string{"fleet", "--daemons", "301", "--daemon", "unused"}, 2},
 		{"target without slots", []string{"target", "--address", "127.0.0.1:0", "--slots", "0"}, 2},
 		{"config in an unknown mode", []string{"config", "--address", "127.0.0.1:0", "--mode", "moody"}, 2},
 	} {
--- a/internal/bench/cmds/fleet.go
+++ b/internal/bench/cmds/fleet.go
@@ -7,12 +7,14 @@
 )
 
 type fleetCommand struct {
-	Daemons     []int         `arg:"--daemons" help:"numbers of daemons, at most 200 (default 10 30 100 200)"`
+	Daemons     []int         `arg:"--daemons" help:"numbers of daemons, at most 300 (default 10 30 100 200)"`
 	DataCentres int           `arg:"--data-centres" default:"4" help:"data centres over which the daemons are spread"`
+	PerService  int           `arg:"--per-service" default:"8" help:"targets in each service"`
 	Changes     int           `arg:"--changes" default:"5" help:"release notes that are published and measured"`
 	Idle        time.Duration `arg:"--idle" default:"5s" help:"length of the measurement without changes"`
 	Gap         time.Duration `arg:"--gap" default:"3s" help:"time between two changes"`
 	Restart     bool          `arg:"--restart" help:"instead, kill all daemons of a data centre and start them again"`
+	Cut         time.Duration `arg:"--cut" help:"instead, cut off half of the data centres for this time while the changes are published"`
 	Daemon      string        `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
 }
 
@@ -25,13 +27,16 @@
 		return err
 	}
 	defer clean()
-	f := fleet.Config{Program: path, DataCentres: c.DataCentres, Changes: c.Changes, Idle: c.Idle, Gap: c.Gap}
+	f := fleet.Config{Program: path, DataCentres: c.DataCentres, PerService: c.PerService, Changes: c.Changes, Idle: c.Idle, Gap: c.Gap}
 	if err := f.Check(c.Daemons); err != nil {
 		return err
 	}
 	if c.Restart {
 		return c.restart(f, env)
 	}
+	if c.Cut != 0 {
+		return c.cut(f, env)
+	}
 	var rows []fleet.Row
 	for _, n := range c.Daemons {
 		row, err := fleet.Measure(f, n, env.Err)
@@ -54,3 +59,15 @@
 	}
 	return fleet.PrintRestarts(env.Out, rows)
 }
+
+func (c *fleetCommand) cut(f fleet.Config, env Env) error {
+	var rows []fleet.Cut
+	for _, n := range c.Daemons {
+		row, err := fleet.MeasureCut(f, n, c.Cut, env.Err)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, row)
+	}
+	return fleet.PrintCuts(env.Out, rows)
+}
--- a/internal/bench/config/config.go
+++ b/internal/bench/config/config.go
@@ -133,6 +133,9 @@
 // URL returns the address of the service for the settings of a daemon.
 func (t *Task) URL() string { return "http://" + t.address.String() }
 
+// Address returns where the service listens.
+func (t *Task) Address() netip.AddrPort { return t.address }
+
 // Send sends a message to the service.
 func (t *Task) Send(m Message) { t.inbox.Put(m, t.Done()) }
 
--- a/internal/bench/delay/delay.go
+++ b/internal/bench/delay/delay.go
@@ -10,6 +10,7 @@
 
 	"github.com/juju/errors"
 
+	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 )
@@ -23,6 +24,16 @@
 // A Partition closes all connections and refuses new ones while Closed is true.
 type Partition struct{ Closed bool }
 
+// A Cut makes the connections from data centres silent, open ones and new ones. Those that an earlier Cut
+// made silent and this one does not name are closed.
+type Cut struct{ From map[ident.DataCentre]bool }
+
+// An opened message tells where a new connection comes from.
+type opened struct {
+	pair *pair
+	from ident.DataCentre
+}
+
 type accepted struct{ conn *net.TCPConn }
 
 type ended struct{ pair *pair }
@@ -32,12 +43,17 @@
 
 func (Silence) message()   {}
 func (Partition) message() {}
+func (Cut) message()       {}
+func (opened) message()    {}
 func (accepted) message()  {}
 func (ended) message()     {}
 func (probed) message()    {}
 
-// A OneWay returns the delay of each direction of a connection from an address.
-type OneWay func(from netip.AddrPort) time.Duration
+// An Origin returns the data centre of the process that opened a connection, or none when it is not known.
+type Origin func(from netip.AddrPort) ident.DataCentre
+
+// A OneWay returns the delay of each direction of a connection from a data centre.
+type OneWay func(from ident.DataCentre) time.Duration
 
 // A Task owns a listening socket and its connections.
 type Task struct {
@@ -46,8 +62,10 @@
 	listener net.Listener
 	at       netip.AddrPort
 	to       netip.AddrPort
+	origin   Origin
 	oneWay   OneWay
 	pairs    map[*pair]bool
+	cut      map[ident.DataCentre]bool
 	closed   bool
 	probing  bool
 	// down is true while the relay does not listen because the server does not.
@@ -64,8 +82,8 @@
 func NewBox() *mail.Box[Message] { return mail.NewBox[Message](mailbox) }
 
 // New starts a relay from one address to another.
-func New(inbox *mail.Box[Message], at, to netip.AddrPort, oneWay OneWay) (*Task, error) {
-	t := &Task{Loop: tree.NewLoop(), inbox: inbox, at: at, to: to, oneWay: oneWay, pairs: map[*pair]bool{}}
+func New(inbox *mail.Box[Message], at, to netip.AddrPort, origin Origin, oneWay OneWay) (*Task, error) {
+	t := &Task{Loop: tree.NewLoop(), inbox: inbox, at: at, to: to, origin: origin, oneWay: oneWay, pairs: map[*pair]bool{}}
 	if err := t.listen(); err != nil {
 		return nil, err
 	}
@@ -126,10 +144,18 @@
 		}
 	case probed:
 		return t.probed(m.up)
+	case opened:
+		m.pair.from = m.from
+		if t.cut[m.from] {
+			m.pair.silence()
+		}
+		close(m.pair.known)
 	case Silence:
 		for p := range t.pairs {
-			p.hush.Do(func() { close(p.silent) })
+			p.silence()
 		}
+	case Cut:
+		t.cutOff(m.From)
 	case Partition:
 		t.closed = m.Closed
 		if t.closed {
@@ -139,6 +165,18 @@
 	return nil
 }
 
+func (t *Task) cutOff(from map[ident.DataCentre]bool) {
+	for p := range t.pairs {
+		switch {
+		case from[p.from]:
+			p.silence()
+		case t.cut[p.from]:
+			p.close()
+		}
+	}
+	t.cut = from
+}
+
 // probed stops listening while the server does not accept connections, so that clients see a
 // refused connection as they would without the relay, and listens again when it does.
 func (t *Task) probed(up bool) error {
@@ -177,6 +215,9 @@
 // A pair is a connection from a client and the one to the server.
 type pair struct {
 	client *net.TCPConn
+	// from is where the connection comes from, once known is closed.
+	from   ident.DataCentre
+	known  chan struct{}
 	stop   chan struct{}
 	once   sync.Once
 	silent chan struct{}
@@ -185,9 +226,11 @@
 
 func (p *pair) close() { p.once.Do(func() { close(p.stop) }) }
 
+func (p *pair) silence() { p.hush.Do(func() { close(p.silent) }) }
+
 // newPair starts the goroutine that dials the server and carries both directions.
 func (t *Task) newPair(client *net.TCPConn) *pair {
-	p := &pair{client: client, stop: make(chan struct{}), silent: make(chan struct{})}
+	p := &pair{client: client, known: make(chan struct{}), stop: make(chan struct{}), silent: make(chan struct{})}
 	go func() {
 		defer t.inbox.Put(ended{p}, t.Done())
 		defer client.Close()
@@ -197,7 +240,15 @@
 		}
 		server := c.(*net.TCPConn)
 		defer server.Close()
-		from, _ := netip.ParseAddrPort(client.RemoteAddr().String())
+		address, _ := netip.ParseAddrPort(client.RemoteAddr().String())
+		from := t.origin(address)
+		t.inbox.Put(opened{p, from}, t.Done())
+		// No byte is carried before the task has compared the origin with a cut.
+		select {
+		case <-p.known:
+		case <-p.stop:
+			return
+		}
 		delay := t.oneWay(from)
 		done := make(chan struct{}, 2)
 		go func() { p.carry(server, client, delay); done <- struct{}{} }()
--- a/internal/bench/delay/delay_test.go
+++ b/internal/bench/delay/delay_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/bench/delay"
 	"jacinthcross/internal/bench/stage"
 )
@@ -39,7 +40,7 @@
 	at, err := stage.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	box := delay.NewBox()
-	t, err := delay.New(box, at, server.Addr().(*net.TCPAddr).AddrPort(), func(netip.AddrPort) time.Duration { return oneWay })
+	t, err := delay.New(box, at, server.Addr().(*net.TCPAddr).AddrPort(), func(netip.AddrPort) ident.DataCentre { return "a" }, func(ident.DataCentre) time.Duration { return oneWay })
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		t.Stop()
@@ -84,6 +85,8 @@
 	}{
 		{"silence", delay.Silence{}, false, true},
 		{"partition", delay.Partition{Closed: true}, false, false},
+		{"cut", delay.Cut{From: map[ident.DataCentre]bool{"a": true}}, false, false},
+		{"cut of another data centre", delay.Cut{From: map[ident.DataCentre]bool{"b": true}}, true, true},
 		{"no partition", delay.Partition{Closed: false}, true, true},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -102,6 +105,24 @@
 	}
 }
 
+// A cut that does not end, or that leaves silent connections open, would make the repair after it look slow.
+func TestCutEnds(t *testing.T) {
+	c := qt.New(t)
+	r := start(c)
+	old := r.dial(c)
+	_, ok := echo(c, old)
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(r.box.TryPut(delay.Cut{From: map[ident.DataCentre]bool{"a": true}}), qt.IsTrue)
+	_, ok = echo(c, r.dial(c))
+	c.Assert(ok, qt.IsFalse)
+	c.Assert(r.box.TryPut(delay.Cut{}), qt.IsTrue)
+	c.Assert(old.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+	_, err := old.Read(make([]byte, 1))
+	c.Assert(err, qt.ErrorIs, io.EOF)
+	_, ok = echo(c, r.dial(c))
+	c.Assert(ok, qt.IsTrue)
+}
+
 // A relay that accepts connections for a dead server would turn refused calls into unknown outcomes.
 func TestRefusesWhileServerIsDown(t *testing.T) {
 	c := qt.New(t)
@@ -110,7 +131,7 @@
 	at, err := stage.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	to := server.Addr().(*net.TCPAddr).AddrPort()
-	r, err := delay.New(delay.NewBox(), at, to, func(netip.AddrPort) time.Duration { return 0 })
+	r, err := delay.New(delay.NewBox(), at, to, func(netip.AddrPort) ident.DataCentre { return "" }, func(ident.DataCentre) time.Duration { return 0 })
 	c.Assert(err, qt.IsNil)
 	defer r.Stop()
 	first := relayed{nil, at}.dial(c)
--- a/internal/bench/fleet/fleet.go
+++ b/internal/bench/fleet/fleet.go
@@ -18,15 +18,17 @@
 )
 
 // maxDaemons is the most processes that one machine is to run.
-const maxDaemons = 200
+const maxDaemons = 300
 
 // A Config describes a measurement.
 type Config struct {
 	Program     string
 	DataCentres int
-	Changes     int
-	Idle        time.Duration
-	Gap         time.Duration
+	// PerService is the number of targets in a service. The design scale has 1,800 in 220 services.
+	PerService int
+	Changes    int
+	Idle       time.Duration
+	Gap        time.Duration
 }
 
 // Check checks the Config and the numbers of daemons.
@@ -36,8 +38,8 @@
 			return errors.NotValidf("--daemons %d (want 1 to %d)", n, maxDaemons)
 		}
 	}
-	if f.DataCentres < 1 || f.Changes < 1 || f.Idle <= 0 || f.Gap <= 0 {
-		return errors.NotValidf("--data-centres, --changes, --idle or --gap that is not positive")
+	if f.DataCentres < 1 || f.PerService < 1 || f.Changes < 1 || f.Idle <= 0 || f.Gap <= 0 {
+		return errors.NotValidf("--data-centres, --per-service, --changes, --idle or --gap that is not positive")
 	}
 	return nil
 }
@@ -64,16 +66,13 @@
 	MaxResident int64
 }
 
-// perService is the number of targets in a service. The design scale has 1,800 in 220 services.
-const perService = 8
-
-func layout(daemons, dataCentres int) setup.Layout {
+func (f Config) layout(daemons int) setup.Layout {
 	l := setup.Layout{Name: "Fleet"}
-	for i := range dataCentres {
+	for i := range f.DataCentres {
 		l.DataCentres = append(l.DataCentres, ident.DataCentre(fmt.Sprintf("dc-%d", i)))
 	}
 	for i := 0; daemons > 0; i++ {
-		n := min(daemons, perService)
+		n := min(daemons, f.PerService)
 		l.Services = append(l.Services, setup.Service{Name: fmt.Sprintf("service-%d", i), Targets: n, Slots: 10, Rank: ident.Normal})
 		daemons -= n
 	}
@@ -126,7 +125,7 @@
 // start starts daemons as processes, with the first release in force.
 func start(f Config, daemons int) (*measurement, error) {
 	st, err := stage.Start(stage.Config{
-		Layout: layout(daemons, f.DataCentres), Seed: 1, Daemons: stage.Processes{Path: f.Program}, NoTargets: true, NoRelays: true,
+		Layout: f.layout(daemons), Seed: 1, Daemons: stage.Processes{Path: f.Program}, NoTargets: true, NoRelays: true,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/bench/fleet/table.go
+++ b/internal/bench/fleet/table.go
@@ -66,31 +66,75 @@
 	return errors.Trace(w.Flush())
 }
 
-// PrintRestarts writes a column for each restart of a data centre.
-func PrintRestarts(out io.Writer, rows []Restart) error {
+// A line is one line of a table with a column for each row.
+type line[R any] struct {
+	name  string
+	value func(R) string
+}
+
+func printLines[R any](out io.Writer, rows []R, lines []line[R]) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	line := func(name string, value func(Restart) string) {
-		fmt.Fprintf(w, "%s\t", name)
+	for _, l := range lines {
+		fmt.Fprintf(w, "%s\t", l.name)
 		for _, r := range rows {
-			fmt.Fprintf(w, "%s\t", value(r))
+			fmt.Fprintf(w, "%s\t", l.value(r))
 		}
 		fmt.Fprintln(w)
 	}
-	line("Configuration service", func(r Restart) string { return r.Service })
-	line("Daemons", func(r Restart) string { return fmt.Sprint(r.Daemons) })
-	line("Restarted", func(r Restart) string { return fmt.Sprint(r.Restarted) })
-	line("Serving ms, median", func(r Restart) string { return spread(r.Serving, middle) })
-	line("Serving ms, last", func(r Restart) string { return spread(r.Serving, largest) })
-	line("Served an older release", func(r Restart) string { return fmt.Sprint(r.Older) })
-	line("Not serving in the window", func(r Restart) string { return fmt.Sprint(r.Missing) })
-	line("Platform calls/s, peak", func(r Restart) string { return fmt.Sprint(r.PlatformPeak) })
-	line("Others: control B/s, mean", func(r Restart) string { return fmt.Sprintf("%.0f", r.Others.Bytes) })
-	line("Others: control B/s, largest", func(r Restart) string { return fmt.Sprintf("%.0f", r.Others.MaxBytes) })
-	line("Others: CPU, % of a core, mean", func(r Restart) string { return fmt.Sprintf("%.2f", 100*r.Others.CPU) })
-	line("Others: CPU, % of a core, largest", func(r Restart) string { return fmt.Sprintf("%.2f", 100*r.Others.MaxCPU) })
 	return errors.Trace(w.Flush())
 }
 
+// costLines returns the lines of a Cost.
+func costLines[R any](name string, of func(R) Cost) []line[R] {
+	return []line[R]{
+		{name + ": control B/s, mean", func(r R) string { return fmt.Sprintf("%.0f", of(r).Bytes) }},
+		{name + ": control B/s, largest", func(r R) string { return fmt.Sprintf("%.0f", of(r).MaxBytes) }},
+		{name + ": CPU, % of a core, mean", func(r R) string { return fmt.Sprintf("%.2f", 100*of(r).CPU) }},
+		{name + ": CPU, % of a core, largest", func(r R) string { return fmt.Sprintf("%.2f", 100*of(r).MaxCPU) }},
+	}
+}
+
+// PrintRestarts writes a column for each restart of a data centre.
+func PrintRestarts(out io.Writer, rows []Restart) error {
+	lines := []line[Restart]{
+		{"Configuration service", func(r Restart) string { return r.Service }},
+		{"Daemons", func(r Restart) string { return fmt.Sprint(r.Daemons) }},
+		{"Restarted", func(r Restart) string { return fmt.Sprint(r.Restarted) }},
+		{"Serving ms, median", func(r Restart) string { return spread(r.Serving, middle) }},
+		{"Serving ms, last", func(r Restart) string { return spread(r.Serving, largest) }},
+		{"Served an older release", func(r Restart) string { return fmt.Sprint(r.Older) }},
+		{"Not serving in the window", func(r Restart) string { return fmt.Sprint(r.Missing) }},
+		{"Platform calls/s, peak", func(r Restart) string { return fmt.Sprint(r.PlatformPeak) }},
+	}
+	return printLines(out, rows, append(lines, costLines("Others", func(r Restart) Cost { return r.Others })...))
+}
+
+// PrintCuts writes a column for each cut.
+func PrintCuts(out io.Writer, rows []Cut) error {
+	lines := []line[Cut]{
+		{"Daemons", func(r Cut) string { return fmt.Sprint(r.Daemons) }},
+		{"Cut off", func(r Cut) string { return fmt.Sprint(r.Lost) }},
+		{"Length s", func(r Cut) string { return fmt.Sprint(r.Length.Seconds()) }},
+		{"Notes during the cut", func(r Cut) string { return fmt.Sprint(r.Notes) }},
+		{"Got a note during the cut", func(r Cut) string { return fmt.Sprint(r.Leaked) }},
+		{"Repaired ms, median", func(r Cut) string { return spread(r.Repaired, middle) }},
+		{"Repaired ms, last", func(r Cut) string { return spread(r.Repaired, largest) }},
+		{"Not repaired in the window", func(r Cut) string { return fmt.Sprint(r.Missing) }},
+		{"Platform calls/s, peak", func(r Cut) string { return fmt.Sprint(r.PlatformPeak) }},
+	}
+	for _, phase := range []struct {
+		name string
+		of   func(Cut) Cost
+	}{
+		{"Before", func(r Cut) Cost { return r.Idle }},
+		{"During", func(r Cut) Cost { return r.During }},
+		{"After", func(r Cut) Cost { return r.After }},
+	} {
+		lines = append(lines, costLines(phase.name, phase.of)...)
+	}
+	return printLines(out, rows, lines)
+}
+
 // spread returns a figure of times in milliseconds, or a dash when there are none.
 func spread(list []time.Duration, of func([]time.Duration) time.Duration) string {
 	if len(list) == 0 {
--- a/internal/bench/fleet/table_test.go
+++ b/internal/bench/fleet/table_test.go
@@ -37,7 +37,7 @@
 // A fleet of another size than asked for would falsify all figures per daemon.
 func TestLayoutSize(t *testing.T) {
 	for _, test := range []struct{ daemons, services int }{{1, 1}, {8, 1}, {10, 2}, {200, 25}} {
-		l := layout(test.daemons, 4)
+		l := Config{DataCentres: 4, PerService: 8}.layout(test.daemons)
 		qt.Check(t, l.Seats(), qt.HasLen, test.daemons)
 		qt.Check(t, l.Services, qt.HasLen, test.services)
 		perDataCentre := map[any][]setup.Seat{}
@@ -50,17 +50,18 @@
 
 // More processes than the machine allows must be refused before the first one starts.
 func TestCheck(t *testing.T) {
-	good := Config{DataCentres: 1, Changes: 1, Idle: 1, Gap: 1}
+	good := Config{DataCentres: 1, PerService: 8, Changes: 1, Idle: 1, Gap: 1}
 	for _, test := range []struct {
 		name    string
 		config  Config
 		daemons []int
 		valid   bool
 	}{
-		{"good", good, []int{1, 200}, true},
-		{"too many", good, []int{10, 201}, false},
+		{"good", good, []int{1, 300}, true},
+		{"too many", good, []int{10, 301}, false},
 		{"none", good, []int{0}, false},
-		{"no changes", Config{DataCentres: 1, Idle: 1, Gap: 1}, []int{1}, false},
+		{"no targets in a service", Config{DataCentres: 1, Changes: 1, Idle: 1, Gap: 1}, []int{1}, false},
+		{"no changes", Config{DataCentres: 1, PerService: 8, Idle: 1, Gap: 1}, []int{1}, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			err := test.config.Check(test.daemons)
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -130,8 +130,8 @@
 
 func (s *Stage) relayChildren(m *Member) ([]tree.Child, error) {
 	peers := tree.Child{Name: "relay-" + m.Seat.Target, Start: func() (tree.Task, error) {
-		return delay.New(m.Links, m.Relay, m.Settings.Peers, func(from netip.AddrPort) time.Duration {
-			if s.dataCentreOf(from) == m.DataCentre {
+		return delay.New(m.Links, m.Relay, m.Settings.Peers, s.dataCentreOf, func(from ident.DataCentre) time.Duration {
+			if from == m.DataCentre {
 				return 0
 			}
 			return s.config.Layout.OneWay
@@ -152,7 +152,7 @@
 			oneWay = 0
 		}
 		children = append(children, tree.Child{Name: fmt.Sprintf("direct-%s-%s", m.Seat.Target, dc), Start: func() (tree.Task, error) {
-			return delay.New(delay.NewBox(), at, m.Address, func(netip.AddrPort) time.Duration { return oneWay })
+			return delay.New(delay.NewBox(), at, m.Address, from(dc), func(ident.DataCentre) time.Duration { return oneWay })
 		}})
 	}
 	return children, nil
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -54,6 +54,8 @@
 	NoTargets bool
 	// NoRelays connects the daemons without a relay.
 	NoRelays bool
+	// PlatformRelays puts a relay between the daemons of each data centre and the platform.
+	PlatformRelays bool
 }
 
 // A Stage is a deployment that runs.
@@ -67,6 +69,7 @@
 	serial   ident.Serial
 	daemons  []*branch
 	platform *branch
+	paths    map[ident.DataCentre]path
 	client   *http.Client
 }
 
@@ -113,15 +116,24 @@
 	if s.Platform, err = config.New(netip.AddrPortFrom(host(), 0)); err != nil {
 		return err
 	}
+	var platform, daemons []tree.Child
+	if s.config.PlatformRelays {
+		if platform, err = s.platformPaths(); err != nil {
+			return err
+		}
+	}
 	for _, seat := range s.config.Layout.Seats() {
-		m, err := newMember(seat, s.config.Layout.Profile, s.Platform.URL())
+		url := s.Platform.URL()
+		if p, ok := s.paths[seat.DataCentre]; ok {
+			url = p.url()
+		}
+		m, err := newMember(seat, s.config.Layout.Profile, url)
 		if err != nil {
 			return err
 		}
 		s.Members = append(s.Members, m)
 	}
 	s.seed()
-	var platform, daemons []tree.Child
 	for i, m := range s.Members {
 		if !s.config.NoTargets {
 			platform = append(platform, s.targetChild(i, m))
@@ -159,7 +171,7 @@
 func (s *Stage) seed() {
 	n := len(s.Members)
 	for i, m := range s.Members {
-		m.Settings.VMList = s.Platform.URL()
+		m.Settings.VMList = m.Settings.Config
 		for j := 1; j <= min(seeds, n-1); j++ {
 			m.Settings.Seeds = append(m.Settings.Seeds, s.Members[(i+j)%n].Settings.Peers)
 		}
@@ -229,8 +241,12 @@
 				break
 			}
 			if time.Now().After(until) {
-				return errors.Errorf("daemon %s at %s: release %d not in force after %v (%v)%s",
-					m.VM, m.Settings.Admin, serial, timeout, err, s.lastLog(m))
+				held := "no status"
+				if err == nil {
+					held = fmt.Sprintf("%+v of %+v", status.Service, status.Release)
+				}
+				return errors.Errorf("daemon %s at %s: release %d not in force after %v (%s, %v)%s",
+					m.VM, m.Settings.Admin, serial, timeout, held, err, s.lastLog(m))
 			}
 			time.Sleep(pollGap)
 		}
