--- a/internal/bench/cmds/fleet.go
+++ b/internal/bench/cmds/fleet.go
@@ -61,7 +61,7 @@
 	return fleet.PrintRestarts(env.Out, rows)
 }
 
-func (c *fleetCommand) cut(f fleet.Config, env Env) error {
+func (c *fleetCommand) cut(f fleet.Config, env args.Env) error {
 	var rows []fleet.Cut
 	for _, n := range c.Daemons {
 		row, err := fleet.MeasureCut(f, n, c.Cut, env.Err)
