Reuse the streams between daemons for one call at a time

Cause: each call opened and closed a yamux stream. That took two more frames in each direction, each a system call, and the link's loop waited for the write of the first one before it took the next message, as did the loop that accepts streams at the other end. strace counted 7.0 writes and 5.5 reads a call at both ends together (140,222 and 110,915 for 20,000 calls of BenchmarkLink). Each end also started two goroutines or more per call.

Change: a link keeps up to 64 idle streams and passes a call to the one that became idle last. The goroutines of a stream stay. A stream is kept only after a complete reply with the number of its call; it is closed after a cancel, a timeout or any doubt. Before reuse the carrier checks that the stream is open and holds no bytes, and otherwise refuses the call, of which nothing was sent. Streams that no call needed are closed after 5 to 10 s, and a receive buffer above 16 KiB is not kept. A call now carries a number that its reply returns, so the protocol between daemons has version 2. The limits of silence and the wait of a planned stop count exchanges under way instead of streams, and a call that reaches an idle stream after GoAway is refused as Draining.

--- /dev/null
+++ b/internal/super/daemon/reuse_test.go
@@ -0,0 +1,205 @@
+package daemon_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/hashicorp/yamux"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/task/links"
+	"jacinthcross/internal/wire/codec"
+)
+
+// A received is a call that a bare peer has read, with its stream.
+type received struct {
+	codec.Call
+	stream *yamux.Stream
+}
+
+func (r received) answer(t *testing.T, number uint64, body string) {
+	_, err := codec.Write(r.stream, codec.Reply{Number: number, Result: call.Result{Outcome: call.Answered{Status: 200, Body: []byte(body)}}}, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// barePeer says hello and passes on the calls of all streams, which the test answers or does not.
+func barePeer(t *testing.T) (netip.AddrPort, <-chan received) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { l.Close() })
+	calls := make(chan received, 64)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		s, err := link.NewSession(c, false)
+		if err != nil {
+			return
+		}
+		if _, err := s.AnswerGreeting(hello()); err != nil {
+			return
+		}
+		for {
+			stream, err := s.AcceptStream()
+			if err != nil {
+				return
+			}
+			go func() {
+				for {
+					m, _, err := codec.Read(stream, 1<<20, time.Now)
+					if err != nil {
+						return
+					}
+					if c, ok := m.(codec.Call); ok {
+						calls <- received{c, stream}
+					}
+				}
+			}()
+		}
+	}()
+	return l.Addr().(*net.TCPAddr).AddrPort(), calls
+}
+
+func answeredBody(t *testing.T, r call.Result) string {
+	t.Helper()
+	answered, ok := r.Outcome.(call.Answered)
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", r.Outcome))
+	return string(answered.Body)
+}
+
+// settle lets frames that were written reach the other end, and an idle stream return to its pool.
+func settle() { time.Sleep(100 * time.Millisecond) }
+
+// Guards against a new stream for each call, which costs three frames in each direction.
+func TestCallsReuseAStream(t *testing.T) {
+	to, calls := barePeer(t)
+	d := newDialler(t)
+	streams := map[uint32]bool{}
+	for range 5 {
+		d.send(to, "call")
+		r := receive(t, calls)
+		streams[r.stream.StreamID()] = true
+		r.answer(t, r.Number, "answer")
+		qt.Assert(t, answeredBody(t, receive(t, d.results.C())), qt.Equals, "answer")
+		settle()
+	}
+	qt.Assert(t, len(streams), qt.Equals, 1)
+}
+
+// Guards against a late reply that reaches the call after it.
+func TestReplyAfterCancelReachesNoOtherCall(t *testing.T) {
+	to, calls := barePeer(t)
+	d := newDialler(t)
+	d.send(to, "before")
+	first := receive(t, calls)
+	first.answer(t, first.Number, "before")
+	receive(t, d.results.C())
+	settle()
+	cancelled := d.send(to, "cancelled")
+	late := receive(t, calls)
+	qt.Assert(t, late.stream.StreamID(), qt.Equals, first.stream.StreamID())
+	d.box.TryPut(links.Message{Peer: to, Message: link.Cancel{ID: cancelled}})
+	settle()
+	id := d.send(to, "next")
+	next := receive(t, calls)
+	qt.Assert(t, next.stream.StreamID(), qt.Not(qt.Equals), late.stream.StreamID())
+	late.answer(t, late.Number, "late")
+	next.answer(t, next.Number, "next")
+	for {
+		r := receive(t, d.results.C())
+		if r.Attempt == id {
+			qt.Assert(t, answeredBody(t, r), qt.Equals, "next")
+			return
+		}
+		qt.Assert(t, r.Attempt, qt.Equals, cancelled)
+	}
+}
+
+// Guards against a reply of an earlier call on the same stream that is taken for that of the next,
+// and against a result that claims too little or too much of what was sent.
+func TestDoubtfulStreams(t *testing.T) {
+	unknown := call.Outcome(call.Unknown{Kind: errs.PeerLost})
+	refused := call.Outcome(call.Refused{Kind: errs.PeerUnreachable})
+	for _, test := range []struct {
+		name string
+		// idle happens while the stream of the first call is idle, and sent after the second call has arrived.
+		idle, sent func(*testing.T, received)
+		want       call.Outcome
+	}{
+		{"reply repeated while idle", func(t *testing.T, r received) { r.answer(t, r.Number, "old") }, nil, refused},
+		{"closed by the peer while idle", func(_ *testing.T, r received) { r.stream.Close() }, nil, refused},
+		{"session closed while idle", func(_ *testing.T, r received) { r.stream.Session().Close() }, nil, refused},
+		{"reply to another call", nil, func(t *testing.T, r received) { r.answer(t, r.Number-1, "old") }, unknown},
+		{"closed by the peer after the call", nil, func(_ *testing.T, r received) { r.stream.Close() }, unknown},
+		{"session closed after the call", nil, func(_ *testing.T, r received) { r.stream.Session().Close() }, unknown},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			to, calls := barePeer(t)
+			d := newDialler(t)
+			d.send(to, "first")
+			first := receive(t, calls)
+			first.answer(t, first.Number, "first")
+			qt.Assert(t, answeredBody(t, receive(t, d.results.C())), qt.Equals, "first")
+			settle()
+			if test.idle != nil {
+				test.idle(t, first)
+				settle()
+			}
+			d.send(to, "second")
+			if test.sent != nil {
+				second := receive(t, calls)
+				qt.Assert(t, second.stream.StreamID(), qt.Equals, first.stream.StreamID())
+				test.sent(t, second)
+			}
+			outcome := receive(t, d.results.C()).Outcome
+			switch want := test.want.(type) {
+			case call.Unknown:
+				got, ok := outcome.(call.Unknown)
+				qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", outcome))
+				qt.Assert(t, got.Kind, qt.Equals, want.Kind)
+			case call.Refused:
+				got, ok := outcome.(call.Refused)
+				qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", outcome))
+				qt.Assert(t, got.Kind, qt.Equals, want.Kind)
+				qt.Assert(t, len(calls), qt.Equals, 0)
+			}
+		})
+	}
+}
+
+// Guards against a second run, and a false claim, when the peer restarts during a call on a reused stream.
+func TestPeerRestartDuringACallOnAReusedStream(t *testing.T) {
+	p := newPeer(t, hello())
+	r := newRelay(t, p.task.Addr())
+	d := newDialler(t)
+	d.send(r.addr(), "first")
+	answer(receive(t, p.runs))
+	qt.Assert(t, answeredBody(t, receive(t, d.results.C())), qt.Equals, "first")
+	settle()
+	id := d.send(r.addr(), "second")
+	receive(t, p.runs)
+	r.mutex.Lock()
+	for _, path := range r.paths {
+		path.there.Close()
+		path.back.Close()
+	}
+	r.mutex.Unlock()
+	result := receive(t, d.results.C())
+	qt.Assert(t, result.Attempt, qt.Equals, id)
+	lost, ok := result.Outcome.(call.Unknown)
+	qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%#v", result.Outcome))
+	qt.Assert(t, lost.Kind, qt.Equals, errs.PeerLost)
+	d.send(r.addr(), "third")
+	third := receive(t, p.runs)
+	qt.Assert(t, string(third.Request.Body), qt.Equals, "third")
+	answer(third)
+	qt.Assert(t, answeredBody(t, receive(t, d.results.C())), qt.Equals, "third")
+	qt.Assert(t, len(p.runs), qt.Equals, 0)
+}
--- a/internal/task/link/carry.go
+++ b/internal/task/link/carry.go
@@ -17,36 +17,59 @@
 // exchangeTimeout bounds an exchange of control messages.
 const exchangeTimeout = time.Second
 
-// newCarrier starts the goroutine that carries one call on its stream.
-func newCarrier(t *Task, m Send, s *yamux.Stream) {
+// newCarrier starts the goroutine that carries the calls of one stream, until a call leaves the
+// stream in doubt or the task closes the channel of its calls.
+func newCarrier(t *Task, s *callStream) {
 	go func() {
 		defer s.Close()
-		r := carry(t, m, s)
-		r.Attempt = m.ID
-		m.Reply.Put(r, t.Stopping())
-		t.inbox.Put(ended{m.ID}, t.Done())
+		for used := false; ; used = true {
+			m, ok := s.next(t)
+			if !ok {
+				return
+			}
+			if used && !s.quiet() {
+				t.refuse(m, errs.PeerUnreachable, errors.Errorf("peer %s has closed the stream before the call was sent", t.peer))
+				t.inbox.Put(ended{m.ID, s, false}, t.Done())
+				return
+			}
+			r, err := carry(t, m, s)
+			if err != nil {
+				r = call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}}
+			}
+			r.Attempt = m.ID
+			m.Reply.Put(r, t.Stopping())
+			t.inbox.Put(ended{m.ID, s, err == nil}, t.Done())
+			if err != nil {
+				return
+			}
+		}
 	}()
 }
 
-func carry(t *Task, m Send, s *yamux.Stream) call.Result {
-	lost := func(err error) call.Result {
-		return call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}}
-	}
+// carry sends a call and reads its reply. After an error the stream must carry no other call.
+func carry(t *Task, m Send, s *callStream) (call.Result, error) {
 	if err := s.SetDeadline(m.Request.Deadline.Add(replyGrace)); err != nil {
-		return lost(err)
+		return call.Result{}, errors.Trace(err)
 	}
-	if _, err := codec.Write(s, codec.Call{Target: m.Target, Request: m.Request}, time.Now()); err != nil {
-		return lost(err)
+	number := uint64(m.ID)
+	if _, err := codec.Write(s, codec.Call{Target: m.Target, Request: m.Request, Number: number}, time.Now()); err != nil {
+		return call.Result{}, err
 	}
-	answer, _, err := codec.Read(s, t.maxSize, time.Now)
+	answer, n, err := codec.Read(s, t.maxSize, time.Now)
 	if err != nil {
-		return lost(err)
+		return call.Result{}, err
+	}
+	if n > MaxKeptBuffer {
+		s.Shrink()
 	}
 	reply, ok := answer.(codec.Reply)
 	if !ok {
-		return lost(errors.Errorf("peer %s answered a call with %T", t.peer, answer))
+		return call.Result{}, errors.Errorf("peer %s answered a call with %T", t.peer, answer)
+	}
+	if reply.Number != number {
+		return call.Result{}, errors.Errorf("peer %s answered call %d with the reply to call %d", t.peer, number, reply.Number)
 	}
-	return reply.Result
+	return reply.Result, nil
 }
 
 // newExchanger starts the goroutine that carries one control message and its answer.
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/call"
@@ -44,7 +43,11 @@
 	report  func(Report)
 	session *Session
 	greeted codec.Hello
-	calls   map[call.ID]*yamux.Stream
+	calls   map[call.ID]*callStream
+	streams pool
+	// trim fires when idle streams must be checked. It runs only while there are any.
+	trim     *time.Timer
+	trimming bool
 	// silence fires when the connection must be checked. It runs only while calls are outstanding.
 	silence *time.Timer
 	watched bool
@@ -87,10 +90,12 @@
 		serve:   func(*Session) {},
 		hello:   func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
 		report:  func(Report) {},
-		calls:   map[call.ID]*yamux.Stream{},
+		calls:   map[call.ID]*callStream{},
 		silence: time.NewTimer(silenceLimit),
+		trim:    time.NewTimer(trimInterval),
 	}
 	t.silence.Stop()
+	t.trim.Stop()
 	for _, o := range options {
 		o(t)
 	}
@@ -102,6 +107,7 @@
 
 func (t *Task) loop() error {
 	defer t.silence.Stop()
+	defer t.trim.Stop()
 	select {
 	case <-time.After(t.delay):
 	case <-t.Stopping():
@@ -126,6 +132,8 @@
 				t.lost("the connection is silent: no answer to a ping")
 				return nil
 			}
+		case <-t.trim.C:
+			t.trimStreams()
 		case <-t.session.CloseChan():
 			t.lost("the session ended")
 			return nil
@@ -196,7 +204,7 @@
 			newNotifier(t, m, s)
 		}
 	case ended:
-		delete(t.calls, m.id)
+		t.end(m)
 	case pinged:
 		if m.err == nil {
 			t.pinging = time.Time{}
@@ -205,16 +213,21 @@
 	}
 }
 
-// send opens the stream of a call. Before that nothing of the call is on the wire.
+// send passes a call to an idle stream or to a new one. Before that nothing of the call is on the wire.
 func (t *Task) send(m Send) {
 	if len(t.calls) >= maxCalls {
 		t.refuse(m, errs.Busy, errors.Errorf("%d calls are outstanding on the link to %s", maxCalls, t.peer))
 		return
 	}
-	s, err := t.session.OpenStream()
-	if err != nil {
-		t.refuse(m, errs.PeerUnreachable, err)
-		return
+	s := t.streams.take()
+	if s == nil {
+		opened, err := t.session.OpenStream()
+		if err != nil {
+			t.refuse(m, errs.PeerUnreachable, err)
+			return
+		}
+		s = newCallStream(opened)
+		newCarrier(t, s)
 	}
 	if len(t.calls) == 0 {
 		t.waiting = time.Now()
@@ -224,7 +237,30 @@
 		t.watched = true
 		t.silence.Reset(silenceLimit)
 	}
-	newCarrier(t, m, s)
+	s.sends <- m
+}
+
+// end keeps the stream of a call for another. A cancelled call is no longer in calls, and its stream is closed.
+func (t *Task) end(m ended) {
+	_, outstanding := t.calls[m.id]
+	delete(t.calls, m.id)
+	if !outstanding || !m.reusable {
+		close(m.stream.sends)
+		return
+	}
+	t.streams.put(m.stream)
+	if !t.trimming {
+		t.trimming = true
+		t.trim.Reset(trimInterval)
+	}
+}
+
+func (t *Task) trimStreams() {
+	t.streams.trim()
+	t.trimming = len(t.streams.idle) > 0
+	if t.trimming {
+		t.trim.Reset(trimInterval)
+	}
 }
 
 // alive checks the connection when the silence timer fires, sets the timer for the next
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -40,8 +40,12 @@
 	Err     error
 }
 
-// An ended says that the exchange of a call is over.
-type ended struct{ id call.ID }
+// An ended says that the exchange of a call is over, and whether its stream may carry another.
+type ended struct {
+	id       call.ID
+	stream   *callStream
+	reusable bool
+}
 
 // A pinged is the result of a ping.
 type pinged struct {
--- /dev/null
+++ b/internal/task/link/pool_test.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+)
+
+func closed(s *callStream) bool {
+	select {
+	case _, ok := <-s.sends:
+		return !ok
+	default:
+		return false
+	}
+}
+
+// Guards against idle streams that are kept although no call needs them, and against the loss of those that calls need.
+func TestTrimClosesWhatNoCallNeeded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// taken is how many streams are used at a time between two trims.
+		idle, taken, want int
+	}{
+		{"none used", 5, 0, 0},
+		{"some used", 5, 2, 2},
+		{"all used", 5, 5, 5},
+		{"none kept", 0, 0, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var p pool
+			for range test.idle {
+				p.put(newCallStream(nil))
+			}
+			p.trim()
+			qt.Assert(t, len(p.idle), qt.Equals, test.idle)
+			var taken []*callStream
+			for range test.taken {
+				taken = append(taken, p.take())
+			}
+			for _, s := range taken {
+				p.put(s)
+			}
+			all := append([]*callStream(nil), p.idle...)
+			p.trim()
+			qt.Assert(t, len(p.idle), qt.Equals, test.want)
+			open := 0
+			for _, s := range all {
+				if !closed(s) {
+					open++
+				}
+			}
+			qt.Assert(t, open, qt.Equals, test.want)
+		})
+	}
+}
+
+// Guards against idle streams without a bound.
+func TestIdleStreamsAreBounded(t *testing.T) {
+	var p pool
+	for range maxIdle {
+		p.put(newCallStream(nil))
+	}
+	s := newCallStream(nil)
+	p.put(s)
+	qt.Assert(t, closed(s), qt.IsTrue)
+	qt.Assert(t, len(p.idle), qt.Equals, maxIdle)
+}
--- a/internal/task/link/session.go
+++ b/internal/task/link/session.go
@@ -30,9 +30,30 @@
 // A Session is one multiplexed connection. It records when it last received bytes.
 type Session struct {
 	*yamux.Session
-	conn *watchedConn
+	conn    *watchedConn
+	leaving atomic.Bool
+	// exchanges counts what the serving end has under way. The streams do not tell, since idle ones stay open.
+	exchanges atomic.Int64
 }
 
+// GoAway tells the peer to open no more streams. From then on no call of an open stream is accepted either.
+func (s *Session) GoAway() error {
+	s.leaving.Store(true)
+	return s.Session.GoAway()
+}
+
+// Leaving reports whether GoAway was called.
+func (s *Session) Leaving() bool { return s.leaving.Load() }
+
+// Begin counts an exchange with the peer that End ends.
+func (s *Session) Begin() { s.exchanges.Add(1) }
+
+// End ends an exchange.
+func (s *Session) End() { s.exchanges.Add(-1) }
+
+// Exchanges returns how many exchanges are under way.
+func (s *Session) Exchanges() int { return int(s.exchanges.Load()) }
+
 // NewSession starts multiplexing on a connection. Liveness is checked by the
 // owning task while calls wait, not by the library's own timer, so that an idle
 // connection carries no traffic.
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -23,12 +23,12 @@
 	// unheardLimit ends an accepted session without traffic. The end that dialled closes an
 	// idle connection after 60 s, so a longer silence means that it has gone without a trace.
 	unheardLimit = 90 * time.Second
-	// Limits of silence of a session whose peer opened streams. The end that dialled pings after 200 ms,
+	// Limits of silence of a session with exchanges under way. The end that dialled pings after 200 ms,
 	// so the longer limit here adds no traffic unless bytes in this direction are lost.
 	silenceLimit  = 500 * time.Millisecond
 	pingLimit     = 300 * time.Millisecond
 	checkInterval = 250 * time.Millisecond
-	// stopTimeout bounds the wait for streams under way when the task stops.
+	// stopTimeout bounds the wait for exchanges under way when the task stops.
 	stopTimeout = time.Second
 	// acceptPause is the pause after a failed accept, which else would repeat at once.
 	acceptPause = 50 * time.Millisecond
@@ -126,7 +126,7 @@
 		case silent > unheardLimit:
 			event.PeerSilent.Log("peer", s.RemoteAddr(), "vm", p.hello.VM, "silent", silent)
 			s.Close()
-		case s.NumStreams() > 0 && silent > silenceLimit && !p.pinging:
+		case s.Exchanges() > 0 && silent > silenceLimit && !p.pinging:
 			p.pinging = true
 			t.newPinger(s, p.hello)
 		}
@@ -216,15 +216,15 @@
 	event.PeerRefused.Log("peer", c.RemoteAddr(), "error", err.Error())
 }
 
-// stopSessions lets the streams under way end, so that their replies reach the peers, and closes the sessions.
+// stopSessions lets the exchanges under way end, so that their replies reach the peers, and closes the sessions.
 func (t *Task) stopSessions() {
 	for s := range t.sessions {
-		// The peer opens no more streams on the session. An error means that it has already ended.
+		// The session takes no more calls. An error means that it has already ended.
 		_ = s.GoAway()
 	}
 	limit := time.Now().Add(stopTimeout)
 	for s := range t.sessions {
-		for s.NumStreams() > 0 && time.Now().Before(limit) {
+		for s.Exchanges() > 0 && time.Now().Before(limit) {
 			time.Sleep(stopPoll)
 		}
 		s.Close()
@@ -232,18 +232,20 @@
 	t.serving.Wait()
 }
 
-// stopPoll is the interval at which a stopping task looks for streams that are still open.
+// stopPoll is the interval at which a stopping task looks for exchanges that are still under way.
 const stopPoll = 5 * time.Millisecond
 
 // newNotifier starts the goroutine that sends one message to an accepted peer and waits until it was read.
 func newNotifier(s *link.Session, m codec.Message) {
+	s.Begin()
 	go func() {
+		defer s.End()
 		stream, err := s.OpenStream()
 		if err != nil {
 			return
 		}
 		defer stream.Close()
-		if err := stream.SetDeadline(time.Now().Add(firstReadTimeout)); err != nil {
+		if err := stream.SetDeadline(time.Now().Add(readTimeout)); err != nil {
 			return
 		}
 		if _, err := codec.Write(stream, m, time.Now()); err != nil {
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -5,13 +5,12 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/relay"
-	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/local"
@@ -57,8 +56,8 @@
 }
 
 const (
-	// firstReadTimeout bounds the wait for the message of a new stream.
-	firstReadTimeout = time.Second
+	// readTimeout bounds the wait for the first bytes of a new stream, for the rest of a message, and for an answer.
+	readTimeout = time.Second
 	// maxStreams bounds the streams that are served on one session at a time. It is above the
 	// bound of the end that dials, so that the refusal concerns only a peer that keeps no bound.
 	maxStreams = 2048
@@ -78,39 +77,78 @@
 			stream.Close()
 			continue
 		}
+		session.Begin()
 		go func() {
 			defer func() { <-slots }()
 			defer stream.Close()
-			s.stream(stream)
+			s.stream(session, stream)
 		}()
 	}
 }
 
-func (s *Server) stream(stream *yamux.Stream) {
-	if err := stream.SetReadDeadline(time.Now().Add(firstReadTimeout)); err != nil {
+// stream serves a stream, whose exchange has begun. It carries one call after another, or one message of another kind.
+func (s *Server) stream(session *link.Session, stream *yamux.Stream) {
+	m, exact, err := s.read(stream, time.Now().Add(readTimeout))
+	if err != nil {
+		session.End()
+		event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
+		return
+	}
+	if c, ok := m.(codec.Call); ok {
+		newCaller(s, session, stream).serve(c, exact)
 		return
 	}
-	exact := true
-	m, _, err := codec.Read(stream, s.maxSize, func() (arrived time.Time) {
+	defer session.End()
+	if answer := s.answer(m); answer != nil {
+		write(stream, answer)
+	}
+}
+
+// read reads one message, whose first byte arrives before the deadline. A zero deadline sets no limit.
+func (s *Server) read(stream *yamux.Stream, deadline time.Time) (m codec.Message, exact bool, err error) {
+	if err := stream.SetReadDeadline(deadline); err != nil {
+		return nil, false, errors.Trace(err)
+	}
+	exact = true
+	m, n, err := codec.Read(&messageReader{stream: stream}, s.maxSize, func() (arrived time.Time) {
 		arrived, exact = s.arrival(time.Now())
 		return arrived
 	})
-	if err != nil {
-		event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
-		return
+	if n > link.MaxKeptBuffer {
+		stream.Shrink()
 	}
-	if answer := s.answer(stream, m, exact); answer != nil {
-		if _, err := codec.Write(stream, answer, time.Now()); err != nil {
-			event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
+	return m, exact, err
+}
+
+// A messageReader bounds the wait for the rest of a message whose first bytes have arrived.
+type messageReader struct {
+	stream  *yamux.Stream
+	started bool
+}
+
+// Read implements io.Reader.
+func (r *messageReader) Read(b []byte) (int, error) {
+	n, err := r.stream.Read(b)
+	if n > 0 && !r.started {
+		r.started = true
+		if err := r.stream.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
+			return n, err
 		}
 	}
+	return n, err
 }
 
-// answer returns the answer to a message, or nil when there is none to give.
-func (s *Server) answer(stream *yamux.Stream, m codec.Message, exact bool) codec.Message {
+func write(stream *yamux.Stream, m codec.Message) bool {
+	_, err := codec.Write(stream, m, time.Now())
+	if err != nil {
+		event.PeerRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
+	}
+	return err == nil
+}
+
+// answer returns the answer to a message that is no call, or nil when there is none to give.
+func (s *Server) answer(m codec.Message) codec.Message {
 	switch m := m.(type) {
-	case codec.Call:
-		return s.call(stream, m, exact)
 	case codec.LoadRequest:
 		return s.load()
 	case codec.Control:
@@ -122,45 +160,12 @@
 	case codec.Blame:
 		s.report(Blamed{Blame: m})
 		return codec.Done{}
-	case codec.Hello, codec.Done, codec.Reply, codec.LoadReply:
+	case codec.Hello, codec.Done, codec.Call, codec.Reply, codec.LoadReply:
 		return codec.Done{}
 	}
 	return nil
 }
 
-// call runs a call on the target. The peer cancels it by closing the stream. A call whose arrival
-// is not exact waits, so that it does not run when the peer closed its stream during a pause.
-func (s *Server) call(stream *yamux.Stream, m codec.Call, exact bool) codec.Message {
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		// The peer sends nothing more on this stream, so the read ends only when the stream does.
-		_ = stream.SetReadDeadline(time.Time{})
-		_, _ = stream.Read(make([]byte, 1))
-	}()
-	if !exact {
-		select {
-		case <-closed:
-			return nil
-		case <-time.After(pause.Settle):
-		}
-	}
-	id := call.NextID()
-	reply := mail.NewBox[call.Result](1)
-	if !s.local.TryPut(local.Run{ID: id, Target: m.Target, Request: m.Request, Reply: reply}) {
-		return codec.Reply{Result: call.Result{Outcome: call.Refused{
-			Kind: errs.Busy, RetryAfter: errs.AnswerTo(errs.Busy).RetryAfter,
-		}}}
-	}
-	select {
-	case r := <-reply.C():
-		return codec.Reply{Result: r}
-	case <-closed:
-		s.local.TryPut(local.Cancel{ID: id})
-		return nil
-	}
-}
-
 func (s *Server) load() codec.Message {
 	reply := mail.NewBox[call.Load](1)
 	if !s.local.TryPut(local.LoadAsk{Reply: reply}) {
@@ -169,7 +174,7 @@
 	select {
 	case l := <-reply.C():
 		return codec.LoadReply{Load: l}
-	case <-time.After(firstReadTimeout):
+	case <-time.After(readTimeout):
 		return nil
 	}
 }
@@ -185,7 +190,7 @@
 			return codec.Done{}
 		}
 		return codec.Control{Message: answer}
-	case <-time.After(firstReadTimeout):
+	case <-time.After(readTimeout):
 		return nil
 	}
 }
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -59,7 +59,7 @@
 	}
 	// A caller address that cannot be read counts as unknown: it only selects a retry budget.
 	caller, _ := netip.AddrFromSlice(p.GetCaller())
-	return Call{Target: ident.Target(p.GetTarget()), Request: call.Request{
+	return Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), Request: call.Request{
 		Service: ident.Service(p.GetService()), Method: p.GetMethod(), URI: p.GetURI(),
 		Header: decodeFields(p.GetHeader()), Body: p.GetBody(), Caller: caller,
 		Deadline: now.Add(time.Duration(p.GetRemainingNanoseconds())), Rank: rank,
@@ -89,7 +89,7 @@
 	default:
 		return nil, errors.NotValidf("call reply without an outcome")
 	}
-	return Reply{Result: r}, nil
+	return Reply{Result: r, Number: p.GetNumber()}, nil
 }
 
 func decodeFields(fields []*peerpb.Field) []call.Field {
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -19,7 +19,7 @@
 	case Call:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_CallRequest{CallRequest: encodeCall(m, now)}}
 	case Reply:
-		return &peerpb.Envelope{Body: &peerpb.Envelope_CallReply{CallReply: encodeReply(m.Result)}}
+		return &peerpb.Envelope{Body: &peerpb.Envelope_CallReply{CallReply: encodeReply(m)}}
 	case LoadRequest:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_LoadRequest{LoadRequest: &peerpb.LoadRequest{Target: string(m.Target)}}}
 	case LoadReply:
@@ -43,11 +43,13 @@
 		Header: encodeFields(r.Header), Body: r.Body, Caller: r.Caller.AsSlice(),
 		RemainingNanoseconds: int64(r.Deadline.Sub(now)), Rank: string(r.Rank),
 		Depth: uint32(r.Depth), Allowance: uint32(r.Allowance), Key: r.Key, Idempotent: r.Idempotent,
+		Number: m.Number,
 	}
 }
 
-func encodeReply(r call.Result) *peerpb.CallReply {
-	p := &peerpb.CallReply{Load: encodeLoad(r.Load), RetriesUsed: uint32(r.RetriesUsed)}
+func encodeReply(m Reply) *peerpb.CallReply {
+	r := m.Result
+	p := &peerpb.CallReply{Number: m.Number, Load: encodeLoad(r.Load), RetriesUsed: uint32(r.RetriesUsed)}
 	switch o := r.Outcome.(type) {
 	case call.Answered:
 		p.Outcome = &peerpb.CallReply_Answered{Answered: &peerpb.Answered{
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -8,8 +8,9 @@
 	"jacinthcross/internal/policy/crash"
 )
 
-// Protocol is the version of the protocol between daemons.
-const Protocol = 1
+// Protocol is the version of the protocol between daemons. Since version 2 a stream carries one
+// call after another, and a reply carries the number of its call.
+const Protocol = 2
 
 // A Message is one message between daemons.
 type Message interface{ message() }
@@ -28,10 +29,16 @@
 type Call struct {
 	Target  ident.Target
 	Request call.Request
+	// Number is returned in the reply.
+	Number uint64
 }
 
 // A Reply answers a Call.
-type Reply struct{ Result call.Result }
+type Reply struct {
+	Result call.Result
+	// Number is that of the call.
+	Number uint64
+}
 
 // A LoadRequest probes the load of a target.
 type LoadRequest struct{ Target ident.Target }
