Move the timer of an alarm queue only to an earlier time

A call sets and clears its deadline and its hedge in the router, its deadline in local and the keepalive of its connection in the front. Each change reset the timer, and a reset to an earlier time writes to the eventfd that wakes the runtime's poller, which then reads it.

The queue now resets the timer only when the earliest deadline becomes earlier than the time for which the timer is armed. A timer that fires for a deadline that was cleared or moved causes one empty Due.

--- a/internal/base/alarm/alarm.go
+++ b/internal/base/alarm/alarm.go
@@ -11,6 +11,8 @@
 	entries entries[K]
 	index   map[K]*entry[K]
 	timer   *time.Timer
+	// armed is when the timer fires, or zero when it does not.
+	armed time.Time
 }
 
 type entry[K comparable] struct {
@@ -47,7 +49,6 @@
 	}
 	heap.Remove(&q.entries, e.position)
 	delete(q.index, key)
-	q.arm()
 }
 
 // Due removes and returns the keys whose deadline is not after now, earliest first.
@@ -58,11 +59,13 @@
 		delete(q.index, e.key)
 		keys = append(keys, e.key)
 	}
+	q.armed = time.Time{}
 	q.arm()
 	return keys
 }
 
-// C returns the channel that receives when the earliest deadline is reached.
+// C returns the channel that receives when the earliest deadline is reached. It may also receive
+// earlier, and Due must be called each time.
 func (q *Queue[K]) C() <-chan time.Time { return q.timer.C }
 
 // Len returns the number of deadlines.
@@ -71,12 +74,17 @@
 // Stop releases the timer.
 func (q *Queue[K]) Stop() { q.timer.Stop() }
 
+// arm moves the timer only to an earlier time. A call sets and clears several deadlines, and each
+// change of the timer can cost a system call to wake the runtime's poller. A timer that fires for
+// a deadline that was cleared or moved costs one empty Due.
 func (q *Queue[K]) arm() {
 	if len(q.entries) == 0 {
-		q.timer.Stop()
 		return
 	}
-	q.timer.Reset(time.Until(q.entries[0].at))
+	if at := q.entries[0].at; q.armed.IsZero() || at.Before(q.armed) {
+		q.armed = at
+		q.timer.Reset(time.Until(at))
+	}
 }
 
 type entries[K comparable] []*entry[K]
