Start the retry budget of a daemon with 5 tokens

Cause: the budget of all callers started empty, so that a new daemon could retry nothing during its first ten calls, when the targets' latency is not known yet and calls are refused as QueueTimeout.

The budgets of callers and of hedges are unchanged.

--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -14,9 +14,11 @@
 	// so that the first call of a rare caller can be tried again.
 	callerTokens = 10
 	firstTokens  = 1
-	// totalTokens bounds the retries of all callers together. This bucket starts empty, so that many
-	// new callers do not add up to more than a tenth of the calls.
-	totalTokens = 100
+	// totalTokens bounds the retries of all callers together. This bucket starts with initialTokens, so that
+	// the first calls of a new daemon can be tried again, while many new callers together do not add up to
+	// more than a tenth of their calls plus initialTokens.
+	totalTokens   = 100
+	initialTokens = 5
 	// maxCallers bounds the table of callers. The caller that was not seen for longest is forgotten.
 	maxCallers = 4096
 	// hedgesPerCall and hedgeTokens are the budget of hedges.
@@ -55,7 +57,7 @@
 
 // NewPolicy returns a Policy without callers.
 func NewPolicy(options ...Option) *Policy {
-	p := &Policy{callers: map[netip.Addr]*list.Element{}, recent: list.New()}
+	p := &Policy{total: initialTokens, callers: map[netip.Addr]*list.Element{}, recent: list.New()}
 	for _, o := range options {
 		o(p)
 	}
