Detect the crash of a target with a single connection

Cause: when the process of a target is replaced before the probe, only the end of all of several connections tells a crash from the close of one connection. With one connection there was no evidence, and a request that crashed such a target was never quarantined.

Change: after an end that could be either, the daemon keeps a second connection without calls (a witness) for 60 s. A crash ends it together with the connection of the call; a target that closes one connection leaves it open. It is opened again when the target closes it for other reasons. A target with one slot gets none, since a server that serves one connection at a time would wait for a request on it.

Weighed: the probe is already sent at once and cannot see a process that was replaced. Successive ends with the same digest are no evidence: a handler that aborts its connection looks the same, and its requests would be refused. The identity of the process needs targets that offer one.

With one slot it stays undetected.

--- a/internal/task/local/health.go
+++ b/internal/task/local/health.go
@@ -23,13 +23,16 @@
 
 // A suspicion is a connection that the target ended while calls were in flight: the process
 // has died, or it closed only this connection. A refused connection proves the death. When a new
-// connection is accepted, the process is a new one if all the others ended as well.
+// connection is accepted, the process is a new one if all the others ended as well, the witness included.
 type suspicion struct {
 	inFlight []ident.Digest
-	open     map[*conn]bool
+	open     map[connection]bool
 	total    int
 }
 
+// A connection is a conn or a witness.
+type connection interface{ close() }
+
 // forget takes out a connection that this side closed.
 func (s *suspicion) forget(c *conn) {
 	if s != nil && s.open[c] {
@@ -61,7 +64,7 @@
 
 // newSuspicion returns the calls in flight and the open connections, or nil when no call is in flight.
 func (t *Task) newSuspicion(c *conn) *suspicion {
-	s := &suspicion{open: map[*conn]bool{c: true}}
+	s := &suspicion{open: map[connection]bool{c: true}}
 	for _, r := range t.runs {
 		if r.conn != nil {
 			s.inFlight = append(s.inFlight, r.digest())
@@ -74,7 +77,13 @@
 	for _, i := range t.idle {
 		s.open[i] = true
 	}
+	if t.witness != nil {
+		s.open[t.witness] = true
+	}
 	s.total = len(s.open)
+	if t.witness == nil && t.clock.Now().Sub(t.witnessEnd) <= settleTime {
+		s.total++
+	}
 	return s
 }
 
@@ -138,6 +147,16 @@
 	t.onHealth(t.target.Name, t.load())
 }
 
+// judge ends a suspicion after the ends of the other connections have had time to arrive. When there was no
+// other, the target is watched, so that the next end tells.
+func (t *Task) judge(now time.Time) {
+	dead, alone := t.suspicion.restarted(), t.suspicion.total == 1
+	t.settle(dead, now)
+	if dead || alone {
+		t.watch(now)
+	}
+}
+
 // settle ends a suspicion. When the process has died, the calls that were in flight are blamed.
 func (t *Task) settle(dead bool, now time.Time) {
 	s := t.suspicion
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -61,6 +61,10 @@
 	blamed     bool // the crash that took the target down was blamed
 	probing    bool
 	probeDelay time.Duration
+	witness    *witness
+	summoning  bool // a witness is being opened
+	witnessEnd time.Time
+	watchUntil time.Time
 	told       bool // the last report to the routers said that the target is down
 	toldAt     time.Time
 }
@@ -71,6 +75,7 @@
 	epochAlarm  struct{}
 	probeAlarm  struct{}
 	settleAlarm struct{}
+	watchAlarm  struct{}
 )
 
 // An Option sets a property of a Task.
@@ -192,6 +197,10 @@
 		t.lose(m.conn)
 	case probed:
 		t.probed(m, t.clock.Now())
+	case witnessed:
+		t.witnessed(m.witness, t.clock.Now())
+	case witnessLost:
+		t.loseWitness(m.witness, t.clock.Now())
 	case Confirmed:
 		t.confirm()
 	case Blamed:
@@ -226,8 +235,10 @@
 			t.probe()
 		case settleAlarm:
 			if t.suspicion != nil {
-				t.settle(t.suspicion.restarted(), now)
+				t.judge(now)
 			}
+		case watchAlarm:
+			t.rewatch(now)
 		case call.ID:
 			t.expire(k)
 		}
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -72,6 +72,14 @@
 	err     error
 }
 
+// A witnessed carries the witness that was opened, or nil when the target refused it.
+type witnessed struct{ witness *witness }
+
+// A witnessLost says that the target ended the witness.
+type witnessLost struct{ witness *witness }
+
+func (witnessed) message()      {}
+func (witnessLost) message()    {}
 func (Run) message()            {}
 func (Cancel) message()         {}
 func (LoadAsk) message()        {}
--- a/internal/task/local/raw_test.go
+++ b/internal/task/local/raw_test.go
@@ -28,6 +28,7 @@
 	mu       sync.Mutex
 	conns    []net.Conn
 	runs     atomic.Int64
+	accepted atomic.Int64 // connections
 	ended    atomic.Int64 // connections
 }
 
@@ -42,6 +43,7 @@
 			if err != nil {
 				return
 			}
+			target.accepted.Add(1)
 			target.mu.Lock()
 			target.conns = append(target.conns, c)
 			target.mu.Unlock()
@@ -88,6 +90,9 @@
 	r.conns = nil
 }
 
+// live returns how many connections are open.
+func (r *rawTarget) live() int64 { return r.accepted.Load() - r.ended.Load() }
+
 // opened returns how many connections were accepted.
 func (r *rawTarget) opened() int {
 	r.mu.Lock()
