--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -117,13 +118,20 @@
 	if config.Metrics != nil {
 		mux.Handle("/metrics", config.Metrics)
 	}
+	// The library waits forever for its poller when an address is taken, so the socket is opened before it starts.
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for operators at %s", at)
+	}
 	t.engine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "admin", Network: "tcp", Addrs: []string{at.String()}, NPoller: 1, Handler: mux,
+		Listen: func(string, string) (net.Listener, error) { return listener, nil },
+		Name:   "admin", Network: "tcp", Addrs: []string{at.String()}, NPoller: 1, Handler: mux,
 		// The non-blocking listener of the library writes a field of a connection after its poller may
 		// read it, which the race detector reports. Operators' connections are few, so each may have a goroutine.
 		IOMod: nbhttp.IOModBlocking,
 	})
 	if err := t.engine.Start(); err != nil {
+		listener.Close()
 		return nil, errors.Annotatef(err, "listen for operators at %s", at)
 	}
 	go func() {
