Add client and opening delays to scenarios

Cause: callers and data centres were next to each other in every scenario, and connections opened at once, unlike both deployments (3 and 8 ms one way, 1 ms to open a connection).

Change: scenarios have ClientDelay and OpenDelay. Callers reach daemons through a relay, and the relays of the baselines' direct calls add the same delay.

Before: no delay between callers and data centres. Conclusion: all balancers of a run meet the same delays.

--- a/internal/bench/delay/delay.go
+++ b/internal/bench/delay/delay.go
@@ -47,6 +47,7 @@
 	at       netip.AddrPort
 	to       netip.AddrPort
 	oneWay   OneWay
+	opening  time.Duration
 	pairs    map[*pair]bool
 	closed   bool
 	probing  bool
@@ -63,9 +64,18 @@
 // NewBox returns a mailbox of a relay. It outlives restarts of the relay.
 func NewBox() *mail.Box[Message] { return mail.NewBox[Message](mailbox) }
 
+// An Option sets a property of a Task.
+type Option func(*Task)
+
+// WithOpening makes each new connection carry its first bytes only after a time, as if it took so long to open.
+func WithOpening(d time.Duration) Option { return func(t *Task) { t.opening = d } }
+
 // New starts a relay from one address to another.
-func New(inbox *mail.Box[Message], at, to netip.AddrPort, oneWay OneWay) (*Task, error) {
+func New(inbox *mail.Box[Message], at, to netip.AddrPort, oneWay OneWay, options ...Option) (*Task, error) {
 	t := &Task{Loop: tree.NewLoop(), inbox: inbox, at: at, to: to, oneWay: oneWay, pairs: map[*pair]bool{}}
+	for _, o := range options {
+		o(t)
+	}
 	if err := t.listen(); err != nil {
 		return nil, err
 	}
@@ -185,12 +195,30 @@
 
 func (p *pair) close() { p.once.Do(func() { close(p.stop) }) }
 
+// wait waits for a time, or reports false when the pair is closed before.
+func (p *pair) wait(d time.Duration) bool {
+	if d <= 0 {
+		return true
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-p.stop:
+		return false
+	}
+}
+
 // newPair starts the goroutine that dials the server and carries both directions.
 func (t *Task) newPair(client *net.TCPConn) *pair {
 	p := &pair{client: client, stop: make(chan struct{}), silent: make(chan struct{})}
 	go func() {
 		defer t.inbox.Put(ended{p}, t.Done())
 		defer client.Close()
+		if !p.wait(t.opening) {
+			return
+		}
 		c, err := net.DialTimeout("tcp", t.to.String(), dialTimeout)
 		if err != nil {
 			return
--- a/internal/bench/delay/delay_test.go
+++ b/internal/bench/delay/delay_test.go
@@ -21,7 +21,7 @@
 }
 
 // start starts a relay to a server that sends back what it gets.
-func start(c *qt.C) relayed {
+func start(c *qt.C, options ...delay.Option) relayed {
 	server, err := net.Listen("tcp", "127.0.0.1:0")
 	c.Assert(err, qt.IsNil)
 	go func() {
@@ -39,7 +39,7 @@
 	at, err := stage.FreeAddress()
 	c.Assert(err, qt.IsNil)
 	box := delay.NewBox()
-	t, err := delay.New(box, at, server.Addr().(*net.TCPAddr).AddrPort(), func(netip.AddrPort) time.Duration { return oneWay })
+	t, err := delay.New(box, at, server.Addr().(*net.TCPAddr).AddrPort(), func(netip.AddrPort) time.Duration { return oneWay }, options...)
 	c.Assert(err, qt.IsNil)
 	c.Cleanup(func() {
 		t.Stop()
@@ -75,6 +75,19 @@
 	c.Assert(d >= 2*oneWay, qt.IsTrue, qt.Commentf("%v", d))
 }
 
+// A relay that opens connections at once would make new connections look free.
+func TestOpeningDelaysFirstBytes(t *testing.T) {
+	c := qt.New(t)
+	const opening = 50 * time.Millisecond
+	r := start(c, delay.WithOpening(opening))
+	dialled := time.Now()
+	conn := r.dial(c)
+	_, ok := echo(c, conn)
+	c.Assert(ok, qt.IsTrue)
+	d := time.Since(dialled)
+	c.Assert(d >= opening+2*oneWay, qt.IsTrue, qt.Commentf("%v", d))
+}
+
 // Faults that do not happen would make every test of their handling pass.
 func TestFaults(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/bench/load/call.go
+++ b/internal/bench/load/call.go
@@ -135,7 +135,7 @@
 		f, retry = c.direct(ctx, j, entry.DataCentre, marker)
 		return f, "", retry
 	}
-	at := entry.Settings.Callers
+	at := entry.Entry
 	if j.keyed && key == "" {
 		var err error
 		if key, err = c.key(ctx, at, j.load.Service); err != nil {
--- /dev/null
+++ b/internal/bench/load/delay_test.go
@@ -0,0 +1,46 @@
+package load
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/bench/setup"
+	"jacinthcross/internal/bench/stage"
+)
+
+// Balancers that met other delays could not be compared. The bounds are the delays themselves: no
+// call may be faster than the way from its caller and back, and the first also opens its connections.
+func TestBalancersMeetDelaysOfScenario(t *testing.T) {
+	const client, open = 40 * time.Millisecond, 30 * time.Millisecond
+	for _, test := range []struct {
+		balancer setup.Balancer
+		daemons  stage.DaemonMode
+		opened   time.Duration
+	}{
+		{setup.Daemon, stage.Embedded{}, 2},
+		{setup.RoundRobin, stage.None{}, 1},
+	} {
+		t.Run(string(test.balancer), func(t *testing.T) {
+			c := qt.New(t)
+			l := setup.Perizia()
+			l.ClientDelay, l.OpenDelay = client, open
+			l.Services = l.Services[:1]
+			l.Services[0].Targets, l.Services[0].Median = 1, time.Millisecond
+			s := &setup.Scenario{Name: "delays", Layout: l, Seed: 1, Loads: []setup.Load{
+				{Name: "summaries", Service: "summaries", Rate: 20, Until: time.Second, Deadline: 2 * time.Second},
+			}}
+			st, err := stage.Start(stage.Config{Layout: l, Seed: 1, Daemons: test.daemons})
+			c.Assert(err, qt.IsNil)
+			defer st.Close()
+			tally := Run(s, test.balancer, st, io.Discard).Tallies[0]
+			c.Assert(tally.Answered > 0, qt.IsTrue)
+			// The histogram keeps microseconds with three digits.
+			least, most := time.Duration(tally.Latency.Min())*time.Microsecond, time.Duration(tally.Latency.Max())*time.Microsecond
+			c.Assert(least >= 2*client*99/100, qt.IsTrue, qt.Commentf("%v", least))
+			c.Assert(most >= (2*client+test.opened*open)*99/100, qt.IsTrue, qt.Commentf("%v", most))
+		})
+	}
+}
--- a/internal/bench/setup/layout.go
+++ b/internal/bench/setup/layout.go
@@ -15,6 +15,10 @@
 	DataCentres []ident.DataCentre
 	// OneWay is the delay between two data centres.
 	OneWay time.Duration
+	// ClientDelay is the delay between callers and the data centres.
+	ClientDelay time.Duration
+	// OpenDelay is the time that each new connection takes to open.
+	OpenDelay time.Duration
 	// Profile is the settings profile of the daemons. Empty leaves it to its default.
 	Profile  route.Profile
 	Services []Service
--- a/internal/bench/setup/scene.go
+++ b/internal/bench/setup/scene.go
@@ -134,11 +134,14 @@
 	WarmUp     Span
 	Duration   Span
 	Balancers  []Balancer
-	Chain      int
-	ShedAbove  int
-	Noise      NoiseFile
-	Cold       ColdFile
-	Service    []struct {
+	// ClientDelay and OpenDelay are set by a scenario, so that the balancers of a run meet the same delays.
+	ClientDelay Span
+	OpenDelay   Span
+	Chain       int
+	ShedAbove   int
+	Noise       NoiseFile
+	Cold        ColdFile
+	Service     []struct {
 		Name   string
 		Median Span
 		Sigma  float64
@@ -194,6 +197,7 @@
 	default:
 		return nil, errors.NotValidf("Deployment %q (want Perizia or Clachan)", f.Deployment)
 	}
+	s.Layout.ClientDelay, s.Layout.OpenDelay = time.Duration(f.ClientDelay), time.Duration(f.OpenDelay)
 	if err := f.services(s); err != nil {
 		return nil, err
 	}
--- a/internal/bench/setup/scene_test.go
+++ b/internal/bench/setup/scene_test.go
@@ -3,6 +3,7 @@
 import (
 	"path/filepath"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/juju/errors"
@@ -49,6 +50,26 @@
 	qt.Assert(t, err, qt.IsNil)
 }
 
+// A scenario without the delays that it names would compare balancers in another deployment than it says.
+func TestDelays(t *testing.T) {
+	for _, test := range []struct {
+		deployment, keys string
+		client, open     time.Duration
+	}{
+		{"Perizia", "", 0, 0},
+		{"Perizia", "ClientDelay = \"3ms\"\nOpenDelay = \"1ms\"\n", 3 * time.Millisecond, time.Millisecond},
+		{"Clachan", "ClientDelay = \"8ms\"\nOpenDelay = \"1ms\"\n", 8 * time.Millisecond, time.Millisecond},
+	} {
+		t.Run(test.deployment+" "+test.client.String(), func(t *testing.T) {
+			c := qt.New(t)
+			s, err := setup.ParseScenario([]byte(test.keys + "Deployment = \"" + test.deployment + "\"\nDuration = \"1s\"\nBalancers = [\"Oracle\"]\n[[Load]]\nService = \"bookings\"\nRate = 1\n"))
+			c.Assert(err, qt.IsNil)
+			c.Assert(s.Layout.ClientDelay, qt.Equals, test.client)
+			c.Assert(s.Layout.OpenDelay, qt.Equals, test.open)
+		})
+	}
+}
+
 // A chain of the wrong length would make retry amplification look smaller than it is.
 func TestChainDepth(t *testing.T) {
 	c := qt.New(t)
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -28,6 +28,8 @@
 	Settings *conf.Settings
 	// Address is where the target listens.
 	Address netip.AddrPort
+	// Entry is where callers reach the daemon.
+	Entry netip.AddrPort
 	// Relay is the address of the daemon in the release note.
 	Relay netip.AddrPort
 	// Direct is the address of the target as seen from each data centre.
@@ -55,6 +57,7 @@
 			return nil, err
 		}
 	}
+	m.Entry = m.Settings.Callers
 	return m, nil
 }
 
@@ -115,6 +118,10 @@
 		Seed:  s.config.Seed + uint64(i), Noise: s.config.Noise,
 		ShedAbove: s.config.ShedAbove, CrashMarker: CrashMarker, Next: m.Service.Next, Daemon: m.Settings.Callers,
 	}
+	if _, ok := s.config.Daemons.(None); !ok {
+		// Without daemons the relay of a direct call opens its connection slowly.
+		v.Opening = s.config.Layout.OpenDelay
+	}
 	return tree.Child{Name: m.Seat.Target, Start: restarts(func() (tree.Task, error) {
 		// Only a target that restarts is cold: the deployment has run for long when an experiment begins.
 		if !first {
@@ -135,11 +142,11 @@
 				return 0
 			}
 			return s.config.Layout.OneWay
-		})
+		}, delay.WithOpening(s.config.Layout.OpenDelay))
 	}}
 	children := []tree.Child{peers}
 	if _, ok := s.config.Daemons.(None); !ok {
-		return children, nil
+		return s.entryChild(m, children)
 	}
 	for _, dc := range s.config.Layout.DataCentres {
 		at, err := FreeAddress()
@@ -147,17 +154,36 @@
 			return nil, err
 		}
 		m.Direct[dc] = at
-		oneWay := s.config.Layout.OneWay
-		if dc == m.DataCentre {
-			oneWay = 0
+		// A direct call passes from its caller to the data centre that it enters, and from there to the target.
+		oneWay := s.config.Layout.ClientDelay
+		if dc != m.DataCentre {
+			oneWay += s.config.Layout.OneWay
 		}
 		children = append(children, tree.Child{Name: fmt.Sprintf("direct-%s-%s", m.Seat.Target, dc), Start: func() (tree.Task, error) {
-			return delay.New(delay.NewBox(), at, m.Address, func(netip.AddrPort) time.Duration { return oneWay })
+			return delay.New(delay.NewBox(), at, m.Address, func(netip.AddrPort) time.Duration { return oneWay },
+				delay.WithOpening(s.config.Layout.OpenDelay))
 		}})
 	}
 	return children, nil
 }
 
+// entryChild adds the relay between callers and the daemon when the scenario has delays there.
+func (s *Stage) entryChild(m *Member, children []tree.Child) ([]tree.Child, error) {
+	l := s.config.Layout
+	if l.ClientDelay == 0 && l.OpenDelay == 0 {
+		return children, nil
+	}
+	at, err := FreeAddress()
+	if err != nil {
+		return nil, err
+	}
+	m.Entry = at
+	return append(children, tree.Child{Name: "entry-" + m.Seat.Target, Start: func() (tree.Task, error) {
+		return delay.New(delay.NewBox(), at, m.Settings.Callers, func(netip.AddrPort) time.Duration { return l.ClientDelay },
+			delay.WithOpening(l.OpenDelay))
+	}}), nil
+}
+
 func (s *Stage) daemonChild(m *Member) (tree.Child, bool, error) {
 	name := "daemon-" + string(m.VM)
 	switch d := s.config.Daemons.(type) {
--- a/internal/bench/target/target.go
+++ b/internal/bench/target/target.go
@@ -34,6 +34,8 @@
 	// Next is the service that each call calls through the daemon at Daemon. Empty calls none.
 	Next   string
 	Daemon netip.AddrPort
+	// Opening is the time that a new connection takes to open: its first bytes are read only after it.
+	Opening time.Duration
 }
 
 // A Message is what the task receives.
@@ -131,6 +133,9 @@
 		running:  map[call.ID]bool{},
 	}
 	t.server = &http.Server{Handler: t, ReadHeaderTimeout: 5 * time.Second}
+	if settings.Opening > 0 {
+		l = slowListener{l, settings.Opening}
+	}
 	go func() { _ = t.server.Serve(l) }()
 	go func() {
 		t.Run(t.loop)
--- a/internal/bench/target/target_test.go
+++ b/internal/bench/target/target_test.go
@@ -54,6 +54,23 @@
 	return reply{r.StatusCode, r.Header.Get("Jacinth-Not-Run")}, err
 }
 
+// A target that opens connections at once would make new connections to it look free.
+func TestOpeningDelaysFirstCall(t *testing.T) {
+	c := qt.New(t)
+	const opening = 50 * time.Millisecond
+	r := start(c, func(s *target.Settings) { s.Opening = opening })
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	for range 2 {
+		began := time.Now()
+		response, err := client.Get(r.url + "/x")
+		c.Assert(err, qt.IsNil)
+		response.Body.Close()
+		c.Assert(response.StatusCode, qt.Equals, http.StatusOK)
+		d := time.Since(began)
+		c.Assert(d >= opening, qt.IsTrue, qt.Commentf("%v", d))
+	}
+}
+
 // A second run that is not counted would hide a broken at-most-once promise from every experiment.
 func TestCountsRunsOfMarkers(t *testing.T) {
 	for _, test := range []struct {
