Find the origin of a relayed connection by both of its addresses

The relay looked for the owner of a connection by its local address only. Seeds also went past the relays, and a full mailbox of a daemon's task counted as no process.

Change: both addresses are compared, seeds name the relays, and a question for a process id waits for room in the mailbox.

Conclusion: scenarios with daemon processes had the delay of a wrong data centre on some links before this change, among them the seeds' links.

--- a/internal/bench/proc/stat.go
+++ b/internal/bench/proc/stat.go
@@ -43,9 +43,9 @@
 	return Usage{CPU: time.Duration(n[0]+n[1]) * tick, Resident: n[2] * int64(os.Getpagesize())}, nil
 }
 
-// SocketOwner returns which of the processes holds the connection with a local address.
-func SocketOwner(local netip.AddrPort, pids []int) (int, bool) {
-	inode, ok := inodeOf(local)
+// SocketOwner returns which of the processes holds the connection from a local to a remote address.
+func SocketOwner(local, remote netip.AddrPort, pids []int) (int, bool) {
+	inode, ok := inodeOf(local, remote)
 	if !ok {
 		return 0, false
 	}
@@ -63,19 +63,24 @@
 	return 0, false
 }
 
-func inodeOf(local netip.AddrPort) (string, bool) {
+// inodeOf compares both addresses: connections to different addresses may share a local port.
+func inodeOf(local, remote netip.AddrPort) (string, bool) {
 	text, err := os.ReadFile("/proc/net/tcp")
 	if err != nil {
 		return "", false
 	}
-	a := local.Addr().Unmap().As4()
-	// The kernel prints IPv4 addresses as one little-endian number.
-	want := fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(a[:]), local.Port())
+	wantLocal, wantRemote := kernelForm(local), kernelForm(remote)
 	for line := range strings.Lines(string(text)) {
 		f := strings.Fields(line)
-		if len(f) > 9 && f[1] == want {
+		if len(f) > 9 && f[1] == wantLocal && f[2] == wantRemote {
 			return f[9], true
 		}
 	}
 	return "", false
 }
+
+// kernelForm returns an address as /proc/net/tcp has it: IPv4 addresses are printed as one little-endian number.
+func kernelForm(p netip.AddrPort) string {
+	a := p.Addr().Unmap().As4()
+	return fmt.Sprintf("%08X:%04X", binary.LittleEndian.Uint32(a[:]), p.Port())
+}
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -130,7 +130,7 @@
 
 func (s *Stage) relayChildren(m *Member) ([]tree.Child, error) {
 	peers := tree.Child{Name: "relay-" + m.Seat.Target, Start: func() (tree.Task, error) {
-		return delay.New(m.Links, m.Relay, m.Settings.Peers, s.dataCentreOf, func(from ident.DataCentre) time.Duration {
+		return delay.New(m.Links, m.Relay, m.Settings.Peers, s.originAt(m.Relay), func(from ident.DataCentre) time.Duration {
 			if from == m.DataCentre {
 				return 0
 			}
@@ -182,34 +182,43 @@
 	return tree.Child{}, false, nil
 }
 
-// dataCentreOf returns the data centre of the daemon process that opened a connection.
+// originAt returns the origin of connections to an address, by the daemon process that opened them.
 // For daemons in this process it is not known.
-func (s *Stage) dataCentreOf(from netip.AddrPort) ident.DataCentre {
-	if _, ok := s.config.Daemons.(Processes); !ok {
-		return ""
-	}
-	pids := map[int]ident.DataCentre{}
-	var list []int
-	for _, m := range s.Members {
-		if pid, ok := m.PID(); ok {
-			pids[pid] = m.DataCentre
-			list = append(list, pid)
+func (s *Stage) originAt(at netip.AddrPort) delay.Origin {
+	return func(from netip.AddrPort) ident.DataCentre {
+		if _, ok := s.config.Daemons.(Processes); !ok {
+			return ""
+		}
+		pids := map[int]ident.DataCentre{}
+		var list []int
+		for _, m := range s.Members {
+			if pid, ok := m.PID(); ok {
+				pids[pid] = m.DataCentre
+				list = append(list, pid)
+			}
 		}
+		pid, _ := proc.SocketOwner(from, at, list)
+		return pids[pid]
 	}
-	pid, _ := proc.SocketOwner(from, list)
-	return pids[pid]
 }
 
 // PID returns the process id of the daemon, or false when it does not run.
 func (m *Member) PID() (int, bool) {
 	reply := mail.NewBox[int](1)
-	if !m.Daemon.TryPut(proc.AskPID{Reply: reply}) {
-		return 0, false
+	timeout := time.NewTimer(askTimeout)
+	defer timeout.Stop()
+	// Many relays may ask at the same time, so the mailbox can be full for a moment.
+	for !m.Daemon.TryPut(proc.AskPID{Reply: reply}) {
+		select {
+		case <-time.After(time.Millisecond):
+		case <-timeout.C:
+			return 0, false
+		}
 	}
 	select {
 	case pid := <-reply.C():
 		return pid, true
-	case <-time.After(askTimeout):
+	case <-timeout.C:
 		return 0, false
 	}
 }
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -173,7 +173,13 @@
 	for i, m := range s.Members {
 		m.Settings.VMList = m.Settings.Config
 		for j := 1; j <= min(seeds, n-1); j++ {
-			m.Settings.Seeds = append(m.Settings.Seeds, s.Members[(i+j)%n].Settings.Peers)
+			peer := s.Members[(i+j)%n]
+			if s.config.NoRelays {
+				m.Settings.Seeds = append(m.Settings.Seeds, peer.Settings.Peers)
+			} else {
+				// A link past the relays would carry releases across a cut.
+				m.Settings.Seeds = append(m.Settings.Seeds, peer.Relay)
+			}
 		}
 	}
 }
