Count the bodies of calls from peers against the memory limit

Cause: MaxBodyMemory bounded what callers send to a daemon, but not what its peers pass on to it, up to 2,048 streams of MaxBody each per session.

Change: the server of streams takes the body of a call, and of its reply while it is written, from the same quota. A call without room is refused as Busy, not run.

Before: no bound. After: the second of two bodies above the limit is refused; the bytes come back after an answer, a cancel and a faulty stream. Conclusion: what is left uncounted is a response that is still being read from the target or from a peer.

--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -81,7 +81,7 @@
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
 	bodies := quota.New(s.MaxBodyMemory)
-	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of))
+	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of), listen.WithQuota(bodies))
 	control := tree.NewSupervisor("control", []tree.Child{
 		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
 		{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, b, m), nil }},
--- a/internal/task/listen/calls.go
+++ b/internal/task/listen/calls.go
@@ -35,6 +35,9 @@
 	number uint64
 	// passed is closed when a call that had to wait was passed on. It is nil for one that had not.
 	passed chan struct{}
+	// taken is the number of bytes that the body holds of the memory limit. busy says that there was no room.
+	taken int
+	busy  bool
 }
 
 func newCaller(s *Server, session *link.Session, stream *yamux.Stream) *caller {
@@ -55,9 +58,15 @@
 		if !exact {
 			p.passed = make(chan struct{})
 		}
+		if size := len(m.Request.Body); c.bodies.TryTake(size) {
+			p.taken = size
+		} else {
+			p.busy = true
+		}
 		select {
 		case c.current <- p:
 		default:
+			c.bodies.Give(p.taken)
 			c.session.End()
 			event.PeerRefused.Log("peer", c.stream.RemoteAddr(), "error", "a call was sent before the reply to the one before it")
 			return
@@ -83,6 +92,7 @@
 	select {
 	case p := <-c.current:
 		defer c.session.End()
+		defer c.bodies.Give(p.taken)
 		if p.passed != nil {
 			select {
 			case <-p.passed:
@@ -100,7 +110,7 @@
 // the peer closed its stream during a pause.
 func (c *caller) run(p current, r local.Run) {
 	if p.passed == nil {
-		c.pass(r)
+		c.pass(p, r)
 		return
 	}
 	go func() {
@@ -112,7 +122,7 @@
 		if c.isClosed() {
 			return
 		}
-		c.pass(r)
+		c.pass(p, r)
 		close(p.passed)
 		if c.isClosed() {
 			c.local.TryPut(local.Cancel{ID: p.id})
@@ -130,11 +140,11 @@
 }
 
 // pass gives a call to the task local, or refuses it. It is the only call of the stream.
-func (c *caller) pass(r local.Run) {
+func (c *caller) pass(p current, r local.Run) {
 	switch {
 	case c.session.Leaving():
 		c.refuse(r.ID, errs.Draining)
-	case !c.local.TryPut(r):
+	case p.busy, !c.local.TryPut(r):
 		c.refuse(r.ID, errs.Busy)
 	}
 }
@@ -164,6 +174,11 @@
 	select {
 	case p := <-c.current:
 		defer c.session.End()
+		defer c.bodies.Give(p.taken)
+		if answered, ok := r.Outcome.(call.Answered); ok {
+			c.bodies.Take(len(answered.Body))
+			defer c.bodies.Give(len(answered.Body))
+		}
 		return r.Attempt == p.id && write(c.stream, codec.Reply{Result: r, Number: p.number})
 	default:
 		return false
--- a/internal/task/listen/calls_test.go
+++ b/internal/task/listen/calls_test.go
@@ -13,6 +13,7 @@
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
@@ -20,9 +21,9 @@
 )
 
 // dial starts a task and opens a session to it. Its calls arrive in the mailbox.
-func dial(t *testing.T) (*listen.Task, *link.Session, *mail.Box[local.Message]) {
+func dial(t *testing.T, options ...listen.Option) (*listen.Task, *link.Session, *mail.Box[local.Message]) {
 	inbox := mail.NewBox[local.Message](8)
-	task, err := listen.New(netip.MustParseAddrPort("127.0.0.1:0"), listen.NewServer(inbox, nil, 1<<20), mail.NewBox[listen.Message](4))
+	task, err := listen.New(netip.MustParseAddrPort("127.0.0.1:0"), listen.NewServer(inbox, nil, 1<<20, options...), mail.NewBox[listen.Message](4))
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
 		task.Stop()
@@ -45,10 +46,13 @@
 	return stream
 }
 
-func write(t *testing.T, s *yamux.Stream, number uint64) {
+func write(t *testing.T, s *yamux.Stream, number uint64) { writeBody(t, s, number, 0) }
+
+func writeBody(t *testing.T, s *yamux.Stream, number uint64, size int) {
 	now := time.Now()
 	_, err := codec.Write(s, codec.Call{Target: "a", Number: number, Request: call.Request{
 		Service: "a", Method: "POST", URI: "/", Rank: ident.Normal, Deadline: now.Add(patience), Caller: netip.MustParseAddr("127.0.0.1"),
+		Body: make([]byte, size),
 	}}, now)
 	qt.Assert(t, err, qt.IsNil)
 }
@@ -147,3 +151,44 @@
 	qt.Assert(t, read(t, busy).Number, qt.Equals, uint64(2))
 	qt.Assert(t, len(inbox.C()), qt.Equals, 0)
 }
+
+// Guards against a sum of bodies of peers without bound, and against memory that is never given back.
+func TestBodiesOfPeersAreBounded(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		end  func(t *testing.T, stream *yamux.Stream, run local.Run, inbox *mail.Box[local.Message])
+	}{
+		{"answered", func(t *testing.T, stream *yamux.Stream, run local.Run, _ *mail.Box[local.Message]) {
+			answer(run)
+			read(t, stream)
+		}},
+		{"cancelled", func(t *testing.T, stream *yamux.Stream, _ local.Run, inbox *mail.Box[local.Message]) {
+			qt.Assert(t, stream.Close(), qt.IsNil)
+			next[local.Cancel](t, inbox)
+		}},
+		{"sent twice on a stream", func(t *testing.T, stream *yamux.Stream, _ local.Run, inbox *mail.Box[local.Message]) {
+			writeBody(t, stream, 9, 400)
+			next[local.Cancel](t, inbox)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := quota.New(1500)
+			_, session, inbox := dial(t, listen.WithQuota(q))
+			first, second := open(t, session), open(t, session)
+			writeBody(t, first, 1, 1000)
+			run := next[local.Run](t, inbox)
+			writeBody(t, second, 2, 1000)
+			refused, ok := read(t, second).Result.Outcome.(call.Refused)
+			qt.Assert(t, ok, qt.IsTrue)
+			qt.Assert(t, refused.Kind, qt.Equals, errs.Busy)
+			qt.Assert(t, q.Used(), qt.Equals, 1000)
+			test.end(t, first, run, inbox)
+			for until := time.Now().Add(patience); q.Used() != 0; time.Sleep(time.Millisecond) {
+				qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%d bytes are taken", q.Used()))
+			}
+			writeBody(t, second, 3, 1000)
+			answer(next[local.Run](t, inbox))
+			qt.Assert(t, read(t, second).Number, qt.Equals, uint64(3))
+		})
+	}
+}
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -10,6 +10,7 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
@@ -22,6 +23,7 @@
 	local   *mail.Box[local.Message]
 	keeper  *mail.Box[keeper.Message]
 	maxSize int
+	bodies  *quota.Share
 	hello   func() codec.Hello
 	report  func(Report)
 	arrival func(time.Time) (arrived time.Time, exact bool)
@@ -33,6 +35,9 @@
 // WithHello sets what the daemon tells a peer of itself.
 func WithHello(hello func() codec.Hello) Option { return func(s *Server) { s.hello = hello } }
 
+// WithQuota sets the bound of the memory of all bodies, which tasks share.
+func WithQuota(q *quota.Quota) Option { return func(s *Server) { s.bodies = q.Open() } }
+
 // WithReports sets what is told of the peers. It must not block.
 func WithReports(report func(Report)) Option { return func(s *Server) { s.report = report } }
 
@@ -44,7 +49,7 @@
 // NewServer returns a Server that passes messages to the tasks that own the answers.
 func NewServer(local *mail.Box[local.Message], keeper *mail.Box[keeper.Message], maxSize int, options ...Option) *Server {
 	s := &Server{
-		local: local, keeper: keeper, maxSize: maxSize,
+		local: local, keeper: keeper, maxSize: maxSize, bodies: quota.New(0).Open(),
 		hello:   func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
 		report:  func(Report) {},
 		arrival: func(read time.Time) (time.Time, bool) { return read, true },
