Send a burst of notes to a child together

Each note was sent to each child on its own. Notes on the way together overtake each other; each that did was answered with a pull of all notes since, so a burst used up the budget of control bytes (1 MB and 5 KB/s), and what came after waited for it to refill.

Change: a child that has not answered to the message before gets no further note. When it answers, it gets one digest and pulls all notes since. After 1 s without an answer it is told as before.

--- a/internal/task/keeper/keeper.go
+++ b/internal/task/keeper/keeper.go
@@ -36,7 +36,9 @@
 	duty      Duty
 	pulls     map[netip.AddrPort]time.Time
 	heads     map[ident.VM]ident.Serial
-	ticks     int
+	// told are the children that were told of a head and have not answered.
+	told  map[netip.AddrPort]telling
+	ticks int
 	// untold says that the release in force could not be told.
 	untold bool
 }
@@ -62,6 +64,12 @@
 	Bytes func(meter.Direction, int)
 }
 
+// A telling is a message to a child on a head. Again says that the head has changed since.
+type telling struct {
+	sent  time.Time
+	again bool
+}
+
 // A comparison is a Confirm that is not answered yet.
 type comparison struct {
 	*relay.Confirmation
@@ -97,6 +105,7 @@
 		jitter:  rand.Float64(),
 		pulls:   map[netip.AddrPort]time.Time{},
 		heads:   map[ident.VM]ident.Serial{},
+		told:    map[netip.AddrPort]telling{},
 	}
 	for _, o := range options {
 		o(t)
--- a/internal/task/keeper/peers.go
+++ b/internal/task/keeper/peers.go
@@ -84,10 +84,19 @@
 }
 
 // spread tells the neighbours in the trees of a new head: children get the note,
-// parents, which mostly have it, a digest.
+// parents, which mostly have it, a digest. A child that has not answered to the head before gets a digest once
+// it does, and pulls all notes since then at once: notes on the way together would overtake each other, and
+// each that did would be answered with a pull of all.
 func (t *Task) spread() {
 	last, ok := t.replica.Last()
+	now := t.clock.Now()
+	maps.DeleteFunc(t.told, func(_ netip.AddrPort, at telling) bool { return now.Sub(at.sent) >= pullTimeout })
 	for _, c := range t.place.Children {
+		if at, told := t.told[c.Daemon]; told {
+			t.told[c.Daemon] = telling{sent: at.sent, again: true}
+			continue
+		}
+		t.told[c.Daemon] = telling{sent: now}
 		if ok && t.bulk() {
 			t.send(c.Daemon, last, 0)
 		} else {
@@ -165,6 +174,7 @@
 
 // answered takes the answer of a peer to an own request and continues the conversation.
 func (t *Task) answered(a answered) {
+	defer t.tellAgain(a)
 	c, ok := a.answer.Message.(codec.Control)
 	if a.answer.Err != nil || !ok {
 		return
@@ -187,6 +197,19 @@
 	}
 }
 
+// tellAgain tells a child that has answered of the heads since.
+func (t *Task) tellAgain(a answered) {
+	at, ok := t.told[a.peer]
+	if !ok || a.sent.Before(at.sent) {
+		return
+	}
+	delete(t.told, a.peer)
+	if at.again && a.answer.Err == nil {
+		t.told[a.peer] = telling{sent: t.clock.Now()}
+		t.send(a.peer, t.digest(), 0)
+	}
+}
+
 // handle takes a message of a peer and returns what to send back, or nil.
 func (t *Task) handle(m relay.Message) relay.Message {
 	switch m := m.(type) {
