Yield after a poller has read bytes

Cause: the pollers of the event library wait in epoll_wait, a system call that keeps its processor. A task that a poller has made ready waits on the queue of that processor until another thread has been woken and steals it.

Change: the pollers of the front and of target connections yield after each read, so that the task runs at once on the thread that is awake.

--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -146,6 +146,9 @@
 	t.engine.OnData(func(c *nbio.Conn, data []byte) {
 		if caller, ok := c.Session().(*caller); ok {
 			caller.intake.data(data)
+			// The poller blocks next in a system call that keeps its processor, on whose queue the task
+			// waits to run. Without the yield the task starts only after another thread has been woken.
+			runtime.Gosched()
 		}
 	})
 	t.engine.OnClose(t.closed)
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -1,10 +1,12 @@
 package local
 
 import (
+	"runtime"
 	"sync"
 	"time"
 
 	"github.com/juju/errors"
+	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/nbhttp"
 
 	"jacinthcross/internal/base/alarm"
@@ -137,6 +139,12 @@
 	}
 	t.engine = nbhttp.NewEngine(nbhttp.Config{Name: "target", NPoller: 1, MaxHTTPBodySize: t.maxBody})
 	t.engine.Engine.OnOpen(skipInterim)
+	t.engine.OnData(func(c *nbio.Conn, data []byte) {
+		c.DataHandler()(c, data)
+		// As in the front: the poller blocks next in a system call that keeps its processor, on whose
+		// queue the goroutine of the response waits to run.
+		runtime.Gosched()
+	})
 	if err := t.engine.Start(); err != nil {
 		return nil, errors.Annotate(err, "start the engine of target connections")
 	}
