Fail the test of target reports instead of waiting for a report

Cause: without the reports TestTargetReports waited until the time limit of the test run. Found by removing the reports on a scratch copy.

Change: the test waits for both reports with its usual limit.

--- a/internal/task/local/answer_test.go
+++ b/internal/task/local/answer_test.go
@@ -186,12 +186,14 @@
 		b.until("the target is up", func() bool { return !b.load().Down })
 	}
 	restart()
+	b.until("both reports", func() bool { return len(reports) == 2 })
 	qt.Assert(t, []bool{<-reports, <-reports}, qt.DeepEquals, []bool{true, false})
 	c.offset.Add(-int64(10 * reportGap)) // the next crash is within the gap however long the first took
 	restart()
 	qt.Assert(t, reports, qt.HasLen, 0)
 	c.offset.Add(int64(12 * reportGap))
 	restart()
+	b.until("both reports", func() bool { return len(reports) == 2 })
 	qt.Assert(t, []bool{<-reports, <-reports}, qt.DeepEquals, []bool{true, false})
 }
 
