Read target connections with goroutines of the runtime's poller

Cause: the client of nbhttp has faults that concern whole and true answers. It accepts bytes that follow a response as the start of the next one.

Change: a target connection is a connection of the standard library with one goroutine that dials and writes and one that reads. Interim responses are skipped; a connection on which bytes follow a response, or whose response says that it closes, is not used again; a header is bounded by 1 MiB. The unsent case is decided under a lock before the first byte is written.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -3,28 +3,28 @@
 // The events. Numbers are never used again for another meaning:
 // 1xxx process, 2xxx releases, 3xxx peers, 4xxx calls and targets.
 var (
-	DaemonStarted     = Event{1001, "DaemonStarted", Info}
-	DrainStarted      = Event{1002, "DrainStarted", Info}
-	DaemonStopped     = Event{1003, "DaemonStopped", Info}
-	TaskFailed        = Event{1004, "TaskFailed", Error}
-	ReleaseInForce    = Event{2001, "ReleaseInForce", Info}
-	NoteRefused       = Event{2002, "NoteRefused", Error}
-	ServiceUnread     = Event{2003, "ConfigurationServiceUnreadable", Warning}
-	NoteAccepted      = Event{2004, "NoteAccepted", Info}
-	NoteConflict      = Event{2005, "NoteConflict", Error}
-	ListUnread        = Event{2006, "VMListUnreadable", Warning}
-	LinkOpened        = Event{3001, "LinkOpened", Info}
-	LinkFailed        = Event{3002, "LinkFailed", Warning}
-	PeerRefused       = Event{3003, "PeerMessageRefused", Warning}
-	PeerVersion       = Event{3004, "PeerVersionMismatch", Error}
-	PeerDraining      = Event{3005, "PeerDraining", Info}
-	PeerSilent        = Event{3006, "PeerSilent", Warning}
-	TargetAdded       = Event{4001, "TargetAdded", Info}
-	TargetWithdrawn   = Event{4002, "TargetWithdrawn", Info}
-	TargetEngineStuck = Event{4003, "TargetConnectionsNotClosed", Warning}
-	TargetDown        = Event{4004, "TargetDown", Warning}
-	TargetUp          = Event{4005, "TargetUp", Info}
-	TargetCrashed     = Event{4006, "TargetCrashed", Warning}
+	DaemonStarted              = Event{1001, "DaemonStarted", Info}
+	DrainStarted               = Event{1002, "DrainStarted", Info}
+	DaemonStopped              = Event{1003, "DaemonStopped", Info}
+	TaskFailed                 = Event{1004, "TaskFailed", Error}
+	ReleaseInForce             = Event{2001, "ReleaseInForce", Info}
+	NoteRefused                = Event{2002, "NoteRefused", Error}
+	ServiceUnread              = Event{2003, "ConfigurationServiceUnreadable", Warning}
+	NoteAccepted               = Event{2004, "NoteAccepted", Info}
+	NoteConflict               = Event{2005, "NoteConflict", Error}
+	ListUnread                 = Event{2006, "VMListUnreadable", Warning}
+	LinkOpened                 = Event{3001, "LinkOpened", Info}
+	LinkFailed                 = Event{3002, "LinkFailed", Warning}
+	PeerRefused                = Event{3003, "PeerMessageRefused", Warning}
+	PeerVersion                = Event{3004, "PeerVersionMismatch", Error}
+	PeerDraining               = Event{3005, "PeerDraining", Info}
+	PeerSilent                 = Event{3006, "PeerSilent", Warning}
+	TargetAdded                = Event{4001, "TargetAdded", Info}
+	TargetWithdrawn            = Event{4002, "TargetWithdrawn", Info}
+	TargetConnectionsNotClosed = Event{4003, "TargetConnectionsNotClosed", Warning}
+	TargetDown                 = Event{4004, "TargetDown", Warning}
+	TargetUp                   = Event{4005, "TargetUp", Info}
+	TargetCrashed              = Event{4006, "TargetCrashed", Warning}
 )
 
 // All lists every event.
@@ -33,7 +33,7 @@
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
-		TargetAdded, TargetWithdrawn, TargetEngineStuck,
+		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed,
 	}
 }
--- a/internal/bench/target/open.go
+++ b/internal/bench/target/open.go
@@ -34,5 +34,5 @@
 		time.Sleep(d)
 	}
 	// The server compares errors with io.EOF.
-	return c.Conn.Read(b) //nolint:wrapcheck
+	return c.Conn.Read(b)
 }
--- a/internal/task/local/answer.go
+++ b/internal/task/local/answer.go
@@ -11,7 +11,6 @@
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/lesismal/nbio/nbhttp"
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
@@ -22,13 +21,8 @@
 func (c *conn) completed(j job, response *http.Response, err error, reusable bool) completed {
 	m := completed{id: j.id, conn: c}
 	switch {
-	case errors.Is(err, nbhttp.ErrClientClosed):
-		// The library reports this only for a connection that ended before the call was written.
-		m.unsent = true
 	case refusedDial(err):
 		m.outcome, m.refused = call.Refused{Kind: errs.TargetDown, Detail: err.Error()}, true
-	case errors.Is(err, nbhttp.ErrTooLong):
-		m.outcome = call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("more than %d bytes", c.limit)}
 	case err != nil:
 		m.outcome, m.broken = call.Unknown{Kind: errs.TargetFailed, Detail: fmt.Sprintf("target %s: %v", c.target, err)}, true
 	default:
--- a/internal/task/local/answer_test.go
+++ b/internal/task/local/answer_test.go
@@ -70,6 +70,7 @@
 		{name: "no HTTP", answer: "hello\r\n\r\n", want: "Unknown TargetFailed"},
 		{name: "silence", answer: "", keep: true, want: "Unknown DeadlineInFlight"},
 		{name: "body above the limit", answer: head + "Content-Length: 101\r\n\r\n" + strings.Repeat("x", 101), keep: true, want: "Unknown AnswerTooLarge"},
+		{name: "header above the limit", answer: head + "X: " + strings.Repeat("x", maxHeader) + "\r\nContent-Length: 2\r\n\r\nok", keep: true, want: "Unknown TargetFailed"},
 		{name: "HEAD with a Content-Length", method: http.MethodHead, answer: head + "Content-Length: 10\r\n\r\n", keep: true, want: `Answered 200 ""`},
 		{name: "HEAD, chunked", method: http.MethodHead, answer: head + "Transfer-Encoding: chunked\r\n\r\n", keep: true, want: `Answered 200 ""`},
 		{name: "HEAD after an interim response", method: http.MethodHead, answer: "HTTP/1.1 103 Early Hints\r\n\r\n" + head + "\r\n", keep: true, want: `Answered 200 ""`},
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/netip"
@@ -11,27 +13,35 @@
 	"sync"
 	"time"
 
-	"github.com/lesismal/nbio/nbhttp"
-
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/wire/header"
 )
 
+// maxHeader bounds the header of a response in bytes. The library sets no bound.
+const maxHeader = 1 << 20
+
 // dialTimeout bounds the opening of a connection to the target, which takes about 1 ms.
 const dialTimeout = time.Second
 
-// A conn is one connection to the target. It carries one call at a time.
+// A conn is one connection to the target. It carries one call at a time. One goroutine dials and
+// writes, another reads, so that the end of an idle connection is seen.
 type conn struct {
 	ctx       context.Context // done when the connection is closed from this side
 	cancel    context.CancelFunc
-	client    *nbhttp.ClientConn
 	target    netip.AddrPort
 	jobs      *mail.Box[job]
 	owner     *mail.Box[Message]
 	limit     int
 	idleSince time.Time
+	// The goroutine that writes owns stream and writer.
+	stream net.Conn
+	writer *bufio.Writer
+	// mu guards what both goroutines use.
+	mu      sync.Mutex
+	current *job // waits for its response
+	ended   bool
 }
 
 // A job is one call for a conn.
@@ -42,20 +52,17 @@
 }
 
 // newConn starts the goroutine of a connection, counted in open. It dials on its first job, since dialling blocks.
-func newConn(engine *nbhttp.Engine, open *sync.WaitGroup, target netip.AddrPort, owner *mail.Box[Message], limit int) *conn {
+func newConn(open *sync.WaitGroup, target netip.AddrPort, owner *mail.Box[Message], limit int) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{
 		ctx: ctx, cancel: cancel, target: target, owner: owner, limit: limit,
 		jobs: mail.NewBox[job](1),
 	}
-	c.client = &nbhttp.ClientConn{Engine: engine, IdleConnTimeout: time.Hour, Dial: c.dial}
-	c.client.OnClose(func() { c.tell(lost{conn: c}) })
 	open.Go(func() {
-		defer c.client.Close()
 		for {
 			select {
 			case j := <-c.jobs.C():
-				c.do(j)
+				c.do(open, j)
 			case <-ctx.Done():
 				return
 			}
@@ -64,8 +71,7 @@
 	return c
 }
 
-// close ends the connection; nothing that arrives on it later reaches the task. It does not
-// block: the library's own Close waits while a call is written or a result delivered.
+// close ends the connection; nothing that arrives on it later reaches the task. It does not block.
 func (c *conn) close() { c.cancel() }
 
 // tell sends a message to the task, unless the task has closed the connection.
@@ -79,7 +85,7 @@
 	return (&net.Dialer{Timeout: dialTimeout}).DialContext(c.ctx, network, address)
 }
 
-func (c *conn) do(j job) {
+func (c *conn) do(open *sync.WaitGroup, j job) {
 	request, err := newRequest(c.target, j)
 	if err != nil {
 		c.tell(completed{id: j.id, conn: c, outcome: call.Refused{Kind: errs.BadRequest, Detail: err.Error()}})
@@ -89,13 +95,112 @@
 		c.tell(c.exchange(j, request))
 		return
 	}
-	c.client.Do(request, func(response *http.Response, _ net.Conn, err error) {
-		c.tell(c.completed(j, response, err, true))
-	})
+	if !c.begin(&j) {
+		c.tell(completed{id: j.id, conn: c, unsent: true})
+		return
+	}
+	if c.stream == nil {
+		stream, err := c.dial("tcp", c.target.String())
+		if err != nil {
+			c.take(true)
+			c.tell(c.completed(j, nil, err, false))
+			return
+		}
+		c.stream, c.writer = stream, bufio.NewWriter(stream)
+		// A write that waits for the target ends too.
+		context.AfterFunc(c.ctx, func() { _ = stream.Close() })
+		open.Go(func() { c.read(stream) })
+	}
+	err = request.Write(c.writer)
+	if err == nil {
+		err = c.writer.Flush()
+	}
+	if err != nil {
+		// The reader reports the end of the call.
+		_ = c.stream.Close()
+	}
 }
 
-// mayLackBody reports whether the response may have a Content-Length and no body. The library's
-// client would wait for the body, so these calls use a connection of the standard library.
+// begin notes the call that waits for a response, or reports false when the connection has ended.
+func (c *conn) begin(j *job) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
+		return false
+	}
+	c.current = j
+	return true
+}
+
+// take returns the call whose response begins, or nil. Without a call, or at the end, no other call begins.
+func (c *conn) take(end bool) *job {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	j := c.current
+	c.current = nil
+	c.ended = c.ended || end || j == nil
+	return j
+}
+
+// read reads the responses until the connection ends or cannot be used again.
+func (c *conn) read(stream net.Conn) {
+	defer stream.Close()
+	limited := &io.LimitedReader{R: stream}
+	reader := bufio.NewReader(limited)
+	for {
+		limited.N = maxHeader
+		_, err := reader.Peek(1)
+		j := c.take(err != nil)
+		if j == nil {
+			c.tell(lost{conn: c})
+			return
+		}
+		var m completed
+		if err != nil {
+			m = c.completed(*j, nil, err, false)
+		} else {
+			m = c.receive(*j, reader, limited)
+		}
+		if !m.reusable {
+			c.take(true)
+		}
+		c.tell(m)
+		if !m.reusable {
+			return
+		}
+	}
+}
+
+// readFinal reads the final response. Interim ones come before it; after a switch of protocols none follows.
+func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
+	for {
+		r, err := http.ReadResponse(reader, request)
+		if err != nil || r.StatusCode >= http.StatusOK || r.StatusCode == http.StatusSwitchingProtocols {
+			return r, err
+		}
+	}
+}
+
+// receive reads a response. A body that ends early is a failure of the connection, unless its end is not known.
+func (c *conn) receive(j job, reader *bufio.Reader, limited *io.LimitedReader) completed {
+	r, err := readFinal(reader, nil)
+	if err != nil {
+		return c.completed(j, nil, err, false)
+	}
+	if framed(http.MethodGet, r) {
+		limited.N = math.MaxInt64
+		var body []byte
+		body, err = io.ReadAll(io.LimitReader(r.Body, int64(c.limit)+1))
+		// Closing the library's body would read the rest of one above the limit.
+		r.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	defer r.Body.Close()
+	// Bytes after the response could be taken for the answer to the next call.
+	return c.completed(j, r, err, reader.Buffered() == 0)
+}
+
+// mayLackBody reports whether the response may have a Content-Length and no body. These calls use
+// a connection of their own, so that a target that sends a body nevertheless spoils no other call.
 func mayLackBody(r call.Request) bool {
 	if r.Method == http.MethodHead {
 		return true
@@ -119,18 +224,12 @@
 	if err := request.Write(stream); err != nil {
 		return c.completed(j, nil, err, false)
 	}
-	reader := bufio.NewReader(stream)
-	for {
-		response, err := http.ReadResponse(reader, request)
-		if err != nil {
-			return c.completed(j, nil, err, false)
-		}
-		defer response.Body.Close()
-		// Interim responses come before the final one.
-		if response.StatusCode >= http.StatusOK {
-			return c.completed(j, response, nil, false)
-		}
+	response, err := readFinal(bufio.NewReader(stream), request)
+	if err != nil {
+		return c.completed(j, nil, err, false)
 	}
+	defer response.Body.Close()
+	return c.completed(j, response, nil, false)
 }
 
 func newRequest(target netip.AddrPort, j job) (*http.Request, error) {
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -1,14 +1,9 @@
 package local
 
 import (
-	"runtime"
 	"sync"
 	"time"
 
-	"github.com/juju/errors"
-	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/nbhttp"
-
 	"jacinthcross/internal/base/alarm"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
@@ -36,7 +31,6 @@
 	onHealth  func(ident.Target, call.Load)
 	limits    ledger.Limits
 	maxBody   int
-	engine    *nbhttp.Engine
 	alarms    *alarm.Queue[any]
 	pauses    pause.Detector
 
@@ -137,17 +131,6 @@
 	for _, o := range options {
 		o(t)
 	}
-	t.engine = nbhttp.NewEngine(nbhttp.Config{Name: "target", NPoller: 1, MaxHTTPBodySize: t.maxBody})
-	t.engine.Engine.OnOpen(skipInterim)
-	t.engine.OnData(func(c *nbio.Conn, data []byte) {
-		c.DataHandler()(c, data)
-		// As in the front: the poller blocks next in a system call that keeps its processor, on whose
-		// queue the goroutine of the response waits to run.
-		runtime.Gosched()
-	})
-	if err := t.engine.Start(); err != nil {
-		return nil, errors.Annotate(err, "start the engine of target connections")
-	}
 	t.pauses = pause.NewDetector(t.clock.Now())
 	go func() {
 		t.Run(t.loop)
--- a/internal/task/local/pool.go
+++ b/internal/task/local/pool.go
@@ -29,7 +29,7 @@
 }
 
 func (t *Task) newConn() *conn {
-	return newConn(t.engine, &t.open, t.target.Address, t.inbox, t.maxBody)
+	return newConn(&t.open, t.target.Address, t.inbox, t.maxBody)
 }
 
 // keep puts a connection back, or closes it when it belongs to an earlier address, to a
@@ -60,12 +60,10 @@
 	})
 }
 
-// stopTimeout bounds the wait for the library's engine, which waits for each of its connections.
+// stopTimeout bounds the wait for the goroutines of the connections.
 const stopTimeout = 2 * time.Second
 
-// closeAll closes every connection and then the engine. Calls that they carry are not answered any
-// more. The engine's Stop waits forever for a connection that is added while it runs, so the
-// goroutines of the connections end first.
+// closeAll closes every connection. Calls that they carry are not answered any more.
 func (t *Task) closeAll() {
 	for _, c := range t.idle {
 		c.close()
@@ -75,15 +73,14 @@
 			r.conn.close()
 		}
 	}
-	t.open.Wait()
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
-		t.engine.Stop()
+		t.open.Wait()
 	}()
 	select {
 	case <-stopped:
 	case <-time.After(stopTimeout):
-		event.TargetEngineStuck.Log("error", "the engine of target connections did not stop", "target", t.target.Name)
+		event.TargetConnectionsNotClosed.Log("error", "the target connections were not closed in time", "target", t.target.Name)
 	}
 }
