Name the second connection to a target a monitor connection

Cause: witness, summoning and judge are figures of speech, not terms of the field. Change: monitor, opening and resolve; the methods say what they start and stop. Measured: the tests of task/local pass with the race detector. Conclusion: no change of behaviour.

--- a/internal/task/local/health.go
+++ b/internal/task/local/health.go
@@ -23,14 +23,14 @@
 
 // A suspicion is a connection that the target ended while calls were in flight: the process
 // has died, or it closed only this connection. A refused connection proves the death. When a new
-// connection is accepted, the process is a new one if all the others ended as well, the witness included.
+// connection is accepted, the process is a new one if all the others ended as well, the monitor included.
 type suspicion struct {
 	inFlight []ident.Digest
 	open     map[connection]bool
 	total    int
 }
 
-// A connection is a conn or a witness.
+// A connection is a conn or a monitor.
 type connection interface{ close() }
 
 // forget takes out a connection that this side closed.
@@ -77,11 +77,11 @@
 	for _, i := range t.idle {
 		s.open[i] = true
 	}
-	if t.witness != nil {
-		s.open[t.witness] = true
+	if t.monitor != nil {
+		s.open[t.monitor] = true
 	}
 	s.total = len(s.open)
-	if t.witness == nil && t.clock.Now().Sub(t.witnessEnd) <= settleTime {
+	if t.monitor == nil && t.clock.Now().Sub(t.monitorEnd) <= settleTime {
 		s.total++
 	}
 	return s
@@ -147,13 +147,13 @@
 	t.onHealth(t.target.Name, t.load())
 }
 
-// judge ends a suspicion after the ends of the other connections have had time to arrive. When there was no
-// other, the target is watched, so that the next end tells.
-func (t *Task) judge(now time.Time) {
+// resolve ends a suspicion after the ends of the other connections have had time to arrive. When there was no
+// other, the target is monitored, so that the next end tells.
+func (t *Task) resolve(now time.Time) {
 	dead, alone := t.suspicion.restarted(), t.suspicion.total == 1
 	t.settle(dead, now)
 	if dead || alone {
-		t.watch(now)
+		t.startMonitoring(now)
 	}
 }
 
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -50,28 +50,28 @@
 	held    []call.ID // calls that wait for the confirmation
 	tokens  map[string]call.ID
 
-	open       sync.WaitGroup // goroutines of connections
-	idle       []*conn        // least recently used first
-	suspicion  *suspicion
-	down       bool
-	blamed     bool // the crash that took the target down was blamed
-	probing    bool
-	probeDelay time.Duration
-	witness    *witness
-	summoning  bool // a witness is being opened
-	witnessEnd time.Time
-	watchUntil time.Time
-	told       bool // the last report to the routers said that the target is down
-	toldAt     time.Time
+	open         sync.WaitGroup // goroutines of connections
+	idle         []*conn        // least recently used first
+	suspicion    *suspicion
+	down         bool
+	blamed       bool // the crash that took the target down was blamed
+	probing      bool
+	probeDelay   time.Duration
+	monitor      *monitor
+	opening      bool // a monitor is being opened
+	monitorEnd   time.Time
+	monitorUntil time.Time
+	told         bool // the last report to the routers said that the target is down
+	toldAt       time.Time
 }
 
 // The keys of the alarm queue besides the ID of a call, whose deadline it is.
 type (
-	gateAlarm   struct{}
-	epochAlarm  struct{}
-	probeAlarm  struct{}
-	settleAlarm struct{}
-	watchAlarm  struct{}
+	gateAlarm    struct{}
+	epochAlarm   struct{}
+	probeAlarm   struct{}
+	settleAlarm  struct{}
+	monitorAlarm struct{}
 )
 
 // An Option sets a property of a Task.
@@ -188,10 +188,10 @@
 		t.lose(m.conn)
 	case probed:
 		t.probed(m, t.clock.Now())
-	case witnessed:
-		t.witnessed(m.witness, t.clock.Now())
-	case witnessLost:
-		t.loseWitness(m.witness, t.clock.Now())
+	case monitorOpened:
+		t.monitorReady(m.monitor, t.clock.Now())
+	case monitorLost:
+		t.loseMonitor(m.monitor, t.clock.Now())
 	case Confirmed:
 		t.confirm()
 	case Blamed:
@@ -226,10 +226,10 @@
 			t.probe()
 		case settleAlarm:
 			if t.suspicion != nil {
-				t.judge(now)
+				t.resolve(now)
 			}
-		case watchAlarm:
-			t.rewatch(now)
+		case monitorAlarm:
+			t.ensureMonitor(now)
 		case call.ID:
 			t.expire(k)
 		}
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -72,14 +72,14 @@
 	err     error
 }
 
-// A witnessed carries the witness that was opened, or nil when the target refused it.
-type witnessed struct{ witness *witness }
+// A monitorOpened carries the monitor that was opened, or nil when the target refused it.
+type monitorOpened struct{ monitor *monitor }
 
-// A witnessLost says that the target ended the witness.
-type witnessLost struct{ witness *witness }
+// A monitorLost says that the target ended the monitor.
+type monitorLost struct{ monitor *monitor }
 
-func (witnessed) message()      {}
-func (witnessLost) message()    {}
+func (monitorOpened) message()  {}
+func (monitorLost) message()    {}
 func (Run) message()            {}
 func (Cancel) message()         {}
 func (LoadAsk) message()        {}
--- a/internal/task/local/witness_test.go
+++ b/internal/task/local/monitor_test.go
@@ -79,15 +79,15 @@
 				b.until("the blame is sent", func() bool { return len(blames) >= test.blames[round] })
 				time.Sleep(3 * settleTime) // a false blame would be sent by then
 				qt.Assert(t, blames, qt.HasLen, test.blames[round], qt.Commentf("round %d", round))
-				b.until("only a witness is open", func() bool { return target.live() == test.live })
+				b.until("only a monitor is open", func() bool { return target.live() == test.live })
 			}
 			qt.Assert(t, summary(b.do(call.Request{URI: poison})), qt.Equals, test.outcome)
 		})
 	}
 }
 
-// TestWitnessEnds guards against connections without calls that stay open or are opened without bound.
-func TestWitnessEnds(t *testing.T) {
+// TestMonitorEnds guards against connections without calls that stay open or are opened without bound.
+func TestMonitorEnds(t *testing.T) {
 	target := newRawTarget(t, "127.0.0.1:0", func(w net.Conn, r *http.Request, body []byte) bool {
 		return r.URL.Path == "/" && answerOK(w, r, body)
 	})
@@ -100,13 +100,13 @@
 		}
 	}
 	qt.Assert(t, summary(b.do(call.Request{URI: "/end"})), qt.Equals, "Unknown TargetFailed")
-	// The connections are that of the call, the probe and the witness.
-	b.until("a witness is open", func() bool { return target.opened() == 3 && target.ended.Load() == 2 })
-	step(watchTime / 2)
+	// The connections are that of the call, the probe and the monitor.
+	b.until("a monitor is open", func() bool { return target.opened() == 3 && target.ended.Load() == 2 })
+	step(monitorTime / 2)
 	time.Sleep(2 * settleTime)
 	qt.Assert(t, target.opened(), qt.Equals, 3)
 	qt.Assert(t, target.ended.Load(), qt.Equals, int64(2))
-	step(watchTime)
-	b.until("the witness is closed", func() bool { return target.ended.Load() == 3 })
+	step(monitorTime)
+	b.until("the monitor is closed", func() bool { return target.ended.Load() == 3 })
 	qt.Assert(t, target.opened(), qt.Equals, 3)
 }
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -32,7 +32,7 @@
 		t.closeIdle(t.clock.Now().Add(time.Nanosecond))
 		t.down, t.blamed, t.suspicion = false, false, nil
 		t.alarms.Clear(probeAlarm{})
-		t.unwatch()
+		t.stopMonitoring()
 		t.reportHealth(t.clock.Now())
 	} else if t.down {
 		t.probe()
@@ -62,7 +62,7 @@
 	}
 	event.TargetWithdrawn.Log("target", t.target.Name)
 	t.present = false
-	t.unwatch()
+	t.stopMonitoring()
 	t.flush(errs.Withdrawn)
 	t.closeIdle(t.clock.Now().Add(time.Nanosecond))
 }
