Name the heads that children have not answered

Cause: "told" and "telling" did not say what they hold. Change: pending and pendingHead. Measured: tests of task/keeper pass. Conclusion: no change of behaviour.

--- a/internal/task/keeper/keeper.go
+++ b/internal/task/keeper/keeper.go
@@ -36,9 +36,9 @@
 	duty      Duty
 	pulls     map[netip.AddrPort]time.Time
 	heads     map[ident.VM]ident.Serial
-	// told are the children that were told of a head and have not answered.
-	told  map[netip.AddrPort]telling
-	ticks int
+	// pending holds the children that were sent a head and have not answered.
+	pending map[netip.AddrPort]pendingHead
+	ticks   int
 	// untold says that the release in force could not be told.
 	untold bool
 }
@@ -64,8 +64,8 @@
 	Bytes func(meter.Direction, int)
 }
 
-// A telling is a message to a child on a head. Again says that the head has changed since.
-type telling struct {
+// A pendingHead is a head that a child was sent and has not answered. Again says that the head has changed since.
+type pendingHead struct {
 	sent  time.Time
 	again bool
 }
@@ -105,7 +105,7 @@
 		jitter:  rand.Float64(),
 		pulls:   map[netip.AddrPort]time.Time{},
 		heads:   map[ident.VM]ident.Serial{},
-		told:    map[netip.AddrPort]telling{},
+		pending: map[netip.AddrPort]pendingHead{},
 	}
 	for _, o := range options {
 		o(t)
--- a/internal/task/keeper/peers.go
+++ b/internal/task/keeper/peers.go
@@ -90,13 +90,13 @@
 func (t *Task) spread() {
 	last, ok := t.replica.Last()
 	now := t.clock.Now()
-	maps.DeleteFunc(t.told, func(_ netip.AddrPort, at telling) bool { return now.Sub(at.sent) >= pullTimeout })
+	maps.DeleteFunc(t.pending, func(_ netip.AddrPort, at pendingHead) bool { return now.Sub(at.sent) >= pullTimeout })
 	for _, c := range t.place.Children {
-		if at, told := t.told[c.Daemon]; told {
-			t.told[c.Daemon] = telling{sent: at.sent, again: true}
+		if at, waits := t.pending[c.Daemon]; waits {
+			t.pending[c.Daemon] = pendingHead{sent: at.sent, again: true}
 			continue
 		}
-		t.told[c.Daemon] = telling{sent: now}
+		t.pending[c.Daemon] = pendingHead{sent: now}
 		if ok && t.bulk() {
 			t.send(c.Daemon, last, 0)
 		} else {
@@ -199,13 +199,13 @@
 
 // tellAgain tells a child that has answered of the heads since.
 func (t *Task) tellAgain(a answered) {
-	at, ok := t.told[a.peer]
+	at, ok := t.pending[a.peer]
 	if !ok || a.sent.Before(at.sent) {
 		return
 	}
-	delete(t.told, a.peer)
+	delete(t.pending, a.peer)
 	if at.again && a.answer.Err == nil {
-		t.told[a.peer] = telling{sent: t.clock.Now()}
+		t.pending[a.peer] = pendingHead{sent: t.clock.Now()}
 		t.send(a.peer, t.digest(), 0)
 	}
 }
