Test the reuse of a target connection without its timing

Cause: TestNextCall passed with the check of bytes after a response removed, and with the check of a response that closes the connection removed: the idle reader mostly sees the same end a moment later.

Change: TestReuseAfterResponse reads a response from memory and asserts whether the connection may carry another call.

Measured: the new test fails with either check removed; TestNextCall passed with both (one run each). It passes unbroken 3 of 3 times with the race detector.

Conclusion: both checks are guarded.

--- a/internal/task/local/conn_test.go
+++ b/internal/task/local/conn_test.go
@@ -1,10 +1,13 @@
 package local
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,3 +88,30 @@
 		})
 	}
 }
+
+// TestReuseAfterResponse guards against a connection that carries another call although bytes follow the
+// response, which could be taken for the next one, or although the target closes it.
+func TestReuseAfterResponse(t *testing.T) {
+	const whole = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+	tests := []struct {
+		name string
+		text string
+		want bool
+	}{
+		{"one response", whole, true},
+		{"a second response", whole + whole, false},
+		{"one byte more", whole + "H", false},
+		{"closed as the response says", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 5\r\n\r\nfirst", false},
+		{"HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 5\r\n\r\nfirst", false},
+		{"HTTP/1.0 that is kept", "HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 5\r\n\r\nfirst", true},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c := &conn{limit: 100}
+			limited := &io.LimitedReader{R: strings.NewReader(test.text), N: maxHeader}
+			m := c.receive(job{request: call.Request{Method: http.MethodGet}}, bufio.NewReader(limited), limited)
+			qt.Assert(t, summary(m.outcome), qt.Equals, `Answered 200 "first"`)
+			qt.Assert(t, m.reusable, qt.Equals, test.want)
+		})
+	}
+}
