--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -20,6 +20,9 @@
 // A Service is the name of a service.
 type Service string
 
+// A Route is the name of a route.
+type Route string
+
 // A Target is the name of a server process of a service.
 type Target string
 
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -19,6 +19,10 @@
 	KeyRequired       bool
 	IdempotentMethods []string
 	Timeout           time.Duration
+	// HealthPath is where the targets answer health checks, or empty when they have no such path.
+	HealthPath string
+	// MaxConnections is how many connections a target accepts, or 0 when that is not known.
+	MaxConnections int
 }
 
 // Idempotent reports whether a call with the method may be run more than once.
@@ -36,14 +40,32 @@
 	Daemon     netip.AddrPort
 	Address    netip.AddrPort
 	Slots      int
+	// Draining says that the target gets no new calls.
+	Draining bool
+	// WarmAt is when a target that has started works at its full speed, or zero when it does.
+	WarmAt time.Time
+	// StartedAt tells the runs of a target under one name apart. Zero when the runs are not known.
+	StartedAt time.Time
+}
+
+// Limits bound what callers may send. A zero limit is not set by the release.
+type Limits struct {
+	MaxHeader     int
+	MaxBody       int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
 }
 
 // A Release is the sum of all notes up to its head. It is never changed after it was built.
 type Release struct {
-	Head      ident.Head
+	Head ident.Head
+	// Version is the number that operators gave to the newest change, where changes are not numbered by Head.
+	Version   uint64
+	Routes    map[ident.Route]Route
 	Services  map[ident.Service]Service
 	Targets   map[ident.Target]Target
 	Withdrawn map[ident.Target]Withdrawal
+	Limits    Limits
 
 	once  sync.Once
 	index index
@@ -54,6 +76,7 @@
 	onVM      map[ident.VM]ident.Target
 	ofService map[ident.Service][]Target
 	ofHost    map[string]ident.Service
+	routes    routeIndex
 }
 
 // A Withdrawal is a target that a recent note withdrew. Resends of keyed calls
@@ -70,6 +93,7 @@
 // NewRelease returns the empty release before the first note.
 func NewRelease() *Release {
 	return &Release{
+		Routes:    map[ident.Route]Route{},
 		Services:  map[ident.Service]Service{},
 		Targets:   map[ident.Target]Target{},
 		Withdrawn: map[ident.Target]Withdrawal{},
@@ -99,6 +123,7 @@
 			onVM:      make(map[ident.VM]ident.Target, len(r.Targets)),
 			ofService: make(map[ident.Service][]Target, len(r.Services)),
 			ofHost:    map[string]ident.Service{},
+			routes:    newRouteIndex(r.Routes),
 		}
 		for _, name := range slices.Sorted(maps.Keys(r.Targets)) {
 			t := r.Targets[name]
@@ -117,6 +142,9 @@
 func (r *Release) clone() *Release {
 	return &Release{
 		Head:      r.Head,
+		Version:   r.Version,
+		Routes:    maps.Clone(r.Routes),
+		Limits:    r.Limits,
 		Services:  maps.Clone(r.Services),
 		Targets:   maps.Clone(r.Targets),
 		Withdrawn: maps.Clone(r.Withdrawn),
