Name header fields in a dialect, and check whose answer a response is

Cause: the front and the target connections name the fields of the product's own interface, and the users' platform has other names.

Ruled out: a second front and a second target connection for the platform, which would repeat the reading and writing of requests.

Change: header.Dialect is a table of names that the front and the target connections are given. Requests to targets are written without the library, so that method, path and body leave as they came.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -18,13 +18,20 @@
 
 // A Request is one call of a caller.
 type Request struct {
-	Service    ident.Service
-	Method     string
-	URI        string
-	Header     []Field
-	Body       []byte
-	Caller     netip.Addr
-	Deadline   time.Time
+	// ID identifies the send of the caller, in logs and at the target.
+	ID      string
+	Route   ident.Route
+	Service ident.Service
+	// Origin is the service of the target beside which the call entered.
+	Origin   ident.Service
+	Method   string
+	URI      string
+	Header   []Field
+	Body     []byte
+	Caller   netip.Addr
+	Deadline time.Time
+	// Aim is until when an answer has its full value for the caller. Zero means that none is stated.
+	Aim        time.Time
 	Rank       ident.Rank
 	Depth      int
 	Allowance  int
@@ -93,4 +100,6 @@
 	Outcome     Outcome
 	Load        Load
 	RetriesUsed int
+	// Sent says that the call was sent to the target, which may have run it.
+	Sent bool
 }
--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -13,7 +13,6 @@
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/task/router"
-	"jacinthcross/internal/wire/header"
 )
 
 // A caller is one connection of a caller. The task owns it, but for intake, which the
@@ -121,17 +120,17 @@
 		return
 	}
 	id := call.NextID()
-	if r.url.Path == header.KeyPath {
+	if t.dialect.KeyPath != "" && r.url.Path == t.dialect.KeyPath {
 		t.issueKey(c, id)
 		return
 	}
-	q, err := t.request(c, r)
+	q, err := t.request(c, r, id)
 	if err != nil {
 		t.write(c, refusal(errs.KindOf(err), err.Error()))
 		return
 	}
 	if !t.router.TryPut(router.Submit{
-		ID: id, Request: *q, Arrived: r.arrived, Host: r.header.Get("Host"), Context: r.header.Get(header.Context), Reply: t.answers,
+		ID: id, Request: *q, Arrived: r.arrived, Host: r.header.Get("Host"), Context: r.get(t.dialect.Context), Reply: t.answers,
 	}) {
 		t.refuse(c, errs.Busy, "the mailbox of the router is full")
 		return
@@ -142,7 +141,7 @@
 
 // refuse answers a request that does not reach the router. That proves nothing about earlier sends of its key.
 func (t *Task) refuse(c *caller, kind errs.Kind, detail string) {
-	if c.current.header.Get(header.Key) != "" {
+	if c.current.get(t.dialect.Key) != "" {
 		kind, detail = errs.OwnerUnreachable, string(kind)+": "+detail
 	}
 	t.write(c, refusal(kind, detail))
@@ -230,34 +229,47 @@
 }
 
 // request turns a parsed HTTP request into a call.
-func (t *Task) request(c *caller, r *request) (*call.Request, error) {
-	for _, name := range []string{header.Service, header.Deadline, header.Rank, header.Context, header.Key} {
+func (t *Task) request(c *caller, r *request, id call.ID) (*call.Request, error) {
+	d := t.dialect
+	for _, name := range []string{d.RequestID, d.Service, d.Deadline, d.Rank, d.Context, d.Key} {
 		if len(r.header[name]) > 1 {
 			return nil, errs.New(errs.BadRequest, name+" is given more than once")
 		}
 	}
 	q := &call.Request{
-		Service: ident.Service(r.header.Get(header.Service)),
+		ID:      r.get(d.RequestID),
+		Service: ident.Service(r.get(d.Service)),
 		Method:  r.method,
-		URI:     r.url.RequestURI(),
-		Header:  header.EndToEnd(r.header),
+		URI:     r.uri,
+		Header:  d.FromCaller(r.header),
 		Body:    r.body,
 		Caller:  c.address,
-		Key:     r.header.Get(header.Key),
+		Key:     r.get(d.Key),
 	}
-	if text := r.header.Get(header.Deadline); text != "" {
+	if q.ID == "" {
+		q.ID = "call-" + strconv.FormatUint(uint64(id), 10)
+	}
+	if text := r.get(d.Deadline); text != "" {
 		n, err := strconv.ParseInt(text, 10, 32)
 		if err != nil {
-			return nil, errs.New(errs.BadRequest, header.Deadline+" "+strconv.Quote(text)+" is not a number of milliseconds")
+			return nil, errs.New(errs.BadRequest, d.Deadline+" "+strconv.Quote(text)+" is not a number of milliseconds")
 		}
 		q.Deadline = r.arrived.Add(time.Duration(n) * time.Millisecond)
 	}
-	if text := r.header.Get(header.Rank); text != "" {
+	if text := r.get(d.Rank); text != "" {
 		rank, err := ident.ParseRank(text)
 		if err != nil {
-			return nil, errs.New(errs.BadRequest, header.Rank+": "+err.Error())
+			return nil, errs.New(errs.BadRequest, d.Rank+": "+err.Error())
 		}
 		q.Rank = rank
 	}
 	return q, nil
 }
+
+// get returns the value of a field of the dialect, or nothing when the dialect has no such field.
+func (r *request) get(name string) string {
+	if name == "" {
+		return ""
+	}
+	return r.header.Get(name)
+}
--- a/internal/task/front/check.go
+++ b/internal/task/front/check.go
@@ -6,6 +6,8 @@
 	"strings"
 
 	"github.com/juju/errors"
+
+	"jacinthcross/internal/wire/header"
 )
 
 // A checked is what the check of a header block finds.
@@ -103,32 +105,15 @@
 	if !ok || name == "" {
 		return "", "", errors.NotValidf("header line without a name")
 	}
-	for i := range len(name) {
-		if !isToken(name[i]) {
-			return "", "", errors.NotValidf("header name %q", name)
-		}
+	if !header.ValidName(name) {
+		return "", "", errors.NotValidf("header name %q", name)
 	}
-	if !validValue(value) {
+	if !header.ValidValue(value) {
 		return "", "", errors.NotValidf("value of header %s", name)
 	}
 	return name, strings.Trim(value, " \t"), nil
 }
 
-// validValue reports whether a field value holds no control byte except a tab.
-func validValue(value string) bool {
-	for i := range len(value) {
-		if b := value[i]; b == 0x7f || (b < ' ' && b != '\t') {
-			return false
-		}
-	}
-	return true
-}
-
-func isToken(b byte) bool {
-	return b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z' || b >= '0' && b <= '9' ||
-		strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
-}
-
 // parseLength reads digits only: a sign, a list or spaces inside are refused.
 func parseLength(value string) (int, error) {
 	for i := range len(value) {
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -20,6 +20,7 @@
 	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/router"
+	"jacinthcross/internal/wire/header"
 )
 
 // Bounds of the task. The connections are those of two large services with 260 connections
@@ -58,6 +59,8 @@
 	maxHeader int
 	sendLimit time.Duration
 	keepalive time.Duration
+	dialect   *header.Dialect
+	linger    bool
 	quota     *quota.Quota
 	memory    *quota.Share
 	open      atomic.Int64
@@ -86,6 +89,12 @@
 // WithKeepalive sets how long a connection without a request is kept.
 func WithKeepalive(d time.Duration) Option { return func(t *Task) { t.keepalive = d } }
 
+// WithDialect sets the header fields that callers use.
+func WithDialect(d *header.Dialect) Option { return func(t *Task) { t.dialect = d } }
+
+// WithLinger makes a drain go on accepting connections, for callers that learn of it from elsewhere.
+func WithLinger() Option { return func(t *Task) { t.linger = true } }
+
 // WithClock sets the clock.
 func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
 
@@ -107,6 +116,7 @@
 		maxHeader: 64 << 10,
 		sendLimit: sendLimit,
 		keepalive: 120 * time.Second,
+		dialect:   header.Own(),
 		quota:     quota.New(0),
 		alarms:    alarm.NewQueue[*caller](),
 		calls:     map[call.ID]*caller{},
@@ -234,7 +244,9 @@
 	case issued:
 		t.answerKey(m)
 	case Drain:
-		t.listener.stopAccepting()
+		if !t.linger {
+			t.listener.stopAccepting()
+		}
 		t.draining, t.empty = true, m.Empty
 		t.checkEmpty()
 	}
--- a/internal/task/front/parse.go
+++ b/internal/task/front/parse.go
@@ -18,6 +18,8 @@
 // A request is one parsed HTTP request. The body counts against the memory limit until it is released.
 type request struct {
 	method string
+	// uri is the target of the request line as the caller sent it, and url the same parsed.
+	uri    string
 	url    *url.URL
 	header http.Header
 	body   []byte
@@ -214,7 +216,7 @@
 	if err != nil {
 		return errs.New(errs.BadRequest, "URI: "+err.Error())
 	}
-	i.current.url = u
+	i.current.uri, i.current.url = uri, u
 	return nil
 }
 
--- a/internal/task/front/write.go
+++ b/internal/task/front/write.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -21,7 +22,7 @@
 	t.memory.Give(r.reserved)
 	asked := r.close()
 	c.closing = c.closing || asked || t.draining
-	status, fields, body := answerOf(o)
+	status, fields, body := t.answerOf(r, o)
 	b := appendHead(t.buffer[:0], status, fields, c.closing, r.minor)
 	noBody := status == http.StatusNoContent || status == http.StatusNotModified
 	switch {
@@ -87,31 +88,49 @@
 }
 
 // answerOf returns what a caller sees of an outcome.
-func answerOf(o call.Outcome) (status int, fields []call.Field, body []byte) {
+func (t *Task) answerOf(r *request, o call.Outcome) (status int, fields []call.Field, body []byte) {
 	switch o := o.(type) {
 	case call.Answered:
-		return o.Status, append(o.Header[:len(o.Header):len(o.Header)], call.Field{Name: header.Outcome, Value: string(errs.Answered)}), o.Body
+		fields := o.Header[:len(o.Header):len(o.Header)]
+		if t.dialect.Outcome != "" {
+			fields = append(fields, call.Field{Name: t.dialect.Outcome, Value: string(errs.Answered)})
+		}
+		return o.Status, fields, o.Body
 	case call.Refused:
-		return errorAnswer(o.Kind, o.RetryAfter, o.Detail)
+		return t.errorAnswer(r, o.Kind, o.RetryAfter, o.Detail)
 	case call.Unknown:
-		return errorAnswer(o.Kind, 0, o.Detail)
+		return t.errorAnswer(r, o.Kind, 0, o.Detail)
 	}
-	return errorAnswer(errs.Internal, 0, "")
+	return t.errorAnswer(r, errs.Internal, 0, "")
 }
 
-func errorAnswer(kind errs.Kind, retryAfter time.Duration, detail string) (int, []call.Field, []byte) {
-	a := errs.AnswerTo(kind)
+func (t *Task) errorAnswer(r *request, kind errs.Kind, retryAfter time.Duration, detail string) (int, []call.Field, []byte) {
+	d, a := t.dialect, errs.AnswerTo(kind)
+	status := a.Status
+	if a.Outcome == errs.NotRun && status >= http.StatusInternalServerError && d.RefusalStatus != 0 {
+		status = d.RefusalStatus
+	}
 	fields := []call.Field{
-		{Name: header.Outcome, Value: string(a.Outcome)},
-		{Name: header.Error, Value: string(kind)},
-		{Name: header.Advice, Value: a.Advice},
+		{Name: d.RequestID, Value: r.get(d.RequestID)},
+		{Name: d.Outcome, Value: string(a.Outcome)},
+		{Name: d.Error, Value: string(kind)},
+		{Name: d.Advice, Value: a.Advice},
 		{Name: "Content-Type", Value: "text/plain; charset=utf-8"},
 		{Name: "Date", Value: time.Now().UTC().Format(http.TimeFormat)},
 	}
 	if retryAfter > 0 {
-		fields = append(fields, call.Field{Name: "Retry-After", Value: strconv.Itoa(int(math.Ceil(retryAfter.Seconds())))})
+		fields = append(fields, call.Field{Name: "Retry-After", Value: t.retryAfter(retryAfter)})
+	}
+	fields = slices.DeleteFunc(fields, func(f call.Field) bool { return f.Name == "" || f.Value == "" })
+	return status, fields, []byte(string(kind) + ": " + a.Advice + "\n" + detail + "\n")
+}
+
+// retryAfter returns a time in seconds, rounded up to what the dialect can say.
+func (t *Task) retryAfter(d time.Duration) string {
+	if t.dialect.FractionalRetry {
+		return strconv.FormatFloat(math.Ceil(d.Seconds()*1000)/1000, 'f', -1, 64)
 	}
-	return a.Status, fields, []byte(string(kind) + ": " + a.Advice + "\n" + detail + "\n")
+	return strconv.Itoa(int(math.Ceil(d.Seconds())))
 }
 
 func refusal(kind errs.Kind, detail string) call.Refused {
@@ -127,7 +146,7 @@
 	b = append(b, http.StatusText(status)...)
 	b = append(b, "\r\n"...)
 	for _, f := range fields {
-		if !validName(f.Name) || !validValue(f.Value) {
+		if !header.Valid(f.Name, f.Value) {
 			continue
 		}
 		b = append(b, f.Name...)
@@ -143,12 +162,3 @@
 	}
 	return b
 }
-
-func validName(name string) bool {
-	for i := range len(name) {
-		if !isToken(name[i]) {
-			return false
-		}
-	}
-	return name != ""
-}
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -15,6 +15,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/wire/header"
 )
@@ -31,13 +32,13 @@
 	ctx       context.Context // done when the connection is closed from this side
 	cancel    context.CancelFunc
 	target    netip.AddrPort
+	dialect   *header.Dialect
 	jobs      *mail.Box[job]
 	owner     *mail.Box[Message]
 	limit     int
 	idleSince time.Time
-	// The goroutine that writes owns stream and writer.
+	// The goroutine that writes owns stream.
 	stream net.Conn
-	writer *bufio.Writer
 	// mu guards what both goroutines use.
 	mu      sync.Mutex
 	current *job // waits for its response
@@ -47,15 +48,16 @@
 // A job is one call for a conn.
 type job struct {
 	id      call.ID
+	target  ident.Target
 	request call.Request
 	token   string
 }
 
 // newConn starts the goroutine of a connection, counted in open. It dials on its first job, since dialling blocks.
-func newConn(open *sync.WaitGroup, target netip.AddrPort, owner *mail.Box[Message], limit int) *conn {
+func newConn(open *sync.WaitGroup, target netip.AddrPort, d *header.Dialect, owner *mail.Box[Message], limit int) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{
-		ctx: ctx, cancel: cancel, target: target, owner: owner, limit: limit,
+		ctx: ctx, cancel: cancel, target: target, dialect: d, owner: owner, limit: limit,
 		jobs: mail.NewBox[job](1),
 	}
 	open.Go(func() {
@@ -86,11 +88,11 @@
 }
 
 func (c *conn) do(open *sync.WaitGroup, j job) {
-	request, err := newRequest(c.target, j)
-	if err != nil {
-		c.tell(completed{id: j.id, conn: c, outcome: call.Refused{Kind: errs.BadRequest, Detail: err.Error()}})
+	if !header.ValidURI(j.request.URI) {
+		c.tell(completed{id: j.id, conn: c, outcome: call.Refused{Kind: errs.BadRequest, Detail: strconv.Quote(j.request.URI) + " is not a path"}})
 		return
 	}
+	request := j.appendTo(nil, c.dialect, time.Now())
 	if mayLackBody(j.request) {
 		c.tell(c.exchange(j, request))
 		return
@@ -106,16 +108,12 @@
 			c.tell(c.completed(j, nil, err, false))
 			return
 		}
-		c.stream, c.writer = stream, bufio.NewWriter(stream)
+		c.stream = stream
 		// A write that waits for the target ends too.
 		context.AfterFunc(c.ctx, func() { _ = stream.Close() })
 		open.Go(func() { c.read(stream) })
 	}
-	err = request.Write(c.writer)
-	if err == nil {
-		err = c.writer.Flush()
-	}
-	if err != nil {
+	if _, err := c.stream.Write(request); err != nil {
 		// The reader reports the end of the call.
 		_ = c.stream.Close()
 	}
@@ -181,22 +179,41 @@
 	}
 }
 
-// receive reads a response. A body that ends early is a failure of the connection, unless its end is not known.
+// maxForeign bounds the responses to other calls that are skipped before the one that is awaited.
+const maxForeign = 4
+
+// receive reads the response to a call. Late responses to other calls before it are skipped; the
+// connection carries no more calls then, since nothing tells whether another one follows.
 func (c *conn) receive(j job, reader *bufio.Reader, limited *io.LimitedReader) completed {
-	r, err := readFinal(reader, nil)
-	if err != nil {
-		return c.completed(j, nil, err, false)
+	for skipped := 0; ; skipped++ {
+		r, err := readFinal(reader, nil)
+		if err != nil {
+			return c.completed(j, nil, err, false)
+		}
+		if c.framed(http.MethodGet, r) {
+			limited.N = math.MaxInt64
+			var body []byte
+			body, err = io.ReadAll(io.LimitReader(r.Body, int64(c.limit)+1))
+			// Closing the library's body would read the rest of one above the limit.
+			r.Body = io.NopCloser(bytes.NewReader(body))
+		}
+		if err == nil && skipped < maxForeign && c.foreign(j, r) {
+			limited.N += maxHeader
+			continue
+		}
+		defer r.Body.Close()
+		// Bytes after the response could be taken for the answer to the next call.
+		return c.completed(j, r, err, skipped == 0 && reader.Buffered() == 0)
 	}
-	if framed(http.MethodGet, r) {
-		limited.N = math.MaxInt64
-		var body []byte
-		body, err = io.ReadAll(io.LimitReader(r.Body, int64(c.limit)+1))
-		// Closing the library's body would read the rest of one above the limit.
-		r.Body = io.NopCloser(bytes.NewReader(body))
+}
+
+// foreign reports whether a response belongs to another call.
+func (c *conn) foreign(j job, r *http.Response) bool {
+	if c.dialect.RequestID == "" {
+		return false
 	}
-	defer r.Body.Close()
-	// Bytes after the response could be taken for the answer to the next call.
-	return c.completed(j, r, err, reader.Buffered() == 0)
+	id := r.Header.Get(c.dialect.RequestID)
+	return id != "" && id != j.request.ID
 }
 
 // mayLackBody reports whether the response may have a Content-Length and no body. These calls use
@@ -214,44 +231,20 @@
 }
 
 // exchange runs a call on a connection of its own.
-func (c *conn) exchange(j job, request *http.Request) completed {
+func (c *conn) exchange(j job, request []byte) completed {
 	stream, err := c.dial("tcp", c.target.String())
 	if err != nil {
 		return c.completed(j, nil, err, false)
 	}
 	defer stream.Close()
 	defer context.AfterFunc(c.ctx, func() { _ = stream.Close() })()
-	if err := request.Write(stream); err != nil {
+	if _, err := stream.Write(request); err != nil {
 		return c.completed(j, nil, err, false)
 	}
-	response, err := readFinal(bufio.NewReader(stream), request)
+	response, err := readFinal(bufio.NewReader(stream), &http.Request{Method: j.request.Method})
 	if err != nil {
 		return c.completed(j, nil, err, false)
 	}
 	defer response.Body.Close()
 	return c.completed(j, response, nil, false)
 }
-
-func newRequest(target netip.AddrPort, j job) (*http.Request, error) {
-	r, err := http.NewRequest(j.request.Method, "http://"+target.String()+j.request.URI, bytes.NewReader(j.request.Body))
-	if err != nil {
-		return nil, err
-	}
-	// Without a value the library would add its own name.
-	r.Header["User-Agent"] = nil
-	for _, f := range j.request.Header {
-		if f.Name == "Host" {
-			r.Host = f.Value
-			continue
-		}
-		r.Header.Add(f.Name, f.Value)
-	}
-	r.ContentLength = int64(len(j.request.Body))
-	r.Header.Set(header.Context, j.token)
-	r.Header.Set(header.Rank, string(j.request.Rank))
-	r.Header.Set(header.Deadline, strconv.FormatInt(max(0, time.Until(j.request.Deadline).Milliseconds()), 10))
-	if j.request.Key != "" {
-		r.Header.Set(header.Key, j.request.Key)
-	}
-	return r, nil
-}
--- a/internal/task/local/conn_test.go
+++ b/internal/task/local/conn_test.go
@@ -16,6 +16,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/wire/header"
 )
 
 // TestNextCall guards against a call that gets what the target sent after the answer to an earlier one,
@@ -107,7 +108,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := &conn{limit: 100}
+			c := &conn{limit: 100, dialect: header.Own()}
 			limited := &io.LimitedReader{R: strings.NewReader(test.text), N: maxHeader}
 			m := c.receive(job{request: call.Request{Method: http.MethodGet}}, bufio.NewReader(limited), limited)
 			qt.Assert(t, summary(m.outcome), qt.Equals, `Answered 200 "first"`)
--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -32,7 +32,9 @@
 		delete(t.tokens, r.token)
 		t.notify(Context{Token: r.token, Closed: true})
 	}
-	t.reply(r.ID, r.Reply, o, r.retries)
+	r.Reply.Put(call.Result{
+		Attempt: r.ID, Outcome: o, Load: t.load(), RetriesUsed: r.retries, Sent: r.conn != nil && !neverSent(o),
+	}, t.Stopping())
 	if r.ledger != nil {
 		r.ledger.Finish(r.key, o)
 		for _, w := range t.waiters[r.key] {
@@ -44,6 +46,12 @@
 	t.checkEmpty()
 }
 
+// neverSent reports whether the outcome of a dispatched call shows that no connection could be opened for it.
+func neverSent(o call.Outcome) bool {
+	r, ok := o.(call.Refused)
+	return ok && r.Kind == errs.TargetDown
+}
+
 // flush answers all queued and held calls as not run.
 func (t *Task) flush(kind errs.Kind) {
 	t.refuseHeld(kind)
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -16,6 +16,7 @@
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/wire/header"
 )
 
 // A Task owns the admission to the target on its VM, the ledger of keys and the target connections.
@@ -31,6 +32,8 @@
 	onHealth  func(ident.Target, call.Load)
 	limits    ledger.Limits
 	maxBody   int
+	dialect   *header.Dialect
+	keyless   bool
 	alarms    *alarm.Queue[any]
 	pauses    pause.Detector
 
@@ -100,6 +103,12 @@
 // peers: a daemon that has just started may hold an old release, in which its target is not withdrawn yet.
 func WithConfirmation() Option { return func(t *Task) { t.confirmed = false } }
 
+// WithDialect sets the header fields that the target uses.
+func WithDialect(d *header.Dialect) Option { return func(t *Task) { t.dialect = d } }
+
+// WithoutKeys takes non-idempotent calls without a key.
+func WithoutKeys() Option { return func(t *Task) { t.keyless = true } }
+
 // WithLedgerLimits bounds the ledger of keys.
 func WithLedgerLimits(l ledger.Limits) Option { return func(t *Task) { t.limits = l } }
 
@@ -120,6 +129,7 @@
 		onHealth:  func(ident.Target, call.Load) {},
 		limits:    ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
 		maxBody:   8 << 20,
+		dialect:   header.Own(),
 		alarms:    alarm.NewQueue[any](),
 		self:      ident.NewIncarnation(),
 		crashes:   crash.NewTable(),
--- a/internal/task/local/pool.go
+++ b/internal/task/local/pool.go
@@ -29,7 +29,7 @@
 }
 
 func (t *Task) newConn() *conn {
-	return newConn(&t.open, t.target.Address, t.inbox, t.maxBody)
+	return newConn(&t.open, t.target.Address, t.dialect, t.inbox, t.maxBody)
 }
 
 // keep puts a connection back, or closes it when it belongs to an earlier address, to a
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -28,6 +28,9 @@
 		event.TargetAdded.Log("target", target.Name, "address", target.Address)
 	}
 	t.target, t.present = target, true
+	if target.Draining {
+		t.flush(errs.Draining)
+	}
 	if moved {
 		t.closeIdle(t.clock.Now().Add(time.Nanosecond))
 		t.down, t.blamed, t.suspicion = false, false, nil
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -53,7 +53,7 @@
 		if !t.beginKeyed(r) {
 			return
 		}
-	} else if !m.Request.Idempotent {
+	} else if !m.Request.Idempotent && !t.keyless {
 		t.refuse(m, errs.KeyRequired, "a non-idempotent call needs a key between daemons")
 		return
 	}
@@ -118,7 +118,7 @@
 	switch {
 	case !t.present:
 		return errs.Withdrawn, true
-	case t.draining:
+	case t.draining, t.target.Draining:
 		return errs.Draining, true
 	case t.down:
 		return errs.TargetDown, true
@@ -151,7 +151,7 @@
 
 func (t *Task) send(r *run, c *conn) {
 	r.conn = c
-	c.jobs.TryPut(job{id: r.ID, request: r.Request, token: r.token})
+	c.jobs.TryPut(job{id: r.ID, target: r.Target, request: r.Request, token: r.token})
 }
 
 // complete takes the end of a call. What comes from a connection that no longer carries the call is dropped.
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -30,11 +30,12 @@
 	return []codec.Message{
 		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true},
 		codec.Call{Target: "target", Number: 9, Request: call.Request{
+			ID: "request", Route: "route", Origin: "origin", Aim: now.Add(-time.Second),
 			Service: "service", Method: "POST", URI: "/a?b", Header: fields, Body: []byte("body"),
 			Caller: netip.MustParseAddr("2001:db8::1"), Deadline: now.Add(time.Second), Rank: ident.Normal,
 			Depth: 2, Allowance: 1, Key: "key", Idempotent: true,
 		}},
-		codec.Reply{Number: 9, Result: call.Result{Load: load, RetriesUsed: 1, Outcome: call.Answered{Status: 201, Header: fields, Body: []byte("body"), Remembered: true}}},
+		codec.Reply{Number: 9, Result: call.Result{Load: load, RetriesUsed: 1, Sent: true, Outcome: call.Answered{Status: 201, Header: fields, Body: []byte("body"), Remembered: true}}},
 		codec.Reply{Result: call.Result{Load: load, Outcome: call.Refused{Kind: errs.Busy, RetryAfter: time.Second, Detail: "detail"}}},
 		codec.Reply{Result: call.Result{Load: load, Outcome: call.Unknown{Kind: errs.AnswerCut, Detail: "detail"}}},
 		codec.LoadRequest{Target: "target"},
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -62,12 +62,17 @@
 	}
 	// A caller address that cannot be read counts as unknown: it only selects a retry budget.
 	caller, _ := netip.AddrFromSlice(p.GetCaller())
-	return Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), Request: call.Request{
+	m := Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), Request: call.Request{
+		ID: p.GetRequestID(), Route: ident.Route(p.GetRoute()), Origin: ident.Service(p.GetOrigin()),
 		Service: ident.Service(p.GetService()), Method: p.GetMethod(), URI: p.GetURI(),
 		Header: decodeFields(p.GetHeader()), Body: p.GetBody(), Caller: caller,
 		Deadline: now.Add(time.Duration(p.GetRemainingNanoseconds())), Rank: rank,
 		Depth: int(p.GetDepth()), Allowance: int(p.GetAllowance()), Key: p.GetKey(), Idempotent: p.GetIdempotent(),
-	}}, nil
+	}}
+	if p.ToAimNanoseconds != nil {
+		m.Request.Aim = now.Add(time.Duration(p.GetToAimNanoseconds()))
+	}
+	return m, nil
 }
 
 func decodeReply(p *peerpb.CallReply) (Message, error) {
@@ -75,7 +80,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := call.Result{Load: l, RetriesUsed: int(p.GetRetriesUsed())}
+	r := call.Result{Load: l, RetriesUsed: int(p.GetRetriesUsed()), Sent: p.GetSent()}
 	switch o := p.Outcome.(type) {
 	case *peerpb.CallReply_Answered:
 		r.Outcome = call.Answered{
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
@@ -42,18 +44,23 @@
 
 func encodeCall(m Call, now time.Time) *peerpb.CallRequest {
 	r := m.Request
-	return &peerpb.CallRequest{
+	p := &peerpb.CallRequest{
+		RequestID: r.ID, Route: string(r.Route), Origin: string(r.Origin),
 		Service: string(r.Service), Target: string(m.Target), Method: r.Method, URI: r.URI,
 		Header: encodeFields(r.Header), Body: r.Body, Caller: r.Caller.AsSlice(),
 		RemainingNanoseconds: int64(r.Deadline.Sub(now)), Rank: string(r.Rank),
 		Depth: uint32(r.Depth), Allowance: uint32(r.Allowance), Key: r.Key, Idempotent: r.Idempotent,
 		Number: m.Number,
 	}
+	if !r.Aim.IsZero() {
+		p.ToAimNanoseconds = proto.Int64(int64(r.Aim.Sub(now)))
+	}
+	return p
 }
 
 func encodeReply(m Reply) *peerpb.CallReply {
 	r := m.Result
-	p := &peerpb.CallReply{Number: m.Number, Load: encodeLoad(r.Load), RetriesUsed: uint32(r.RetriesUsed)}
+	p := &peerpb.CallReply{Number: m.Number, Load: encodeLoad(r.Load), RetriesUsed: uint32(r.RetriesUsed), Sent: r.Sent}
 	switch o := r.Outcome.(type) {
 	case call.Answered:
 		p.Outcome = &peerpb.CallReply_Answered{Answered: &peerpb.Answered{
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -9,8 +9,9 @@
 )
 
 // Protocol is the version of the protocol between daemons. Since version 2 a stream carries one
-// call after another, and a reply carries the number of its call.
-const Protocol = 2
+// call after another, and a reply carries the number of its call. Since version 3 a call carries the ID
+// of its request and its aim.
+const Protocol = 3
 
 // A Message is one message between daemons.
 type Message interface{ message() }
--- a/internal/wire/header/header.go
+++ b/internal/wire/header/header.go
@@ -10,6 +10,7 @@
 
 // The header fields that callers and targets see.
 const (
+	RequestID = "Jacinth-Request-Id"
 	Service   = "Jacinth-Service"
 	Deadline  = "Jacinth-Deadline"
 	Rank      = "Jacinth-Rank"
@@ -30,9 +31,8 @@
 	"Proxy-Authenticate": true, "Proxy-Authorization": true,
 }
 
-// EndToEnd returns the fields that are passed on: without those of one
-// connection and without those that only the daemon may set.
-func EndToEnd(h http.Header) []call.Field {
+// endToEnd returns the fields that concern more than one connection, without those that are left out.
+func endToEnd(h http.Header, leftOut func(name string) bool) []call.Field {
 	named := map[string]bool{}
 	for _, v := range h.Values("Connection") {
 		for name := range strings.SplitSeq(v, ",") {
@@ -41,7 +41,7 @@
 	}
 	var fields []call.Field
 	for name, values := range h {
-		if perConnection[name] || named[name] || strings.HasPrefix(name, ownPrefix) {
+		if perConnection[name] || named[name] || leftOut(name) {
 			continue
 		}
 		for _, v := range values {
