--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -13,6 +13,11 @@
 	NoteAccepted               = Event{2004, "NoteAccepted", Info}
 	NoteConflict               = Event{2005, "NoteConflict", Error}
 	ListUnread                 = Event{2006, "VMListUnreadable", Warning}
+	StoreLost                  = Event{2007, "StoreLost", Warning}
+	StoreRegained              = Event{2008, "StoreRegained", Info}
+	HistoryGone                = Event{2009, "StoreHistoryGone", Warning}
+	EntryUnusable              = Event{2010, "EntryUnusable", Warning}
+	ConfigUnusable             = Event{2011, "ConfigUnusable", Warning}
 	LinkOpened                 = Event{3001, "LinkOpened", Info}
 	LinkFailed                 = Event{3002, "LinkFailed", Warning}
 	PeerRefused                = Event{3003, "PeerMessageRefused", Warning}
@@ -32,6 +37,7 @@
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
+		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed,
--- a/internal/bench/stage/member.go
+++ b/internal/bench/stage/member.go
@@ -24,6 +24,8 @@
 // A Member is a target with the daemon beside it.
 type Member struct {
 	setup.Seat
+	// Source is where the daemon reads the release.
+	Source conf.ReleaseNotes
 	// Settings names the addresses of the daemon. It has no limits: the settings file leaves them to their defaults.
 	Settings *conf.Settings
 	// Address is where the target listens.
@@ -46,9 +48,10 @@
 func newMember(seat setup.Seat, profile route.Profile, configURL string) (*Member, error) {
 	m := &Member{
 		Seat: seat, Direct: map[ident.DataCentre]netip.AddrPort{},
+		Source: conf.ReleaseNotes{Config: configURL},
 		Target: target.NewBox(), Daemon: proc.NewBox(), Links: delay.NewBox(),
 		Settings: &conf.Settings{
-			VM: seat.VM, DataCentre: seat.DataCentre, Config: configURL, Profile: profile,
+			VM: seat.VM, DataCentre: seat.DataCentre, Profile: profile,
 		},
 	}
 	for _, a := range []*netip.AddrPort{&m.Address, &m.Relay, &m.Settings.Callers, &m.Settings.Peers, &m.Settings.Admin} {
@@ -81,13 +84,13 @@
 		fmt.Fprintf(&b, "Profile = %q\n", string(s.Profile))
 	}
 	fmt.Fprintf(&b, "[Listen]\nCallers = %q\nPeers = %q\nAdmin = %q\n", s.Callers, s.Peers, s.Admin)
-	fmt.Fprintf(&b, "[Platform]\nConfig = %q\n", s.Config)
-	if s.VMList != "" {
-		fmt.Fprintf(&b, "VMList = %q\n", s.VMList)
+	fmt.Fprintf(&b, "[Platform]\nConfig = %q\n", m.Source.Config)
+	if m.Source.VMList != "" {
+		fmt.Fprintf(&b, "VMList = %q\n", m.Source.VMList)
 	}
-	if len(s.Seeds) > 0 {
-		seeds := make([]string, len(s.Seeds))
-		for i, a := range s.Seeds {
+	if len(m.Source.Seeds) > 0 {
+		seeds := make([]string, len(m.Source.Seeds))
+		for i, a := range m.Source.Seeds {
 			seeds[i] = fmt.Sprintf("%q", a)
 		}
 		fmt.Fprintf(&b, "Seeds = [%s]\n", strings.Join(seeds, ", "))
--- a/internal/bench/stage/stage.go
+++ b/internal/bench/stage/stage.go
@@ -171,14 +171,14 @@
 func (s *Stage) seed() {
 	n := len(s.Members)
 	for i, m := range s.Members {
-		m.Settings.VMList = m.Settings.Config
+		m.Source.VMList = m.Source.Config
 		for j := 1; j <= min(seeds, n-1); j++ {
 			peer := s.Members[(i+j)%n]
 			if s.config.NoRelays {
-				m.Settings.Seeds = append(m.Settings.Seeds, peer.Settings.Peers)
+				m.Source.Seeds = append(m.Source.Seeds, peer.Settings.Peers)
 			} else {
 				// A link past the relays would carry releases across a cut.
-				m.Settings.Seeds = append(m.Settings.Seeds, peer.Relay)
+				m.Source.Seeds = append(m.Source.Seeds, peer.Relay)
 			}
 		}
 	}
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -5,23 +5,40 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/daemon"
+	"jacinthcross/platform"
 )
 
 type serveCommand struct {
-	Config string `arg:"--config,required" help:"file with the settings" placeholder:"FILE"`
+	Config string `arg:"--config" help:"file with the settings; without it, the one that the platform names in the environment" placeholder:"FILE"`
 }
 
 func (c *serveCommand) Run(env args.Env) error {
+	if c.Config == "" {
+		c.Config = platform.SettingsFile()
+	}
+	if c.Config == "" {
+		return errors.NotValidf("command without --config")
+	}
 	settings, err := conf.Load(c.Config)
 	if err != nil {
 		return fileError(env, c.Config, err)
 	}
+	var options []daemon.Option
+	if _, ok := settings.Source.(conf.Store); ok {
+		p, err := platform.New(settings)
+		if err != nil {
+			return errors.Annotate(err, c.Config)
+		}
+		options = append(options, daemon.WithPlatform(p))
+	}
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	d, err := daemon.New(settings, Version)
+	d, err := daemon.New(settings, Version, options...)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -24,16 +24,38 @@
 	Callers    netip.AddrPort
 	Peers      netip.AddrPort
 	Admin      netip.AddrPort
-	Config     string
-	VMList     string
-	Seeds      []netip.AddrPort
-	MaxBody    int
-	MaxHeader  int
+	// Ready is where the platform asks whether the daemon is ready. It is not valid when the platform does not ask.
+	Ready netip.AddrPort
+	// Service is the service of the target on the VM, for sources that name the origin of each call.
+	Service   ident.Service
+	Source    Source
+	MaxBody   int
+	MaxHeader int
 	// MaxBodyMemory bounds the bytes of the bodies of all requests and responses in flight.
 	MaxBodyMemory int
 	KeyEpoch      time.Duration
 }
 
+// A Source is where the daemon learns what is in force: ReleaseNotes or a Store.
+type Source interface{ source() }
+
+// ReleaseNotes are notes in a configuration service, with a list of VMs beside it.
+type ReleaseNotes struct {
+	Config string
+	VMList string
+	Seeds  []netip.AddrPort
+}
+
+// A Store holds the config of the operators and an entry for each target.
+type Store struct {
+	Address string
+	// Bounds are what the platform demands of daemons, in the words of the platform.
+	Bounds []string
+}
+
+func (ReleaseNotes) source() {}
+func (Store) source()        {}
+
 // The limits and their defaults.
 const (
 	defaultMaxBody = 8 << 20
@@ -86,9 +108,9 @@
 		Callers:       listen.Address("Callers"),
 		Peers:         listen.Address("Peers"),
 		Admin:         listen.Address("Admin"),
-		Config:        address(platform, "Config", true),
-		VMList:        address(platform, "VMList", false),
-		Seeds:         seeds(platform),
+		Ready:         optional(listen, "Ready"),
+		Service:       ident.Service(name(t, "Service", false)),
+		Source:        source(platform),
 		MaxBody:       int(limits.Number("MaxBody", lowestMaxBody, highestMaxBody, defaultMaxBody)),
 		MaxHeader:     int(limits.Number("MaxHeader", lowestMaxHeader, highestMaxHeader, defaultMaxHeader)),
 		MaxBodyMemory: int(limits.Number("MaxBodyMemory", lowestMaxBody, highestBodyMemory, defaultBodyMemory)),
@@ -107,6 +129,34 @@
 	return s
 }
 
+// source reads where the daemon learns what is in force. The keys of both sources exclude each other.
+func source(t *form.Table) Source {
+	notes := ReleaseNotes{VMList: address(t, "VMList", false), Seeds: seeds(t)}
+	store := Store{Address: address(t, "Store", false), Bounds: t.Texts("Bounds")}
+	if !t.Has("Store") {
+		notes.Config = address(t, "Config", true)
+		if t.Has("Bounds") {
+			t.Mistake("Bounds", "needs Store")
+		}
+		return notes
+	}
+	for _, key := range []string{"Config", "VMList"} {
+		if t.Has(key) {
+			t.Mistake(key, "cannot be used with Store")
+		}
+	}
+	return store
+}
+
+// optional returns an address that may be missing.
+func optional(t *form.Table, key string) netip.AddrPort {
+	if !t.Has(key) {
+		t.Text(key)
+		return netip.AddrPort{}
+	}
+	return t.Address(key)
+}
+
 // checkListen refuses addresses that collide, and an address for peers at which they cannot be sure to reach this daemon.
 func checkListen(t *form.Table, s *Settings) {
 	if s.Peers.IsValid() && s.Peers.Addr().IsUnspecified() {
@@ -115,6 +165,9 @@
 	if s.Callers.IsValid() && s.Callers == s.Peers {
 		t.Mistake("Peers", "is the same address as Listen.Callers")
 	}
+	if s.Ready.IsValid() && (s.Ready == s.Callers || s.Ready == s.Peers || s.Ready == s.Admin) {
+		t.Mistake("Ready", "is the same address as another of Listen")
+	}
 	if s.Admin.IsValid() && (s.Admin == s.Callers || s.Admin == s.Peers) {
 		t.Mistake("Admin", "is the same address as another of Listen")
 	}
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -11,20 +11,49 @@
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/feed"
 	"jacinthcross/internal/task/front"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/wire/codec"
+	"jacinthcross/internal/wire/header"
 )
 
-// drainTimeout bounds how long the calls in flight may take at a planned stop.
-const drainTimeout = 20 * time.Second
+const (
+	// stopTime bounds how long the calls in flight may take at a planned stop, where the platform sets no bound.
+	stopTime = 20 * time.Second
+	// stopMargin is the part of the bound that is left to close connections and end the tasks.
+	stopMargin = 500 * time.Millisecond
+)
+
+// A Platform is what a daemon has to know of the platform on which it runs.
+type Platform struct {
+	// Dialect names the header fields of callers and targets.
+	Dialect *header.Dialect
+	// Source reads what the platform publishes, when the settings name a store.
+	Source feed.Source
+	// ReadyPath is where the platform asks whether the daemon is ready.
+	ReadyPath string
+	// Keyless says that callers have no keys: a non-idempotent call is sent once for each send of its caller.
+	Keyless bool
+	// Linger is how long a daemon that stops goes on taking calls, so that the platform sees that it is not ready.
+	Linger time.Duration
+	// StopTime bounds the time from the request to stop to the end of the process.
+	StopTime time.Duration
+}
+
+// An Option sets a property of a Daemon.
+type Option func(*Daemon)
+
+// WithPlatform sets the platform. Without it the daemon speaks the product's own interface.
+func WithPlatform(p Platform) Option { return func(d *Daemon) { d.platform = p } }
 
 // A Daemon is one running daemon.
 type Daemon struct {
 	*tree.Loop
+	platform Platform
 	settings *conf.Settings
 	boxes    *boxes
 	parts    supervisors
@@ -32,7 +61,7 @@
 }
 
 // New starts a daemon.
-func New(settings *conf.Settings, version string) (*Daemon, error) {
+func New(settings *conf.Settings, version string, options ...Option) (*Daemon, error) {
 	m, err := meter.New()
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -40,8 +69,14 @@
 	event.RouteLibraryLogs()
 	event.SetCounter(m.Event)
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &Daemon{Loop: tree.NewLoop(), settings: settings, boxes: newBoxes(), cancel: cancel}
-	d.parts = newTree(settings, version, d.boxes, m)
+	d := &Daemon{
+		Loop: tree.NewLoop(), platform: Platform{Dialect: header.Own(), StopTime: stopTime},
+		settings: settings, boxes: newBoxes(), cancel: cancel,
+	}
+	for _, o := range options {
+		o(d)
+	}
+	d.parts = newTree(settings, d.platform, version, d.boxes, m)
 	event.DaemonStarted.Log("vm", settings.VM, "dataCentre", settings.DataCentre, "callers", settings.Callers)
 	go func() {
 		d.Run(func() error {
@@ -61,7 +96,7 @@
 	event.DrainStarted.Log()
 	d.boxes.draining.Store(true)
 	d.announceDrain()
-	d.awaitCalls(time.After(drainTimeout))
+	d.awaitCalls(time.After(d.platform.StopTime - stopMargin))
 	for _, part := range []*tree.Supervisor{d.parts.edge, d.parts.data, d.parts.control} {
 		if d.ended() {
 			break
@@ -93,11 +128,20 @@
 	d.boxes.listen.Put(listen.Notify{Message: m}, d.Done())
 }
 
-// awaitCalls stops the taking of new calls and waits until none is left, or until timeout.
+// awaitCalls stops the taking of new calls and waits until none is left, or until timeout. Where callers
+// learn of the stop from the platform, the calls that they still send meanwhile are served.
 func (d *Daemon) awaitCalls(timeout <-chan time.Time) {
 	callers, target := make(chan struct{}), make(chan struct{})
-	d.boxes.front.Put(front.Drain{Empty: callers}, d.Done())
 	d.boxes.local.Put(local.Drain{Empty: target}, d.Done())
+	if d.platform.Linger > 0 {
+		d.boxes.front.Put(front.Drain{}, d.Done())
+		select {
+		case <-time.After(d.platform.Linger):
+		case <-d.Done():
+			return
+		}
+	}
+	d.boxes.front.Put(front.Drain{Empty: callers}, d.Done())
 	for _, empty := range []chan struct{}{callers, target} {
 		select {
 		case <-empty:
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -15,6 +15,7 @@
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/admin"
+	"jacinthcross/internal/task/feed"
 	"jacinthcross/internal/task/front"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
@@ -22,6 +23,7 @@
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
+	"jacinthcross/internal/task/pages"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/task/tick"
 	"jacinthcross/internal/task/watch"
@@ -45,6 +47,7 @@
 	member *mail.Box[member.Message]
 	listen *mail.Box[listen.Message]
 	front  *mail.Box[front.Message]
+	feed   *mail.Box[feed.Message]
 	// release is the last one that the tasks were told, from which restarted tasks begin.
 	// A restarted keeper may recover a lower one at first.
 	release atomic.Pointer[note.Release]
@@ -67,6 +70,7 @@
 		member: mail.NewBox[member.Message](controlMailbox),
 		listen: mail.NewBox[listen.Message](controlMailbox),
 		front:  mail.NewBox[front.Message](callMailbox),
+		feed:   mail.NewBox[feed.Message](controlMailbox),
 	}
 }
 
@@ -76,43 +80,39 @@
 }
 
 // newTree names the children of each supervisor.
-func newTree(s *conf.Settings, version string, b *boxes, m *meter.Meter) supervisors {
+func newTree(s *conf.Settings, p Platform, version string, b *boxes, m *meter.Meter) supervisors {
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
 	bodies := quota.New(s.MaxBodyMemory)
 	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of), listen.WithQuota(bodies))
-	control := tree.NewSupervisor("control", []tree.Child{
+	control := tree.NewSupervisor("control", append(sourceTasks(s, p, b, m), []tree.Child{
 		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
-		{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, b, m), nil }},
-		{Name: "watch", Start: func() (tree.Task, error) { return startWatch(s, b), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
 			b.tell(func(r *note.Release) { b.member.TryPut(member.ReleaseChanged{Release: r}) })
 			return member.New(b.member, b.peersChanged), nil
 		}},
-	}, limit, hook)
+	}...), limit, hook)
 	data := tree.NewSupervisor("data", []tree.Child{
-		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, b) }},
+		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, p, b) }},
 		{Name: "links", Start: func() (tree.Task, error) {
 			return links.New(b.links, links.WithLinkOptions(
 				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHello(hello), link.WithReports(b.linkReported),
 				link.WithServe(func(session *link.Session) { server.Session(session) }),
 			)), nil
 		}},
-		{Name: "router", Start: func() (tree.Task, error) { return startRouter(s, b, m), nil }},
+		{Name: "router", Start: func() (tree.Task, error) { return startRouter(s, p, b, m), nil }},
 	}, limit, hook)
 	edge := tree.NewSupervisor("edge", []tree.Child{
 		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server, b.listen) }},
-		{Name: "front", Start: func() (tree.Task, error) {
-			return front.New(s.Callers, b.front, b.router, front.WithMaxBody(s.MaxBody), front.WithQuota(bodies), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of))
-		}},
-		{Name: "admin", Start: func() (tree.Task, error) {
-			return admin.New(s.Admin, admin.Config{
-				VM: s.VM, DataCentre: s.DataCentre, Version: version, Keeper: b.keeper, Router: b.router, Local: b.local, Member: b.member,
-				Metrics: m.Handler(),
-			})
-		}},
+		{Name: "front", Start: func() (tree.Task, error) { return startFront(s, p, b, bodies) }},
+		{Name: "admin", Start: func() (tree.Task, error) { return startAdmin(s, version, b, m) }},
 	}, limit, hook)
+	if s.Ready.IsValid() {
+		edge.Add(tree.Child{Name: "ready", Start: func() (tree.Task, error) {
+			return pages.New("readiness", s.Ready, pages.Ready(p.ReadyPath, b.ready))
+		}})
+	}
 	root := tree.NewSupervisor("root", nil, limit, hook)
 	root.AddSupervisor(control)
 	root.AddSupervisor(data)
@@ -120,6 +120,12 @@
 	return supervisors{root: root, edge: edge, data: data, control: control}
 }
 
+// ready reports whether the daemon takes calls: it has a release and is not stopping.
+func (b *boxes) ready() bool {
+	r := b.release.Load()
+	return r != nil && len(r.Services) > 0 && !b.draining.Load()
+}
+
 // hello is what the daemon tells a peer of itself.
 func (b *boxes) hello(s *conf.Settings) codec.Hello {
 	h := codec.Hello{Protocol: codec.Protocol, VM: s.VM, DataCentre: s.DataCentre, Draining: b.draining.Load()}
@@ -129,15 +135,62 @@
 	return h
 }
 
-func startRouter(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
+// sourceTasks names the tasks that learn what is in force.
+func sourceTasks(s *conf.Settings, p Platform, b *boxes, m *meter.Meter) []tree.Child {
+	switch source := s.Source.(type) {
+	case conf.ReleaseNotes:
+		return []tree.Child{
+			{Name: "keeper", Start: func() (tree.Task, error) { return startKeeper(s, source, b, m), nil }},
+			{Name: "watch", Start: func() (tree.Task, error) { return startWatch(source, b), nil }},
+		}
+	case conf.Store:
+		return []tree.Child{
+			{Name: "feed", Start: func() (tree.Task, error) { return feed.New(b.feed, p.Source, b.announce), nil }},
+		}
+	}
+	return nil
+}
+
+func startFront(s *conf.Settings, p Platform, b *boxes, bodies *quota.Quota) (tree.Task, error) {
+	options := []front.Option{
+		front.WithMaxBody(s.MaxBody), front.WithQuota(bodies), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of),
+		front.WithDialect(p.Dialect),
+	}
+	if p.Linger > 0 {
+		options = append(options, front.WithLinger())
+	}
+	return front.New(s.Callers, b.front, b.router, options...)
+}
+
+func startAdmin(s *conf.Settings, version string, b *boxes, m *meter.Meter) (tree.Task, error) {
+	config := admin.Config{
+		VM: s.VM, DataCentre: s.DataCentre, Version: version, Router: b.router, Local: b.local, Member: b.member,
+		Metrics: m.Handler(),
+	}
+	switch s.Source.(type) {
+	case conf.ReleaseNotes:
+		config.Keeper = b.keeper
+	case conf.Store:
+		config.Feed = b.feed
+	}
+	return admin.New(s.Admin, config)
+}
+
+func startRouter(s *conf.Settings, p Platform, b *boxes, m *meter.Meter) tree.Task {
 	b.tell(func(r *note.Release) { b.router.TryPut(router.ReleaseChanged{Release: r}) })
-	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links},
-		router.WithMeter(m), router.WithProfile(s.Profile), router.WithRegion(s.Region), router.WithHeads(b.headSeen))
+	options := []router.Option{
+		router.WithMeter(m), router.WithProfile(s.Profile), router.WithRegion(s.Region), router.WithHeads(b.headSeen),
+		router.WithOrigin(s.Service),
+	}
+	if p.Keyless {
+		options = append(options, router.WithoutKeys())
+	}
+	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, options...)
 }
 
-func startKeeper(s *conf.Settings, b *boxes, m *meter.Meter) tree.Task {
+func startKeeper(s *conf.Settings, source conf.ReleaseNotes, b *boxes, m *meter.Meter) tree.Task {
 	return keeper.New(keeper.Config{
-		VM: s.VM, DataCentre: s.DataCentre, Daemon: s.Peers, Seeds: s.Seeds, Inbox: b.keeper, Links: b.links,
+		VM: s.VM, DataCentre: s.DataCentre, Daemon: s.Peers, Seeds: source.Seeds, Inbox: b.keeper, Links: b.links,
 		Announce:  b.announce,
 		Duty:      func(d keeper.Duty) { b.watch.TryPut(watch.SetDuty{Duty: d}) },
 		Listed:    func(vms []relay.ListedVM) { b.member.TryPut(member.Listed{VMs: vms}) },
@@ -146,31 +199,37 @@
 	})
 }
 
-func startWatch(s *conf.Settings, b *boxes) tree.Task {
+func startWatch(source conf.ReleaseNotes, b *boxes) tree.Task {
 	var options []watch.Option
-	if s.VMList != "" {
-		options = append(options, watch.WithList(watch.NewHTTPReader(s.VMList)))
+	if source.VMList != "" {
+		options = append(options, watch.WithList(watch.NewHTTPReader(source.VMList)))
 	}
-	return watch.New(b.watch, watch.NewHTTPReader(s.Config), b.keeper, options...)
+	return watch.New(b.watch, watch.NewHTTPReader(source.Config), b.keeper, options...)
 }
 
 // messageOverhead is the room for headers and fields beside the body in a message between daemons, in bytes.
 const messageOverhead = 1 << 20
 
-func startLocal(s *conf.Settings, b *boxes) (tree.Task, error) {
+func startLocal(s *conf.Settings, p Platform, b *boxes) (tree.Task, error) {
 	b.tell(func(r *note.Release) { b.local.TryPut(local.ReleaseChanged{Release: r}) })
 	if b.confirmed.Load() {
 		b.local.TryPut(local.Confirmed{})
 	}
-	return local.New(s.VM, b.local,
+	options := []local.Option{
+		local.WithDialect(p.Dialect),
 		local.WithMaxBody(s.MaxBody),
 		local.WithLedgerLimits(ledger.Limits{EpochLength: s.KeyEpoch, MaxEntries: ledgerEntries, MaxBytes: ledgerBytes}),
 		local.WithContexts(func(c local.Context) { b.router.TryPut(router.ContextChanged{Context: c}) }),
 		local.WithPause(b.paused),
-		local.WithConfirmation(),
 		local.WithTargetReports(b.targetChanged),
 		local.WithBlame(func(service ident.Service, entries []crash.Blame) { b.blame(s.VM, service, entries) }),
-	)
+	}
+	if p.Keyless {
+		options = append(options, local.WithoutKeys())
+	} else {
+		options = append(options, local.WithConfirmation())
+	}
+	return local.New(s.VM, b.local, options...)
 }
 
 // Bounds of the ledger: 100,000 entries of about 150 bytes, and 16 MiB of answers.
--- a/internal/super/tree/tree.go
+++ b/internal/super/tree/tree.go
@@ -61,6 +61,7 @@
 type Supervisor struct {
 	name   string
 	inner  *suture.Supervisor
+	limit  *Limit
 	tokens map[*Supervisor]suture.ServiceToken
 }
 
@@ -101,13 +102,16 @@
 	for _, o := range options {
 		o(&set)
 	}
-	s := &Supervisor{name: name, inner: suture.New(name, set.spec), tokens: map[*Supervisor]suture.ServiceToken{}}
+	s := &Supervisor{name: name, inner: suture.New(name, set.spec), limit: set.limit, tokens: map[*Supervisor]suture.ServiceToken{}}
 	for _, c := range children {
-		s.inner.Add(service{child: c, limit: set.limit})
+		s.Add(c)
 	}
 	return s
 }
 
+// Add adds a child.
+func (s *Supervisor) Add(c Child) { s.inner.Add(service{child: c, limit: s.limit}) }
+
 // AddSupervisor makes another Supervisor a child of this one.
 func (s *Supervisor) AddSupervisor(child *Supervisor) { s.tokens[child] = s.inner.Add(child.inner) }
 
--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -2,45 +2,42 @@
 package admin
 
 import (
-	"context"
 	"encoding/json"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
-	"github.com/lesismal/nbio/nbhttp"
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	fleet "jacinthcross/internal/fleet/member"
+	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
-	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/feed"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
+	"jacinthcross/internal/task/pages"
 	"jacinthcross/internal/task/router"
 )
 
-// A Task owns the socket for operators.
-type Task struct {
-	*tree.Loop
-	engine *nbhttp.Engine
-	config Config
-}
+// A handler answers with the state of the daemon.
+type handler struct{ config Config }
 
 // A Config names the daemon and the mailboxes of the tasks that know its state.
 type Config struct {
 	VM         ident.VM
 	DataCentre ident.DataCentre
 	Version    string
-	Keeper     *mail.Box[keeper.Message]
-	Router     *mail.Box[router.Message]
-	Local      *mail.Box[local.Message]
-	Member     *mail.Box[member.Message]
-	Metrics    http.Handler
+	// Keeper or Feed knows the release, depending on the source of the settings. The other is nil.
+	Keeper  *mail.Box[keeper.Message]
+	Feed    *mail.Box[feed.Message]
+	Router  *mail.Box[router.Message]
+	Local   *mail.Box[local.Message]
+	Member  *mail.Box[member.Message]
+	Metrics http.Handler
 }
 
 // A Status is the state of a daemon as JSON.
@@ -68,7 +65,9 @@
 
 // A ReleaseStatus tells which release is in force.
 type ReleaseStatus struct {
-	Serial   ident.Serial
+	Serial ident.Serial
+	// Version is the operators' number of the newest config, where a store holds it.
+	Version  uint64 `json:",omitempty"`
 	Digest   string
 	State    ReleaseState
 	Holders  int
@@ -85,6 +84,8 @@
 	Known       bool
 	AgeSeconds  float64
 	ListVersion uint64
+	// Failing is why the store cannot be read, or empty.
+	Failing string `json:",omitempty"`
 }
 
 // A PeersStatus counts the peers by state and names those that are not alive.
@@ -111,44 +112,20 @@
 }
 
 // New starts the task that listens for operators at an address.
-func New(at netip.AddrPort, config Config) (*Task, error) {
-	t := &Task{Loop: tree.NewLoop(), config: config}
+func New(at netip.AddrPort, config Config) (*pages.Task, error) {
+	t := &handler{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/status", t.status)
 	if config.Metrics != nil {
 		mux.Handle("/metrics", config.Metrics)
 	}
-	// The library waits forever for its poller when an address is taken, so the socket is opened before it starts.
-	listener, err := net.Listen("tcp", at.String())
-	if err != nil {
-		return nil, errors.Annotatef(err, "listen for operators at %s", at)
-	}
-	t.engine = nbhttp.NewEngine(nbhttp.Config{
-		Listen: func(string, string) (net.Listener, error) { return listener, nil },
-		Name:   "admin", Network: "tcp", Addrs: []string{at.String()}, NPoller: 1, Handler: mux,
-		// The non-blocking listener of the library writes a field of a connection after its poller may
-		// read it, which the race detector reports. Operators' connections are few, so each may have a goroutine.
-		IOMod: nbhttp.IOModBlocking,
-	})
-	if err := t.engine.Start(); err != nil {
-		listener.Close()
-		return nil, errors.Annotatef(err, "listen for operators at %s", at)
-	}
-	go func() {
-		t.Run(func() error {
-			<-t.Stopping()
-			ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
-			defer cancel()
-			return errors.Annotate(t.engine.Shutdown(ctx), "stop listening for operators")
-		})
-	}()
-	return t, nil
+	return pages.New("operators", at, mux)
 }
 
 // askTimeout bounds how long a task may take to tell its state.
 const askTimeout = time.Second
 
-func (t *Task) status(w http.ResponseWriter, _ *http.Request) {
+func (t *handler) status(w http.ResponseWriter, _ *http.Request) {
 	s, err := t.collect()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusServiceUnavailable)
@@ -160,10 +137,11 @@
 	}
 }
 
-func (t *Task) collect() (*Status, error) {
-	k, r, l := mail.NewBox[keeper.Status](1), mail.NewBox[router.Status](1), mail.NewBox[call.Load](1)
-	m := mail.NewBox[[]fleet.Change](1)
-	if !t.config.Keeper.TryPut(keeper.StatusAsk{Reply: k}) ||
+func (t *handler) collect() (*Status, error) {
+	k, f := mail.NewBox[keeper.Status](1), mail.NewBox[feed.Status](1)
+	r, l, m := mail.NewBox[router.Status](1), mail.NewBox[call.Load](1), mail.NewBox[[]fleet.Change](1)
+	if t.config.Keeper != nil && !t.config.Keeper.TryPut(keeper.StatusAsk{Reply: k}) ||
+		t.config.Feed != nil && !t.config.Feed.TryPut(feed.StatusAsk{Reply: f}) ||
 		!t.config.Router.TryPut(router.StatusAsk{Reply: r}) ||
 		!t.config.Local.TryPut(local.LoadAsk{Reply: l}) ||
 		!t.config.Member.TryPut(member.StatusAsk{Reply: m}) {
@@ -175,6 +153,8 @@
 		select {
 		case v := <-k.C():
 			s.setKeeper(v)
+		case v := <-f.C():
+			s.setFeed(v)
 		case v := <-r.C():
 			s.Calls = v.Calls
 		case v := <-l.C():
@@ -191,20 +171,33 @@
 
 func (s *Status) setKeeper(v keeper.Status) {
 	s.Unconfirmed = !v.Confirmed
-	s.Release = ReleaseStatus{
-		Serial: v.Head.Serial, Digest: v.Head.Digest.String(), State: Pending, Holders: v.Holders, Since: v.Since,
-		Targets: len(v.Release.Targets), Services: len(v.Release.Services), Lagging: v.Lagging, Refusals: v.Refusals,
-	}
-	switch {
-	case v.Head.IsZero():
-		s.Release.State = None
-	case v.Accepted:
-		s.Release.State = Accepted
+	s.setRelease(v.Release)
+	s.Release.Digest, s.Release.Holders, s.Release.Since = v.Head.Digest.String(), v.Holders, v.Since
+	s.Release.Lagging, s.Release.Refusals = v.Lagging, v.Refusals
+	if !v.Head.IsZero() && !v.Accepted {
+		s.Release.State = Pending
 	}
 	s.Service = ServiceStatus{
 		Duty: v.Duty, Known: v.ServiceKnown, AgeSeconds: v.ServiceAge.Seconds(), ListVersion: v.ListVersion,
 	}
-	if target, ok := v.Release.TargetOn(s.VM); ok {
+}
+
+func (s *Status) setFeed(v feed.Status) {
+	s.setRelease(v.Release)
+	s.Release.Version = v.Release.Version
+	s.Service = ServiceStatus{Known: !v.ReadAt.IsZero(), Failing: v.Failing}
+	if s.Service.Known {
+		s.Service.AgeSeconds = time.Since(v.ReadAt).Seconds()
+	}
+}
+
+// setRelease tells what is in force.
+func (s *Status) setRelease(r *note.Release) {
+	s.Release.Serial, s.Release.Targets, s.Release.Services = r.Head.Serial, len(r.Targets), len(r.Services)
+	if s.Release.State = Accepted; r.Head.IsZero() {
+		s.Release.State = None
+	}
+	if target, ok := r.TargetOn(s.VM); ok {
 		s.Target.Name = target.Name
 	}
 }
--- /dev/null
+++ b/internal/task/pages/pages.go
@@ -0,0 +1,64 @@
+// Package pages is the task that serves an HTTP handler at an address.
+package pages
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/lesismal/nbio/nbhttp"
+
+	"jacinthcross/internal/super/tree"
+)
+
+// stopTimeout bounds the wait for answers under way when the task stops.
+const stopTimeout = time.Second
+
+// A Task owns the listening socket and its connections.
+type Task struct {
+	*tree.Loop
+	engine *nbhttp.Engine
+}
+
+// New starts the task. The name is for logs and errors.
+func New(name string, at netip.AddrPort, handler http.Handler) (*Task, error) {
+	// The library waits forever for its poller when an address is taken, so the socket is opened before it starts.
+	listener, err := net.Listen("tcp", at.String())
+	if err != nil {
+		return nil, errors.Annotatef(err, "listen for %s at %s", name, at)
+	}
+	t := &Task{Loop: tree.NewLoop(), engine: nbhttp.NewEngine(nbhttp.Config{
+		Listen: func(string, string) (net.Listener, error) { return listener, nil },
+		Name:   name, Network: "tcp", Addrs: []string{at.String()}, NPoller: 1, Handler: handler,
+		// The non-blocking listener of the library writes a field of a connection after its poller may
+		// read it, which the race detector reports. The connections are few, so each may have a goroutine.
+		IOMod: nbhttp.IOModBlocking,
+	})}
+	if err := t.engine.Start(); err != nil {
+		listener.Close()
+		return nil, errors.Annotatef(err, "listen for %s at %s", name, at)
+	}
+	go func() {
+		t.Run(func() error {
+			<-t.Stopping()
+			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+			defer cancel()
+			return errors.Annotatef(t.engine.Shutdown(ctx), "stop listening for %s", name)
+		})
+	}()
+	return t, nil
+}
+
+// Ready returns a handler that answers 200 at a path while ready returns true, and 503 otherwise.
+func Ready(path string, ready func() bool) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		if !ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -54,7 +54,7 @@
 		return
 	}
 	target := t.release.Targets[name]
-	if p.Request.Idempotent {
+	if p.Request.Idempotent || t.keyless {
 		t.send(p, &attempt{target: target})
 		return
 	}
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"jacinthcross/internal/base/call"
@@ -25,6 +26,7 @@
 // A pending is a call that has no outcome yet.
 type pending struct {
 	Submit
+	route   note.Route
 	arrived time.Time
 	tried   []ident.Target
 	// attempts are under way: at most one and a hedge.
@@ -62,46 +64,37 @@
 func (t *Task) begin(m Submit) {
 	now := t.clock.Now()
 	p := &pending{Submit: m, arrived: now}
-	service, kind, detail := t.prepare(p, now)
-	if kind != "" {
+	if kind, detail := t.prepare(p, now); kind != "" {
 		t.reply(p, refusal(kind, detail))
 		return
 	}
-	p.Request.Service = service.Name
 	t.calls[p.ID] = p
 	t.alarms.Set(deadline{p.ID}, p.Request.Deadline)
 	t.retries.Called(p.Request.Caller)
-	table := t.table(service.Name)
+	table := t.table(p.Request.Service)
 	table.Called(now)
 	t.probe(table, now)
 	t.try(p)
 }
 
 // prepare fills in what the caller left open. It returns a kind when the call must be refused.
-func (t *Task) prepare(p *pending, now time.Time) (note.Service, errs.Kind, string) {
-	name := p.Request.Service
-	if name == "" {
-		name, _ = t.release.ServiceOfHost(p.Host)
-	}
-	service, ok := t.release.Services[name]
-	if !ok {
+func (t *Task) prepare(p *pending, now time.Time) (errs.Kind, string) {
+	r, kind, detail := t.routeOf(p)
+	if kind != "" {
 		p.Request.Service = ""
-		if t.release.Head.IsZero() {
-			return service, errs.Unconfirmed, "the daemon has no release yet"
-		}
-		return service, errs.UnknownService, "service " + string(name) + ", host " + p.Host
+		return kind, detail
 	}
-	if p.Request.Deadline.IsZero() {
-		from := now
-		if !p.Arrived.IsZero() {
-			from = p.Arrived
-		}
-		p.Request.Deadline = from.Add(service.Timeout)
+	p.route = r
+	p.Request.Route, p.Request.Service = r.Name, t.splits.Choose(r)
+	p.Request.Origin, p.Request.Idempotent = t.origin, r.Idempotent
+	from := now
+	if !p.Arrived.IsZero() {
+		from = p.Arrived
 	}
+	p.limit(from)
 	if p.Request.Rank == "" {
-		p.Request.Rank = service.Rank
+		p.Request.Rank = r.Rank
 	}
-	p.Request.Idempotent = service.Idempotent(p.Request.Method)
 	// A context that is not known any more has no allowance left to move.
 	if p.Context == "" {
 		p.allowance = entryAllowance
@@ -110,13 +103,48 @@
 	}
 	switch {
 	case p.Request.Depth >= maxDepth:
-		return service, errs.DepthExceeded, ""
+		return errs.DepthExceeded, ""
 	case !p.Request.Deadline.After(now):
-		return service, errs.DeadlineExceeded, ""
-	case !p.Request.Idempotent && p.Request.Key == "" && service.KeyRequired:
-		return service, errs.KeyRequired, ""
+		return errs.DeadlineExceeded, ""
+	case !p.Request.Idempotent && p.Request.Key == "" && t.release.Services[p.Request.Service].KeyRequired:
+		return errs.KeyRequired, ""
+	}
+	return "", ""
+}
+
+// limit sets the deadline and the aim of a call that arrived at a time. The timeout of a service is for calls
+// that bring no deadline, that of a route for all of its calls.
+func (p *pending) limit(from time.Time) {
+	timeout := from.Add(p.route.Timeout)
+	if p.Request.Deadline.IsZero() || p.route.Name != "" && p.route.Timeout > 0 && timeout.Before(p.Request.Deadline) {
+		p.Request.Deadline = timeout
+	}
+	if p.route.Aim > 0 {
+		p.Request.Aim = from.Add(p.route.Aim)
+	}
+}
+
+// routeOf returns the route of a call: of the service that the call names, of its host and path, or of the
+// service that lists its host.
+func (t *Task) routeOf(p *pending) (note.Route, errs.Kind, string) {
+	path, _, _ := strings.Cut(p.Request.URI, "?")
+	name := p.Request.Service
+	if name == "" {
+		if r, ok := t.release.RouteOf(p.Host, path); ok {
+			return r, "", ""
+		}
+		name, _ = t.release.ServiceOfHost(p.Host)
+	}
+	if s, ok := t.release.Services[name]; ok {
+		return s.Route(p.Request.Method), "", ""
+	}
+	switch {
+	case t.release.Head.IsZero():
+		return note.Route{}, errs.Unconfirmed, "the daemon has no release yet"
+	case p.Request.Service == "" && len(t.release.Routes) > 0:
+		return note.Route{}, errs.NoRoute, "host " + p.Host + ", path " + path
 	}
-	return service, "", ""
+	return note.Route{}, errs.UnknownService, "service " + string(name) + ", host " + p.Host
 }
 
 // inherit takes deadline, rank, depth and the retry allowance from the inbound call that the call serves.
--- a/internal/task/router/peer.go
+++ b/internal/task/router/peer.go
@@ -23,6 +23,7 @@
 // setRelease updates the candidates of the services in use. Tables of other services are made on first use.
 func (t *Task) setRelease(r *note.Release) {
 	t.release = r
+	t.splits.Keep(r.Routes)
 	now := t.clock.Now()
 	for name, table := range t.tables {
 		if _, ok := r.Services[name]; !ok {
@@ -60,6 +61,9 @@
 func (t *Task) candidates(service ident.Service) []route.Candidate {
 	var candidates []route.Candidate
 	for _, target := range t.release.TargetsOf(service) {
+		if target.Draining {
+			continue
+		}
 		candidates = append(candidates, route.Candidate{
 			Target: target.Name, VM: target.VM, DataCentre: target.DataCentre, Region: target.Region, Slots: target.Slots,
 		})
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -13,6 +13,7 @@
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
+	"jacinthcross/internal/policy/split"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/local"
@@ -39,6 +40,9 @@
 	latencies  map[ident.Service]*retry.Latency
 	budget     *route.Budget
 	retries    *retry.Policy
+	splits     *split.Splitter
+	origin     ident.Service
+	keyless    bool
 	calls      map[call.ID]*pending
 	attempts   map[call.ID]*attempt
 	contexts   map[string]*local.Context
@@ -72,6 +76,12 @@
 // WithRegion sets the region of the daemon, whose targets are preferred among those of other data centres.
 func WithRegion(r ident.Region) Option { return func(t *Task) { t.region = r } }
 
+// WithOrigin sets the service of the target on the own VM, from which the calls come.
+func WithOrigin(s ident.Service) Option { return func(t *Task) { t.origin = s } }
+
+// WithoutKeys sends non-idempotent calls without internal keys: an attempt with an unknown outcome is never joined again.
+func WithoutKeys() Option { return func(t *Task) { t.keyless = true } }
+
 // WithMaxCalls bounds the calls that have no outcome yet.
 func WithMaxCalls(n int) Option { return func(t *Task) { t.maxCalls = n } }
 
@@ -118,6 +128,7 @@
 		tables:     map[ident.Service]*route.Table{},
 		latencies:  map[ident.Service]*retry.Latency{},
 		retries:    retry.NewPolicy(),
+		splits:     split.New(),
 		calls:      map[call.ID]*pending{},
 		attempts:   map[call.ID]*attempt{},
 		contexts:   map[string]*local.Context{},
