--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -4,6 +4,7 @@
 import (
 	"crypto/sha256"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"jacinthcross/internal/base/errs"
@@ -31,7 +32,9 @@
 	Caller   netip.Addr
 	Deadline time.Time
 	// Aim is until when an answer has its full value for the caller. Zero means that none is stated.
-	Aim        time.Time
+	Aim time.Time
+	// HoldUntil bounds the time for which the call waits beside the target. Zero sets no bound.
+	HoldUntil  time.Time
 	Rank       ident.Rank
 	Depth      int
 	Allowance  int
@@ -79,6 +82,19 @@
 func (Refused) outcome()  {}
 func (Unknown) outcome()  {}
 
+// Label names an outcome in logs: the status of the target's answer, or the error kind.
+func Label(o Outcome) string {
+	switch o := o.(type) {
+	case Answered:
+		return strconv.Itoa(o.Status)
+	case Refused:
+		return string(o.Kind)
+	case Unknown:
+		return string(o.Kind)
+	}
+	return ""
+}
+
 // A Load is what the daemon beside a target tells of it.
 type Load struct {
 	InFlight    int
@@ -92,6 +108,17 @@
 	Draining    bool
 	// Down is true while the target refuses connections.
 	Down bool
+	// Slowness is how many times longer than usual work takes on the target's VM, or 0 when that is not known.
+	Slowness float32
+}
+
+// A TargetLoad is what a target tells of its own load.
+type TargetLoad struct {
+	Running int
+	Waiting int
+	Slots   int
+	// Slowness is how many times longer than usual work takes on the target's VM. Zero when the target does not tell.
+	Slowness float64
 }
 
 // A Result is the outcome of one attempt.
--- a/internal/base/errs/errs.go
+++ b/internal/base/errs/errs.go
@@ -32,6 +32,7 @@
 	TargetShed       Kind = "TargetShed"
 	TargetDown       Kind = "TargetDown"
 	TargetReplaced   Kind = "TargetReplaced"
+	TargetSlow       Kind = "TargetSlow"
 	NoTarget         Kind = "NoTarget"
 	PeerUnreachable  Kind = "PeerUnreachable"
 	Draining         Kind = "Draining"
--- a/internal/base/errs/table.go
+++ b/internal/base/errs/table.go
@@ -30,6 +30,7 @@
 	TargetShed:       {503, NotRun, soon, "send again later"},
 	TargetDown:       {503, NotRun, soon, "send again later"},
 	TargetReplaced:   {503, NotRun, soon, "send again; another target has taken the address"},
+	TargetSlow:       {503, NotRun, soon, "send again later"},
 	NoTarget:         {503, NotRun, later, "send again later; the service has no usable target"},
 	PeerUnreachable:  {503, NotRun, soon, "send again later"},
 	Draining:         {503, NotRun, soon, "send again through another daemon"},
--- a/internal/base/event/event.go
+++ b/internal/base/event/event.go
@@ -2,8 +2,8 @@
 package event
 
 import (
-	"fmt"
 	"sync/atomic"
+	"time"
 
 	"k8s.io/klog/v2"
 )
@@ -16,6 +16,8 @@
 	Info    Level = "Info"
 	Warning Level = "Warning"
 	Error   Level = "Error"
+	// Decision is the level of events on single calls. Under load only a part of them is written; all are counted.
+	Decision Level = "Decision"
 )
 
 // An Event is one numbered kind of log line.
@@ -34,16 +36,25 @@
 
 // Log writes the event with alternating keys and values.
 func (e Event) Log(pairs ...any) {
-	if count := counter.Load(); count != nil {
-		(*count)(e.Name)
-	}
-	message := fmt.Sprintf("J%04d %s", e.Number, e.Name)
+	e.count()
 	switch e.Level {
 	case Error:
-		klog.ErrorSDepth(1, nil, message, pairs...)
+		klog.ErrorSDepth(1, nil, e.message(), pairs...)
 	case Warning:
-		klog.InfoSDepth(1, message, append([]any{"level", "warning"}, pairs...)...)
+		klog.InfoSDepth(1, e.message(), append([]any{"level", "warning"}, pairs...)...)
+	case Decision:
+		if !decisions.take(time.Now()) {
+			skipped.Add(1)
+			return
+		}
+		klog.InfoSDepth(1, e.message(), pairs...)
 	case Info:
-		klog.InfoSDepth(1, message, pairs...)
+		klog.InfoSDepth(1, e.message(), pairs...)
+	}
+}
+
+func (e Event) count() {
+	if count := counter.Load(); count != nil {
+		(*count)(e.Name)
 	}
 }
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -1,12 +1,13 @@
 package event
 
 // The events. Numbers are never used again for another meaning:
-// 1xxx process, 2xxx releases, 3xxx peers, 4xxx calls and targets.
+// 1xxx process, 2xxx releases, 3xxx peers, 4xxx targets, 5xxx single calls.
 var (
 	DaemonStarted              = Event{1001, "DaemonStarted", Info}
 	DrainStarted               = Event{1002, "DrainStarted", Info}
 	DaemonStopped              = Event{1003, "DaemonStopped", Info}
 	TaskFailed                 = Event{1004, "TaskFailed", Error}
+	LinesDropped               = Event{1005, "LogLinesDropped", Warning}
 	ReleaseInForce             = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                = Event{2002, "NoteRefused", Error}
 	ServiceUnread              = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -30,16 +31,24 @@
 	TargetDown                 = Event{4004, "TargetDown", Warning}
 	TargetUp                   = Event{4005, "TargetUp", Info}
 	TargetCrashed              = Event{4006, "TargetCrashed", Warning}
+	CallSent                   = Event{5001, "CallSent", Decision}
+	CallRetried                = Event{5002, "CallRetried", Decision}
+	CallConcluded              = Event{5003, "CallConcluded", Decision}
+	CallBounced                = Event{5007, "CallBounced", Decision}
+	CallQueued                 = Event{5004, "CallQueued", Decision}
+	CallDispatched             = Event{5005, "CallDispatched", Decision}
+	CallEnded                  = Event{5006, "CallEnded", Decision}
 )
 
 // All lists every event.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed,
+		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed,
+		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced,
 	}
 }
--- a/internal/base/event/list_test.go
+++ b/internal/base/event/list_test.go
@@ -136,18 +136,25 @@
 	if !ok || log.Sel.Name != "Log" {
 		return
 	}
-	variable, ok := log.X.(*ast.SelectorExpr)
-	if !ok {
-		return
-	}
-	if x, ok := variable.X.(*ast.Ident); !ok || x.Name != "event" {
-		return
-	}
-	names := fields[variable.Sel.Name]
+	name := variableOf(log.X)
+	names := fields[name]
 	for i := 0; i < len(c.Args); i += 2 {
 		if literal, ok := c.Args[i].(*ast.BasicLit); ok && !slices.Contains(names, strings.Trim(literal.Value, `"`)) {
 			names = append(names, strings.Trim(literal.Value, `"`))
 		}
 	}
-	fields[variable.Sel.Name] = names
+	fields[name] = names
+}
+
+// variableOf returns the name of an event in an expression event.Name, or Name within the package.
+func variableOf(e ast.Expr) string {
+	switch e := e.(type) {
+	case *ast.SelectorExpr:
+		if x, ok := e.X.(*ast.Ident); ok && x.Name == "event" {
+			return e.Sel.Name
+		}
+	case *ast.Ident:
+		return e.Name
+	}
+	return ""
 }
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/juju/errors"
 
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/daemon"
@@ -36,6 +37,7 @@
 		}
 		options = append(options, daemon.WithPlatform(p))
 	}
+	defer event.WriteTo(env.Out)()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	d, err := daemon.New(settings, Version, options...)
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -19,7 +19,7 @@
 	KeyRequired       bool
 	IdempotentMethods []string
 	Timeout           time.Duration
-	// HealthPath is where the targets answer health checks, or empty when they have no such path.
+	// HealthPath is that of the targets, or empty when they have no such path.
 	HealthPath string
 	// MaxConnections is how many connections a target accepts, or 0 when that is not known.
 	MaxConnections int
@@ -40,6 +40,8 @@
 	Daemon     netip.AddrPort
 	Address    netip.AddrPort
 	Slots      int
+	// HealthPath is where the target tells its health and load, or empty when it has no such path.
+	HealthPath string
 	// Draining says that the target gets no new calls.
 	Draining bool
 	// WarmAt is when a target that has started works at its full speed, or zero when it does.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -207,7 +207,9 @@
 		}
 	}
 	for _, e := range at {
-		release.Targets[e.Target.Name] = e.Target
+		t := e.Target
+		t.HealthPath = release.Services[t.Service].HealthPath
+		release.Targets[t.Name] = t
 	}
 	return release
 }
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -7,15 +7,8 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
-	"jacinthcross/internal/base/ident"
 )
 
-type waiting struct {
-	Arrival
-	since time.Time
-	until time.Time
-}
-
 const (
 	// queuePerSlot bounds the length of the queue. Time bounds it first in normal service.
 	queuePerSlot = 8
@@ -24,101 +17,136 @@
 	overloadAfter = 100 * time.Millisecond
 	// delaySmoothing weighs a dispatched call in the reported queue delay.
 	delaySmoothing = 0.1
-	ranks          = 3
 )
 
-// maxWait returns how long a call of the rank may wait in the queue.
-func maxWait(r ident.Rank) time.Duration {
-	switch r {
-	case ident.Urgent:
-		return 50 * time.Millisecond
-	case ident.Normal:
-		return 100 * time.Millisecond
-	case ident.Deferred:
-		return 200 * time.Millisecond
-	}
-	return 100 * time.Millisecond
-}
-
 // A Gate is the admission to one target.
 type Gate struct {
 	limiter   limiter
+	costs     costs
+	sensor    sensor
 	inFlight  int
-	queues    [ranks][]waiting // oldest first
-	queued    int
+	queue     []*waiting // in the order of arrival
 	yielded   []Step
 	busySince time.Time // when the queue was last empty, while it is not
 	delay     time.Duration
 }
 
+// An Option sets a property of a Gate.
+type Option func(*Gate)
+
+// WithFixedSlots makes the gate trust the number of slots, up to the point above which the target was found to
+// slow down. Without it, the limit follows the latency of the target, whose slots may be stated too high.
+func WithFixedSlots() Option {
+	return func(g *Gate) { g.limiter = newKnee(g.limiter.max()) }
+}
+
 // NewGate returns a Gate to a target with the number of slots.
-func NewGate(slots int) *Gate { return &Gate{limiter: newLimiter(slots)} }
+func NewGate(slots int, options ...Option) *Gate {
+	g := &Gate{limiter: newGradient(slots), costs: costs{}, sensor: newSensor()}
+	for _, o := range options {
+		o(g)
+	}
+	return g
+}
 
 // SetSlots changes the number of slots.
 func (g *Gate) SetSlots(slots int) { g.limiter.setSlots(slots) }
 
-// Arrive decides on a call.
+// Arrive decides on a call. Steps must follow a Wait.
 func (g *Gate) Arrive(a Arrival, now time.Time) Decision {
-	if g.tooLate(a, now) {
+	w := g.newWaiting(a, now)
+	if g.tooLate(w, now) {
 		return Refuse{Kind: errs.DeadlineExceeded}
 	}
-	if g.inFlight < g.Limit() && g.queued == 0 {
-		g.start(0)
-		return Start{}
+	if g.inFlight < g.Limit() {
+		switch when := g.starts(w, now); {
+		case when == startNow && len(g.queue) == 0:
+			g.start(0)
+			return Start{}
+		case when == startMeasured && w.until.Before(now.Add(measureTimeout)):
+			w.until = now.Add(measureTimeout)
+		case when == startLater && !w.until.After(now):
+			return g.refuse(errs.TargetSlow)
+		}
+	}
+	if !w.until.After(now) {
+		return g.refuse(errs.Overloaded)
 	}
-	if g.queued >= queuePerSlot*int(g.limiter.slots) && !g.makeRoom(a.Rank, now) {
-		return Refuse{Kind: errs.Overloaded, RetryAfter: g.retryAfter(errs.Overloaded)}
+	if w.cost > 0 && now.Add(g.ahead(w, now)).After(w.until) {
+		return g.refuse(errs.Overloaded)
 	}
-	until := now.Add(maxWait(a.Rank))
-	if a.Deadline.Before(until) {
-		until = a.Deadline
+	if len(g.queue) >= queuePerSlot*g.limiter.max() && !g.makeRoom(w, now) {
+		return g.refuse(errs.Overloaded)
 	}
-	if g.queued == 0 {
+	if len(g.queue) == 0 {
 		g.busySince = now
 	}
-	g.queued++
-	o := a.Rank.Order()
-	g.queues[o] = append(g.queues[o], waiting{a, now, until})
+	g.queue = append(g.queue, w)
 	return Wait{}
 }
 
+func (g *Gate) refuse(kind errs.Kind) Decision {
+	return Refuse{Kind: kind, RetryAfter: g.retryAfter(kind, len(g.queue))}
+}
+
 // tooLate reports whether the call cannot end before its deadline. A call to an idle target is
 // tried in any case, since otherwise one slow spell could refuse calls with short deadlines forever.
-func (g *Gate) tooLate(a Arrival, now time.Time) bool {
-	if !a.Deadline.After(now) {
+func (g *Gate) tooLate(w *waiting, now time.Time) bool {
+	if !w.Deadline.After(now) {
 		return true
 	}
-	return g.inFlight > 0 && now.Add(g.Latency()).After(a.Deadline)
+	return g.inFlight > 0 && now.Add(g.expected(w)).After(w.Deadline)
 }
 
-// makeRoom drops one queued call for a call of the rank: of the lowest rank below it or, under
-// overload, the oldest of its own rank, which last in, first out would serve last.
-func (g *Gate) makeRoom(r ident.Rank, now time.Time) bool {
-	own := r.Order()
-	for o := ranks - 1; o >= own; o-- {
-		n := len(g.queues[o])
-		if n == 0 || o == own && !g.overloaded(now) {
-			continue
+// expected returns how long a call is expected to run at the usual speed of the target.
+func (g *Gate) expected(w *waiting) time.Duration {
+	if w.cost > 0 {
+		return w.cost
+	}
+	return g.Latency()
+}
+
+// ahead estimates how long a call would wait: until the calls that are served before it have run.
+func (g *Gate) ahead(w *waiting, now time.Time) time.Duration {
+	if g.inFlight < g.Limit() {
+		return 0
+	}
+	work := g.Latency()
+	overloaded := g.overloaded(now)
+	for _, other := range g.queue {
+		if before(other, w, overloaded, now) {
+			work += g.expected(other)
 		}
-		victim := n - 1
-		if g.overloaded(now) {
-			victim = 0
+	}
+	return work / time.Duration(g.Limit())
+}
+
+// makeRoom drops the queued call that would be served last, if the new one would be served before it.
+func (g *Gate) makeRoom(w *waiting, now time.Time) bool {
+	overloaded := g.overloaded(now)
+	last := 0
+	for i := range g.queue {
+		if !before(g.queue[i], g.queue[last], overloaded, now) {
+			last = i
 		}
-		g.drop(g.queues[o][victim], errs.Overloaded)
-		g.queues[o] = slices.Delete(g.queues[o], victim, victim+1)
-		return true
 	}
-	return false
+	if !before(w, g.queue[last], overloaded, now) {
+		return false
+	}
+	victim := g.remove(last)
+	g.yielded = append(g.yielded, Drop{victim.Call, errs.Overloaded, g.retryAfter(errs.Overloaded, len(g.queue))})
+	return true
 }
 
-func (g *Gate) drop(w waiting, kind errs.Kind) {
-	g.queued--
-	g.yielded = append(g.yielded, Drop{w.Call, kind, g.retryAfter(kind)})
+func (g *Gate) remove(i int) *waiting {
+	w := g.queue[i]
+	g.queue = slices.Delete(g.queue, i, i+1)
+	return w
 }
 
 // overloaded reports whether calls have been waiting without a break for a while.
 func (g *Gate) overloaded(now time.Time) bool {
-	return g.queued > 0 && now.Sub(g.busySince) > overloadAfter
+	return len(g.queue) > 0 && now.Sub(g.busySince) > overloadAfter
 }
 
 func (g *Gate) start(waited time.Duration) {
@@ -127,10 +155,15 @@
 }
 
 // Done notes that a dispatched call has ended.
-func (g *Gate) Done(end End, took time.Duration, now time.Time) {
+func (g *Gate) Done(end End, ran Run, now time.Time) {
 	switch end {
 	case Completed:
-		g.limiter.sample(took, g.inFlight)
+		work := ran.Took
+		if ran.Slowness > 1 {
+			work = time.Duration(float64(work) / ran.Slowness)
+		}
+		stretch := g.costs.add(ran.Kind, work)
+		g.limiter.sample(work, stretch, max(ran.InFlight, g.inFlight))
 	case Shed:
 		g.limiter.shed(now)
 	case Failed:
@@ -140,46 +173,38 @@
 
 // Forget removes a queued call whose caller gave up, and reports whether it was queued.
 func (g *Gate) Forget(id call.ID) bool {
-	for o := range g.queues {
-		if i := slices.IndexFunc(g.queues[o], func(w waiting) bool { return w.Call == id }); i >= 0 {
-			g.queues[o] = slices.Delete(g.queues[o], i, i+1)
-			g.queued--
-			return true
-		}
+	i := slices.IndexFunc(g.queue, func(w *waiting) bool { return w.Call == id })
+	if i >= 0 {
+		g.remove(i)
 	}
-	return false
+	return i >= 0
 }
 
 // Flush removes all queued calls and returns them as dropped.
 func (g *Gate) Flush(kind errs.Kind) []Step {
-	for o := range g.queues {
-		for _, w := range g.queues[o] {
-			g.drop(w, kind)
-		}
-		g.queues[o] = nil
-	}
+	g.dropAll(func(*waiting) errs.Kind { return kind })
 	return g.takeYielded()
 }
 
-// Steps decides on queued calls: those that may run and those that waited too long.
+// Steps decides on queued calls: those that may run and those that waited too long. It asks for a
+// measurement when a call could run and the speed of the target is not known.
 func (g *Gate) Steps(now time.Time) []Step {
-	for o := range g.queues {
-		g.queues[o] = slices.DeleteFunc(g.queues[o], func(w waiting) bool {
-			expired := !w.until.After(now)
-			if expired {
-				kind := errs.QueueTimeout
-				if !w.Deadline.After(now) {
-					kind = errs.DeadlineExceeded
-				}
-				g.drop(w, kind)
-			}
-			return expired
-		})
-	}
+	g.expire(now)
 	steps := g.takeYielded()
-	for g.inFlight < g.Limit() && g.queued > 0 {
-		w := g.take(now)
-		if g.tooLate(w.Arrival, now) {
+	for g.inFlight < g.Limit() && len(g.queue) > 0 {
+		i, when := g.next(now)
+		switch when {
+		case startLater:
+			return g.dropUnheld(steps, now)
+		case startMeasured:
+			if g.sensor.ask(now) {
+				steps = append(steps, Measure{})
+			}
+			return steps
+		case startNow:
+		}
+		w := g.remove(i)
+		if g.tooLate(w, now) {
 			steps = append(steps, Drop{w.Call, errs.DeadlineExceeded, 0})
 			continue
 		}
@@ -189,52 +214,101 @@
 	return steps
 }
 
+// expire drops the calls that have waited for as long as they may.
+func (g *Gate) expire(now time.Time) {
+	g.dropAll(func(w *waiting) errs.Kind {
+		switch {
+		case w.until.After(now):
+			return ""
+		case !w.Deadline.After(now):
+			return errs.DeadlineExceeded
+		case !w.held():
+			return errs.QueueTimeout
+		case g.inFlight < g.Limit():
+			return errs.TargetSlow
+		}
+		return errs.Overloaded
+	})
+}
+
+// dropUnheld drops the calls that may not be held until the target is fast again.
+func (g *Gate) dropUnheld(steps []Step, now time.Time) []Step {
+	g.dropAll(func(w *waiting) errs.Kind {
+		if !w.held() || w.HoldUntil.After(now) {
+			return ""
+		}
+		return errs.TargetSlow
+	})
+	return append(steps, g.takeYielded()...)
+}
+
+// dropAll drops the queued calls for which why returns a kind.
+func (g *Gate) dropAll(why func(w *waiting) errs.Kind) {
+	queue := g.queue
+	g.queue = nil
+	for i, w := range queue {
+		kind := why(w)
+		if kind == "" {
+			g.queue = append(g.queue, w)
+			continue
+		}
+		g.yielded = append(g.yielded, Drop{w.Call, kind, g.retryAfter(kind, len(g.queue)+len(queue)-i-1)})
+	}
+}
+
 func (g *Gate) takeYielded() []Step {
 	steps := g.yielded
 	g.yielded = nil
 	return steps
 }
 
-// take removes the call that is served next: the most urgent rank, the oldest call or, under overload, the newest.
-func (g *Gate) take(now time.Time) waiting {
-	o := slices.IndexFunc(g.queues[:], func(q []waiting) bool { return len(q) > 0 })
-	i := 0
-	if g.overloaded(now) {
-		i = len(g.queues[o]) - 1
+// next returns the queued call that is served next and when it starts. Calls that wait for the end of a slow
+// spell are passed over when another can start.
+func (g *Gate) next(now time.Time) (int, startTime) {
+	overloaded := g.overloaded(now)
+	best, when := 0, startLater
+	for i, w := range g.queue {
+		at := g.starts(w, now)
+		if (at == startLater) != (when == startLater) && at == startLater {
+			continue
+		}
+		if (at == startLater) != (when == startLater) || before(w, g.queue[best], overloaded, now) {
+			best, when = i, at
+		}
 	}
-	w := g.queues[o][i]
-	g.queues[o] = slices.Delete(g.queues[o], i, i+1)
-	g.queued--
-	return w
+	return best, when
 }
 
 // Next returns when Steps must be called next, if a call waits.
-func (g *Gate) Next() (time.Time, bool) {
+func (g *Gate) Next(now time.Time) (time.Time, bool) {
 	var next time.Time
-	for _, q := range g.queues {
-		for _, w := range q {
-			if next.IsZero() || w.until.Before(next) {
-				next = w.until
-			}
+	for _, w := range g.queue {
+		if next.IsZero() || w.until.Before(next) {
+			next = w.until
+		}
+	}
+	if len(g.queue) > 0 && g.inFlight < g.Limit() {
+		if at := g.sensor.next(now); at.Before(next) {
+			next = at
 		}
 	}
 	return next, !next.IsZero()
 }
 
 // retryAfter returns the table's delay for the kind plus the time that the queue takes to empty.
-func (g *Gate) retryAfter(kind errs.Kind) time.Duration {
+func (g *Gate) retryAfter(kind errs.Kind, queued int) time.Duration {
 	after := errs.AnswerTo(kind).RetryAfter
 	if after == 0 {
 		return 0
 	}
-	return after + g.Latency()*time.Duration(g.queued)/time.Duration(g.Limit())
+	return after + g.Latency()*time.Duration(queued)/time.Duration(g.Limit())
 }
 
 // InFlight returns the number of dispatched calls.
 func (g *Gate) InFlight() int { return g.inFlight }
 
 // Queued returns the number of waiting calls.
-func (g *Gate) Queued() int { return g.queued }
+func (g *Gate) Queued() int { return len(g.queue) }
 
 // Limit returns how many calls may be in flight.
 func (g *Gate) Limit() int { return g.limiter.current() }
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -20,7 +20,7 @@
 		return g.Arrive(Arrival{Call: id, Rank: r, Deadline: at(deadline)}, at(now))
 	}
 	busy := func(g *Gate) { // one slot in use by a call that takes 10 ms
-		g.limiter.sample(10*ms, 0)
+		g.limiter.sample(10*ms, 1, 0)
 		arrive(g, 100, ident.Normal, time.Second, 0)
 	}
 	tests := []struct {
@@ -34,9 +34,9 @@
 				arrive(g, 1, ident.Deferred, time.Second, 0)
 				arrive(g, 2, ident.Urgent, time.Second, 0)
 				arrive(g, 3, ident.Urgent, time.Second, 0)
-				g.Done(Completed, 10*ms, at(10*ms))
+				g.Done(Completed, Run{Took: 10 * ms}, at(10*ms))
 				steps := g.Steps(at(10 * ms))
-				g.Done(Completed, 10*ms, at(20*ms))
+				g.Done(Completed, Run{Took: 10 * ms}, at(20*ms))
 				return append(steps, g.Steps(at(20*ms))...)
 			},
 			want: []Step{Dispatch{2}, Dispatch{3}},
@@ -47,7 +47,7 @@
 				arrive(g, 1, ident.Deferred, time.Second, 0)
 				arrive(g, 2, ident.Urgent, time.Second, 110*ms)
 				arrive(g, 3, ident.Urgent, time.Second, 111*ms)
-				g.Done(Completed, 10*ms, at(120*ms))
+				g.Done(Completed, Run{Took: 10 * ms}, at(120*ms))
 				return g.Steps(at(120 * ms))
 			},
 			want: []Step{Dispatch{3}},
@@ -65,7 +65,7 @@
 			name: "a call that expired during a pause is dropped and not run",
 			run: func(g *Gate) []Step {
 				arrive(g, 1, ident.Urgent, 20*ms, 0)
-				g.Done(Completed, 10*ms, at(2*time.Second))
+				g.Done(Completed, Run{Took: 10 * ms}, at(2*time.Second))
 				return g.Steps(at(2 * time.Second))
 			},
 			want: []Step{Drop{1, errs.DeadlineExceeded, 0}},
@@ -74,10 +74,10 @@
 			name: "a queued call that can no longer end in time is dropped when its turn comes",
 			run: func(g *Gate) []Step {
 				g.SetSlots(2)
-				g.limiter.limit = 2
+				g.limiter.(*gradient).limit = 2
 				arrive(g, 101, ident.Normal, time.Second, 0)
 				arrive(g, 1, ident.Urgent, 30*ms, 0)
-				g.Done(Completed, 10*ms, at(25*ms))
+				g.Done(Completed, Run{Took: 10 * ms}, at(25*ms))
 				return g.Steps(at(25 * ms))
 			},
 			want: []Step{Drop{1, errs.DeadlineExceeded, 0}},
@@ -124,7 +124,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewGate(1)
-			g.limiter.sample(test.latency, 0)
+			g.limiter.sample(test.latency, 1, 0)
 			g.Arrive(Arrival{Call: 100, Rank: ident.Urgent, Deadline: start.Add(time.Second)}, start)
 			for i := range test.queued {
 				g.Arrive(Arrival{Call: call.ID(i), Rank: ident.Urgent, Deadline: start.Add(time.Second)}, start)
@@ -139,7 +139,7 @@
 func TestIdleTargetIsTried(t *testing.T) {
 	start := time.Unix(1000, 0)
 	g := NewGate(1)
-	g.limiter.sample(time.Second, 0)
+	g.limiter.sample(time.Second, 1, 0)
 	qt.Assert(t, g.Arrive(Arrival{Call: 1, Deadline: start.Add(time.Millisecond)}, start), qt.Equals, Start{})
 }
 
@@ -147,26 +147,26 @@
 func TestLimit(t *testing.T) {
 	tests := []struct {
 		name     string
-		load     func(l *limiter)
+		load     func(l *gradient)
 		min, max int
 	}{
-		{"steady latency keeps all slots", func(l *limiter) { feed(l, 500, 5*time.Millisecond) }, 10, 10},
-		{"a rise of the latency lowers the limit", func(l *limiter) {
+		{"steady latency keeps all slots", func(l *gradient) { feed(l, 500, 5*time.Millisecond) }, 10, 10},
+		{"a rise of the latency lowers the limit", func(l *gradient) {
 			feed(l, 500, 5*time.Millisecond)
 			feed(l, 30, 50*time.Millisecond)
 		}, 1, 5},
-		{"the limit recovers with the latency", func(l *limiter) {
+		{"the limit recovers with the latency", func(l *gradient) {
 			feed(l, 500, 5*time.Millisecond)
 			feed(l, 30, 50*time.Millisecond)
 			feed(l, 300, 5*time.Millisecond)
 		}, 10, 10},
-		{"a burst of shed calls counts once", func(l *limiter) {
+		{"a burst of shed calls counts once", func(l *gradient) {
 			feed(l, 500, 5*time.Millisecond)
 			for range 10 {
 				l.shed(time.Unix(1000, 0))
 			}
 		}, 8, 8},
-		{"continued shedding lowers the limit to one and no further", func(l *limiter) {
+		{"continued shedding lowers the limit to one and no further", func(l *gradient) {
 			feed(l, 500, 5*time.Millisecond)
 			for i := range 100 {
 				l.shed(time.Unix(1000+int64(i), 0))
@@ -175,16 +175,16 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			l := newLimiter(10)
-			test.load(&l)
+			l := newGradient(10)
+			test.load(l)
 			got := l.current()
 			qt.Assert(t, got >= test.min && got <= test.max, qt.IsTrue, qt.Commentf("limit %d, want %d to %d", got, test.min, test.max))
 		})
 	}
 }
 
-func feed(l *limiter, n int, took time.Duration) {
+func feed(l *gradient, n int, took time.Duration) {
 	for range n {
-		l.sample(took, l.current())
+		l.sample(took, 1, l.current())
 	}
 }
--- a/internal/policy/admit/decide.go
+++ b/internal/policy/admit/decide.go
@@ -27,7 +27,7 @@
 func (Wait) decision()   {}
 func (Refuse) decision() {}
 
-// A Step is what became of a queued call: Dispatch or Drop.
+// A Step is what became of a queued call, Dispatch or Drop, or asks for something: Measure.
 type Step interface{ step() }
 
 // A Dispatch says that a queued call may be dispatched now; Done must follow.
@@ -40,14 +40,35 @@
 	RetryAfter time.Duration
 }
 
+// A Measure asks for the slowness of the target, which Sense takes.
+type Measure struct{}
+
 func (Dispatch) step() {}
 func (Drop) step()     {}
+func (Measure) step()  {}
 
 // An Arrival is a call that asks to be run.
 type Arrival struct {
 	Call     call.ID
 	Rank     ident.Rank
 	Deadline time.Time
+	// Kind is the kind of calls that take about as long as this one. It is empty when there is none.
+	Kind ident.Route
+	// Aim is until when an answer has its full value. Zero means that none is stated.
+	Aim time.Time
+	// HoldUntil bounds the time for which a call waits for a slot or for the end of a slow spell, since another
+	// target may serve it earlier. Zero sets no bound.
+	HoldUntil time.Time
+}
+
+// A Run is what a call that has ended tells of the target.
+type Run struct {
+	Kind ident.Route
+	Took time.Duration
+	// Slowness is that of the target when the call was dispatched, or 0 when it is not known.
+	Slowness float64
+	// InFlight is the number of calls in flight when the call was dispatched, itself included.
+	InFlight int
 }
 
 // An End is how a dispatched call ended.
--- a/internal/policy/admit/limit.go
+++ b/internal/policy/admit/limit.go
@@ -20,8 +20,23 @@
 	latencyFloor = 0.5
 )
 
-// A limiter moves the number of calls that may be in flight between 1 and the number of slots.
-type limiter struct {
+// A limiter decides how many calls may be in flight: a gradient or a knee.
+type limiter interface {
+	setSlots(slots int)
+	// sample takes a run: its work, its stretch against others of its kind, and the most calls that were in flight with it.
+	sample(work time.Duration, stretch float64, inFlight int)
+	// shed takes the refusal of a call by the target.
+	shed(now time.Time)
+	// current returns how many calls may be in flight, and max how many at the most.
+	current() int
+	max() int
+	// latency returns the smoothed work of a run.
+	latency() time.Duration
+}
+
+// A gradient moves the number of calls that may be in flight between 1 and the number of slots, by the
+// ratio of the usual to the recent latency.
+type gradient struct {
 	slots    float64
 	limit    float64
 	long     float64 // nanoseconds
@@ -29,12 +44,12 @@
 	shrunkAt time.Time
 }
 
-func newLimiter(slots int) limiter {
+func newGradient(slots int) *gradient {
 	n := float64(max(slots, 1))
-	return limiter{slots: n, limit: n}
+	return &gradient{slots: n, limit: n}
 }
 
-func (l *limiter) setSlots(slots int) {
+func (l *gradient) setSlots(slots int) {
 	n := float64(max(slots, 1))
 	if l.limit == l.slots {
 		l.limit = n
@@ -43,7 +58,7 @@
 }
 
 // sample takes the latency of a completed call. The limit grows only while it is in use.
-func (l *limiter) sample(took time.Duration, inFlight int) {
+func (l *gradient) sample(took time.Duration, _ float64, inFlight int) {
 	v := float64(took)
 	if l.long == 0 {
 		l.long, l.recent = v, v
@@ -66,7 +81,7 @@
 }
 
 // shed takes the refusal of a call by the target. One burst of refusals lowers the limit once.
-func (l *limiter) shed(now time.Time) {
+func (l *gradient) shed(now time.Time) {
 	if now.Sub(l.shrunkAt) < l.latency() {
 		return
 	}
@@ -75,7 +90,10 @@
 }
 
 // current returns the whole number of calls that may be in flight.
-func (l *limiter) current() int { return int(math.Floor(l.limit + 1e-9)) }
+func (l *gradient) current() int { return int(math.Floor(l.limit + 1e-9)) }
+
+// max returns the number of slots.
+func (l *gradient) max() int { return int(l.slots) }
 
 // latency returns the smoothed latency.
-func (l *limiter) latency() time.Duration { return time.Duration(l.recent) }
+func (l *gradient) latency() time.Duration { return time.Duration(l.recent) }
--- a/internal/policy/admit/overload_test.go
+++ b/internal/policy/admit/overload_test.go
@@ -121,7 +121,7 @@
 }
 
 func (s *simulation) done(end End, started time.Time) {
-	s.gate.Done(end, s.now.Sub(started), s.now)
+	s.gate.Done(end, Run{Took: s.now.Sub(started)}, s.now)
 	s.steps()
 }
 
--- /dev/null
+++ b/internal/policy/place/place.go
@@ -0,0 +1,51 @@
+// Package place decides how long a call may be held beside a target and when it is sent on to another.
+package place
+
+import (
+	"time"
+
+	"jacinthcross/internal/base/errs"
+)
+
+const (
+	// holdShare is the part of the time to spare until its aim for which a call is held beside a target of the own
+	// data centre. The rest is left for another target, which may be slow as well.
+	holdShare = 0.35
+	// MaxBounces bounds the targets that are asked before a call waits at one of them.
+	MaxBounces = 6
+)
+
+// A Call is what is known of a call that is being placed.
+type Call struct {
+	Aim      time.Time
+	Deadline time.Time
+	// Cost is how long calls of its route usually take, or 0 when that is not known.
+	Cost time.Duration
+	// Near says that the target is in the own data centre.
+	Near bool
+	// Pressed says that no target could start the call at once.
+	Pressed bool
+}
+
+// Hold returns for how long a call may wait beside a target before it is given back. A call waits where it can
+// only when no target could start it, or for a short time where the way to another target costs more.
+func Hold(c Call, now time.Time) time.Duration {
+	if c.Pressed {
+		return c.Deadline.Sub(now)
+	}
+	if !c.Near || c.Aim.IsZero() {
+		return 0
+	}
+	spare := c.Aim.Sub(now) - c.Cost
+	return max(0, time.Duration(holdShare*float64(spare)))
+}
+
+// Bounces reports whether a refusal by a daemon says that another target may start the call at once. Nothing
+// was sent to the target.
+func Bounces(kind errs.Kind) bool {
+	switch kind {
+	case errs.TargetSlow, errs.Overloaded, errs.QueueTimeout, errs.Busy, errs.Draining, errs.Withdrawn, errs.TargetDown, errs.PeerUnreachable:
+		return true
+	}
+	return false
+}
--- a/internal/policy/route/profile.go
+++ b/internal/policy/route/profile.go
@@ -11,18 +11,28 @@
 	Tail Profile = "Tail"
 	// Cost samples two candidates and allows one probe per 100 calls.
 	Cost Profile = "Cost"
+	// Near compares all candidates and keeps calls in the own data centre while its targets have room. It sends no probes.
+	Near Profile = "Near"
 )
 
 func (p Profile) samples() int {
-	if p == Cost {
+	switch p {
+	case Cost:
 		return 2
+	case Near:
+		return candidateCap
+	case Tail:
 	}
 	return 3
 }
 
 func (p Profile) probesPerCall() float64 {
-	if p == Cost {
+	switch p {
+	case Cost:
 		return 1. / 100
+	case Near:
+		return 0
+	case Tail:
 	}
 	return 1. / 20
 }
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -154,13 +154,43 @@
 		others += (s.others - others) * math.Exp(-v.now.Sub(s.reported).Seconds()/reportDecay.Seconds())
 	}
 	busy := (float64(len(s.inFlight)) + others + 1) / (limit * s.share(v.now))
-	score := busy*v.latencyOf(s) + v.distance(s.DataCentre).Seconds()
+	var score float64
+	if v.profile == Near {
+		score = v.near(s, busy)
+	} else {
+		score = busy*v.latencyOf(s) + v.distance(s.DataCentre).Seconds()
+	}
 	if v.straggles(s) {
 		score += stragglerPenalty * v.unit()
 	}
 	return score
 }
 
+const (
+	// crowding is what a full target adds to the score of a call that finds a free slot, in units of its latency.
+	crowding = .1
+	// remoteCost is what another data centre adds to the score, in seconds. A call that waits this long for
+	// a target of the own data centre costs its caller little, and saves the bytes between data centres.
+	remoteCost = .03
+	// slowness from which a target counts as slow, and the time constant with which a report of it loses its value.
+	slowFrom  = 1.5
+	slowDecay = 75 * time.Millisecond
+)
+
+// near scores a candidate for the profile Near: the wait for a slot, the rest of a slow spell, and the distance.
+func (v view) near(s *state, busy float64) float64 {
+	latency := v.latencyOf(s)
+	score := crowding*min(1, busy)*latency + latency*max(0, busy-1)
+	if s.load.Slowness >= slowFrom {
+		rest := math.Exp(-v.now.Sub(s.reported).Seconds() / slowDecay.Seconds())
+		score += rest * min(float64(s.load.Slowness-1)*latency, slowDecay.Seconds())
+	}
+	if s.DataCentre != v.dataCentre {
+		score += remoteCost
+	}
+	return score + v.distance(s.DataCentre).Seconds() + latency - v.unit()
+}
+
 // unit is the latency of the service, or a small one as long as it is unknown.
 func (v view) unit() float64 {
 	if len(v.latencies) == 0 {
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -13,6 +13,7 @@
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/policy/ledger"
+	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/admin"
 	"jacinthcross/internal/task/feed"
@@ -94,7 +95,7 @@
 		}},
 	}...), limit, hook)
 	data := tree.NewSupervisor("data", []tree.Child{
-		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, p, b) }},
+		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, p, b, m) }},
 		{Name: "links", Start: func() (tree.Task, error) {
 			return links.New(b.links, links.WithLinkOptions(
 				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHello(hello), link.WithReports(b.linkReported),
@@ -183,7 +184,7 @@
 		router.WithOrigin(s.Service),
 	}
 	if p.Keyless {
-		options = append(options, router.WithoutKeys())
+		options = append(options, router.WithoutKeys(), router.WithProfile(route.Near))
 	}
 	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, options...)
 }
@@ -210,7 +211,7 @@
 // messageOverhead is the room for headers and fields beside the body in a message between daemons, in bytes.
 const messageOverhead = 1 << 20
 
-func startLocal(s *conf.Settings, p Platform, b *boxes) (tree.Task, error) {
+func startLocal(s *conf.Settings, p Platform, b *boxes, m *meter.Meter) (tree.Task, error) {
 	b.tell(func(r *note.Release) { b.local.TryPut(local.ReleaseChanged{Release: r}) })
 	if b.confirmed.Load() {
 		b.local.TryPut(local.Confirmed{})
@@ -225,7 +226,7 @@
 		local.WithBlame(func(service ident.Service, entries []crash.Blame) { b.blame(s.VM, service, entries) }),
 	}
 	if p.Keyless {
-		options = append(options, local.WithoutKeys())
+		options = append(options, local.WithoutKeys(), local.WithFixedSlots(), local.WithMeasurements(m.Probed))
 	} else {
 		options = append(options, local.WithConfirmation())
 	}
--- a/internal/task/local/answer.go
+++ b/internal/task/local/answer.go
@@ -26,6 +26,7 @@
 		m.outcome, m.broken = call.Unknown{Kind: errs.TargetFailed, Detail: fmt.Sprintf("target %s: %v", c.target, err)}, true
 	default:
 		m.outcome = c.outcome(j, response)
+		m.load, m.loaded = c.dialect.TargetLoad(response.Header)
 		_, cut := m.outcome.(call.Unknown)
 		m.reusable = reusable && !cut && !response.Close
 	}
--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -61,11 +61,11 @@
 }
 
 func (t *Task) advanceGate(now time.Time) {
-	// A step that the task refuses leaves room for the next.
+	// A step that the task refuses leaves room for the next. A measurement is asked for once.
 	for steps := t.gate.Steps(now); len(steps) > 0; steps = t.gate.Steps(now) {
 		t.step(steps, now)
 	}
-	if at, ok := t.gate.Next(); ok {
+	if at, ok := t.gate.Next(now); ok {
 		t.alarms.Set(gateAlarm{}, at)
 		return
 	}
@@ -83,6 +83,8 @@
 			if r, ok := t.runs[s.Call]; ok {
 				t.end(r, call.Refused{Kind: s.Kind, RetryAfter: s.RetryAfter})
 			}
+		case admit.Measure:
+			t.measure()
 		}
 	}
 }
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -34,6 +34,9 @@
 	maxBody   int
 	dialect   *header.Dialect
 	keyless   bool
+	fixed     bool
+	senses    *mail.Box[sense]
+	measured  func()
 	alarms    *alarm.Queue[any]
 	pauses    pause.Detector
 
@@ -106,6 +109,12 @@
 // WithDialect sets the header fields that the target uses.
 func WithDialect(d *header.Dialect) Option { return func(t *Task) { t.dialect = d } }
 
+// WithFixedSlots makes the task trust the slots of the release and the slowness that the target tells.
+func WithFixedSlots() Option { return func(t *Task) { t.fixed = true } }
+
+// WithMeasurements sets what is called with each measurement of the target's load.
+func WithMeasurements(count func()) Option { return func(t *Task) { t.measured = count } }
+
 // WithoutKeys takes non-idempotent calls without a key.
 func WithoutKeys() Option { return func(t *Task) { t.keyless = true } }
 
@@ -130,6 +139,8 @@
 		limits:    ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
 		maxBody:   8 << 20,
 		dialect:   header.Own(),
+		senses:    mail.NewBox[sense](1),
+		measured:  func() {},
 		alarms:    alarm.NewQueue[any](),
 		self:      ident.NewIncarnation(),
 		crashes:   crash.NewTable(),
@@ -151,6 +162,7 @@
 func (t *Task) loop() error {
 	defer t.alarms.Stop()
 	defer t.closeAll()
+	newSensor(t.senses, t.dialect, t.inbox, t.Done())
 	ticker := time.NewTicker(pause.Interval)
 	defer ticker.Stop()
 	for {
@@ -196,6 +208,8 @@
 		t.complete(m)
 	case lost:
 		t.lose(m.conn)
+	case sensed:
+		t.sense(m)
 	case probed:
 		t.probed(m, t.clock.Now())
 	case monitorOpened:
@@ -246,12 +260,18 @@
 	}
 }
 
+// reportSlowness is how old the slowness in a report may be. Spells of a slow VM last about a tenth of a second.
+const reportSlowness = 20 * time.Millisecond
+
 func (t *Task) load() call.Load {
 	l := call.Load{Incarnation: t.self, Head: t.head, Draining: t.draining, Down: t.present && t.down}
 	if t.gate != nil {
 		l.InFlight, l.Queued, l.Limit = t.gate.InFlight(), t.gate.Queued(), t.gate.Limit()
 		l.QueueDelay, l.Latency = t.gate.QueueDelay(), t.gate.Latency()
 		l.Epoch = t.ledger.Epoch()
+		if slowness, at := t.gate.Slowness(); t.clock.Now().Sub(at) <= reportSlowness {
+			l.Slowness = float32(slowness)
+		}
 	}
 	return l
 }
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -61,6 +61,9 @@
 	broken bool
 	// refused says that the connection could not be opened.
 	refused bool
+	// load is what the response told of the target's load, if loaded is true.
+	load   call.TargetLoad
+	loaded bool
 }
 
 // A lost says that the target ended a connection.
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -51,7 +51,11 @@
 	if t.ledger != nil {
 		t.self = ident.NewIncarnation()
 	}
-	t.gate = admit.NewGate(target.Slots)
+	if t.fixed {
+		t.gate = admit.NewGate(target.Slots, admit.WithFixedSlots())
+	} else {
+		t.gate = admit.NewGate(target.Slots)
+	}
 	t.ledger = ledger.New(target.Name, t.self, t.limits, now)
 	t.crashes = crash.NewTable()
 	t.alarms.Set(epochAlarm{}, now.Add(t.limits.EpochLength))
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -7,6 +7,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/policy/admit"
@@ -18,6 +19,7 @@
 type run struct {
 	Run
 	gate    *admit.Gate
+	arrived time.Time
 	ledger  *ledger.Ledger // nil for a call without a key
 	key     ledger.Key
 	sum     ident.Digest
@@ -25,6 +27,13 @@
 	started time.Time
 	token   string
 	retries int
+	// slowness and among are those of the target when the call was dispatched.
+	slowness float64
+	among    int
+}
+
+func (r *run) ran(now time.Time) admit.Run {
+	return admit.Run{Kind: r.Request.Route, Took: now.Sub(r.started), Slowness: r.slowness, InFlight: r.among}
 }
 
 type waiter struct {
@@ -48,7 +57,7 @@
 		return
 	}
 	now := t.clock.Now()
-	r := &run{Run: m, gate: t.gate}
+	r := &run{Run: m, gate: t.gate, arrived: now}
 	if m.Request.Key != "" {
 		if !t.beginKeyed(r) {
 			return
@@ -71,10 +80,14 @@
 
 // admit asks the gate for a slot of the target.
 func (t *Task) admit(r *run, now time.Time) {
-	switch d := r.gate.Arrive(admit.Arrival{Call: r.ID, Rank: r.Request.Rank, Deadline: r.Request.Deadline}, now).(type) {
+	q := &r.Request
+	switch d := r.gate.Arrive(admit.Arrival{
+		Call: r.ID, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Aim: q.Aim, HoldUntil: q.HoldUntil,
+	}, now).(type) {
 	case admit.Start:
 		t.dispatch(r, now)
 	case admit.Wait:
+		event.CallQueued.Log("request", r.Request.ID, "rank", r.Request.Rank, "queued", r.gate.Queued(), "running", r.gate.InFlight(), "limit", r.gate.Limit())
 		t.advanceGate(now)
 	case admit.Refuse:
 		t.end(r, call.Refused{Kind: d.Kind, RetryAfter: d.RetryAfter})
@@ -134,11 +147,14 @@
 		if !ok {
 			kind = errs.DeadlineExceeded
 		}
-		r.gate.Done(admit.Failed, 0, now)
+		r.gate.Done(admit.Failed, admit.Run{}, now)
 		t.refuseRun(r, kind)
 		return
 	}
-	r.started = now
+	r.started, r.among = now, r.gate.InFlight()
+	if slowness, at := r.gate.Slowness(); now.Sub(at) <= reportSlowness {
+		r.slowness = slowness
+	}
 	r.token = strconv.FormatUint(uint64(r.ID), 36) + "-" + t.self.String()[:8]
 	t.tokens[r.token] = r.ID
 	t.notify(Context{
@@ -146,6 +162,8 @@
 		Depth: r.Request.Depth, Allowance: r.Request.Allowance,
 	})
 	t.alarms.Set(r.ID, r.Request.Deadline)
+	event.CallDispatched.Log("request", r.Request.ID, "target", r.Target, "waited", now.Sub(r.arrived),
+		"running", r.gate.InFlight(), "limit", r.gate.Limit(), "queued", r.gate.Queued(), "slowness", r.slowness, "left", r.Request.Deadline.Sub(now))
 	t.send(r, t.take(r.Request.Idempotent, now))
 }
 
@@ -172,7 +190,12 @@
 	if _, answered := m.outcome.(call.Answered); answered && t.crashes.Len() > 0 {
 		t.crashes.Completed(r.digest())
 	}
-	r.gate.Done(endOf(m.outcome), now.Sub(r.started), now)
+	r.gate.Done(endOf(m.outcome), r.ran(now), now)
+	if m.loaded && m.conn.target == t.target.Address {
+		t.gate.Sense(m.load.Slowness, now)
+	}
+	event.CallEnded.Log("request", r.Request.ID, "target", r.Target, "ran", now.Sub(r.started), "outcome", call.Label(m.outcome),
+		"targetRunning", m.load.Running, "targetWaiting", m.load.Waiting, "slowness", m.load.Slowness, "startSlowness", r.slowness)
 	switch {
 	case m.reusable:
 		t.keep(m.conn, now)
@@ -218,7 +241,7 @@
 	}
 	now := t.clock.Now()
 	t.drop(r.conn)
-	r.gate.Done(admit.Failed, now.Sub(r.started), now)
+	r.gate.Done(admit.Failed, r.ran(now), now)
 	t.end(r, o)
 	t.advanceGate(now)
 }
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -7,6 +7,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/policy/retry"
@@ -43,6 +44,10 @@
 		t.send(p, &attempt{target: target, key: p.Request.Key})
 		return
 	}
+	if t.keyless {
+		t.place(p)
+		return
+	}
 	now := t.clock.Now()
 	table := t.table(p.Request.Service)
 	name, ok := table.Pick(now, p.tried)
@@ -54,7 +59,7 @@
 		return
 	}
 	target := t.release.Targets[name]
-	if p.Request.Idempotent || t.keyless {
+	if p.Request.Idempotent {
 		t.send(p, &attempt{target: target})
 		return
 	}
@@ -106,11 +111,13 @@
 	p.attempts = append(p.attempts, a)
 	t.attempts[a.id] = a
 	t.table(request.Service).Sent(a.target.Name, a.id, now)
+	event.CallSent.Log("request", request.ID, "route", request.Route, "service", request.Service, "target", a.target.Name,
+		"attempt", len(p.tried), "release", t.release.Head.Serial, "left", request.Deadline.Sub(now))
 	if !t.dispatch(a, request) {
 		t.finish(call.Result{Attempt: a.id, Outcome: refusal(errs.Busy, "the mailbox is full")})
 		return
 	}
-	if !p.hedged && len(p.attempts) == 1 && request.Idempotent && request.Key == "" &&
+	if !t.keyless && !p.hedged && len(p.attempts) == 1 && request.Idempotent && request.Key == "" &&
 		(request.Method == http.MethodGet || request.Method == http.MethodHead) {
 		if d, ok := t.latencies[request.Service].P95(); ok {
 			t.alarms.Set(hedge{p.ID}, now.Add(d))
@@ -155,15 +162,19 @@
 	if r.Load.Head.Serial > t.release.Head.Serial {
 		t.headSeen(r.Load.Head, a.target.Daemon)
 	}
+	if r.Sent {
+		p.sends++
+	}
 	if _, ok := r.Outcome.(call.Answered); ok {
 		if !p.arrived.Before(t.paused) {
+			t.costs.Add(p.Request.Route, now.Sub(a.started))
 			t.latencies[p.Request.Service].Add(now.Sub(p.arrived))
 		}
 		p.hedgeWon = a.hedge
 		t.conclude(p, r.Outcome)
 		return
 	}
-	t.follow(p, a, r.Outcome, now)
+	t.follow(p, a, r.Outcome, r.Sent, now)
 }
 
 // settleAttempt ends an attempt. What it took along of the allowance comes back less the retries that it
@@ -181,7 +192,7 @@
 }
 
 // follow decides what comes after an attempt that brought no answer.
-func (t *Task) follow(p *pending, a *attempt, o call.Outcome, now time.Time) {
+func (t *Task) follow(p *pending, a *attempt, o call.Outcome, sent bool, now time.Time) {
 	earlier := p.uncertain != nil
 	if u, ok := o.(call.Unknown); ok && !earlier {
 		p.uncertain = &u
@@ -189,6 +200,13 @@
 	if len(p.attempts) > 0 {
 		return
 	}
+	if refused, ok := o.(call.Refused); ok && !sent && t.bounce(p, a, refused, now) {
+		return
+	}
+	if p.route.Attempts > 0 && p.sends >= p.route.Attempts {
+		t.conclude(p, o)
+		return
+	}
 	_, untried := t.table(p.Request.Service).Pick(now, p.tried)
 	decision := t.retries.Decide(retry.Attempt{
 		Caller: p.Request.Caller, Outcome: o, Idempotent: p.Request.Idempotent,
@@ -203,6 +221,7 @@
 		p.allowance--
 		t.spent(p, 1)
 		t.retried(d.Reason)
+		event.CallRetried.Log("request", p.Request.ID, "reason", d.Reason, "outcome", call.Label(o), "target", a.target.Name, "after", d.After)
 		t.alarms.Set(again{p.ID}, now.Add(d.After))
 	case retry.Reattach:
 		p.reattachments++
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -7,6 +7,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/policy/retry"
@@ -29,6 +30,14 @@
 	route   note.Route
 	arrived time.Time
 	tried   []ident.Target
+	// bounced are the targets beside which the call could not start at once. Nothing of it was sent to them.
+	bounced []ident.Target
+	// pressed is true when no target could start the call at once, so that it may wait at the best one.
+	pressed bool
+	// refused is the refusal with the shortest wait of those that the call was given back with, or nil.
+	refused *call.Refused
+	// sends counts the attempts that were sent to a target.
+	sends int
 	// attempts are under way: at most one and a hedge.
 	attempts []*attempt
 	// allowance is what is left of the retries of the call. Attempts under way hold their own part.
@@ -221,6 +230,8 @@
 		o = present(p, r)
 	}
 	t.count(p, o)
+	event.CallConcluded.Log("request", p.Request.ID, "route", p.Request.Route, "service", p.Request.Service, "outcome", call.Label(o),
+		"attempts", len(p.tried), "took", t.clock.Now().Sub(p.arrived), "caller", p.Request.Caller)
 	p.Reply.TryPut(Answer{ID: p.ID, Outcome: o})
 }
 
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -11,6 +11,7 @@
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/place"
 	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/policy/split"
@@ -41,6 +42,7 @@
 	budget     *route.Budget
 	retries    *retry.Policy
 	splits     *split.Splitter
+	costs      place.Costs
 	origin     ident.Service
 	keyless    bool
 	calls      map[call.ID]*pending
@@ -129,6 +131,7 @@
 		latencies:  map[ident.Service]*retry.Latency{},
 		retries:    retry.NewPolicy(),
 		splits:     split.New(),
+		costs:      place.Costs{},
 		calls:      map[call.ID]*pending{},
 		attempts:   map[call.ID]*attempt{},
 		contexts:   map[string]*local.Context{},
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -72,6 +72,9 @@
 	if p.ToAimNanoseconds != nil {
 		m.Request.Aim = now.Add(time.Duration(p.GetToAimNanoseconds()))
 	}
+	if p.HoldNanoseconds != nil {
+		m.Request.HoldUntil = now.Add(time.Duration(p.GetHoldNanoseconds()))
+	}
 	return m, nil
 }
 
@@ -141,7 +144,7 @@
 		InFlight: int(p.GetInFlight()), Queued: int(p.GetQueued()), Limit: int(p.GetLimit()),
 		QueueDelay: time.Duration(p.GetQueueDelayNanoseconds()), Latency: time.Duration(p.GetLatencyNanoseconds()),
 		Incarnation: i, Epoch: ident.Epoch(p.GetEpoch()), Head: h, Draining: p.GetDraining(),
-		Down: p.GetDown(),
+		Down: p.GetDown(), Slowness: p.GetSlowness(),
 	}, err
 }
 
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -55,6 +55,9 @@
 	if !r.Aim.IsZero() {
 		p.ToAimNanoseconds = proto.Int64(int64(r.Aim.Sub(now)))
 	}
+	if !r.HoldUntil.IsZero() {
+		p.HoldNanoseconds = proto.Int64(int64(r.HoldUntil.Sub(now)))
+	}
 	return p
 }
 
@@ -93,7 +96,7 @@
 		InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		QueueDelayNanoseconds: int64(l.QueueDelay), LatencyNanoseconds: int64(l.Latency),
 		Incarnation: l.Incarnation[:], Epoch: uint32(l.Epoch), Head: encodeHead(l.Head), Draining: l.Draining,
-		Down: l.Down,
+		Down: l.Down, Slowness: l.Slowness,
 	}
 }
 
