Read the settings again on SIGHUP and when their file changes

Ruled out: a fault of the connections; the process had exited with 129. Change: the task reload owns the text of the settings, looks at the file once a second and on SIGHUP, and names the settings that take effect only at the next start. Watches of the store wait 1.5 s, since the store tells a waiting watch nothing of a history that it drops.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -8,6 +8,9 @@
 	DaemonStopped              = Event{1003, "DaemonStopped", Info}
 	TaskFailed                 = Event{1004, "TaskFailed", Error}
 	LinesDropped               = Event{1005, "LogLinesDropped", Warning}
+	SettingsReloaded           = Event{1006, "SettingsReloaded", Info}
+	SettingsRefused            = Event{1007, "SettingsRefused", Error}
+	SettingsNeedRestart        = Event{1008, "SettingsNeedRestart", Warning}
 	ReleaseInForce             = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                = Event{2002, "NoteRefused", Error}
 	ServiceUnread              = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -43,7 +46,7 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped,
+		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return fileError(env, c.Config, err)
 	}
-	var options []daemon.Option
+	options := []daemon.Option{daemon.WithSettingsFile(c.Config)}
 	if _, ok := settings.Source.(conf.Store); ok {
 		p, err := platform.New(settings)
 		if err != nil {
@@ -38,21 +38,27 @@
 		options = append(options, daemon.WithPlatform(p))
 	}
 	defer event.WriteTo(env.Out)()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	stops, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	d, err := daemon.New(settings, Version, options...)
 	if err != nil {
 		return err
 	}
-	select {
-	case <-signals:
-		go func() {
-			// A second signal stops at once.
-			<-signals
-			d.Abort()
-		}()
-		d.Drain()
-	case <-d.Done():
+	for {
+		select {
+		case <-reloads:
+			d.Reload()
+			continue
+		case <-stops:
+			go func() {
+				// A second signal stops at once.
+				<-stops
+				d.Abort()
+			}()
+			d.Drain()
+		case <-d.Done():
+		}
+		return d.Err()
 	}
-	return d.Err()
 }
--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
 	"regexp"
 	"time"
 
@@ -129,6 +130,18 @@
 	return s
 }
 
+// Differences names the settings that differ.
+func Differences(a, b *Settings) []string {
+	x, y := reflect.ValueOf(*a), reflect.ValueOf(*b)
+	var names []string
+	for i := range x.NumField() {
+		if !reflect.DeepEqual(x.Field(i).Interface(), y.Field(i).Interface()) {
+			names = append(names, x.Type().Field(i).Name)
+		}
+	}
+	return names
+}
+
 // source reads where the daemon learns what is in force. The keys of both sources exclude each other.
 func source(t *form.Table) Source {
 	notes := ReleaseNotes{VMList: address(t, "VMList", false), Seeds: seeds(t)}
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"jacinthcross/internal/task/links"
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
+	"jacinthcross/internal/task/reload"
 	"jacinthcross/internal/wire/codec"
 	"jacinthcross/internal/wire/header"
 )
@@ -50,11 +51,15 @@
 // WithPlatform sets the platform. Without it the daemon speaks the product's own interface.
 func WithPlatform(p Platform) Option { return func(d *Daemon) { d.platform = p } }
 
+// WithSettingsFile makes the daemon follow changes of the file from which its settings come.
+func WithSettingsFile(path string) Option { return func(d *Daemon) { d.file = path } }
+
 // A Daemon is one running daemon.
 type Daemon struct {
 	*tree.Loop
 	platform Platform
 	settings *conf.Settings
+	file     string
 	boxes    *boxes
 	parts    supervisors
 	cancel   context.CancelFunc
@@ -77,6 +82,11 @@
 		o(d)
 	}
 	d.parts = newTree(settings, d.platform, version, d.boxes, m)
+	if d.file != "" {
+		d.parts.control.Add(tree.Child{Name: "reload", Start: func() (tree.Task, error) {
+			return reload.New(d.file, d.boxes.reload, d.changed), nil
+		}})
+	}
 	event.DaemonStarted.Log("vm", settings.VM, "dataCentre", settings.DataCentre, "callers", settings.Callers)
 	go func() {
 		d.Run(func() error {
@@ -91,6 +101,16 @@
 	return d, nil
 }
 
+// Reload looks at the settings file now.
+func (d *Daemon) Reload() { d.boxes.reload.TryPut(reload.Check{}) }
+
+// changed takes settings that have changed. None of them takes effect while the daemon runs.
+func (d *Daemon) changed(s *conf.Settings) {
+	for _, name := range conf.Differences(d.settings, s) {
+		event.SettingsNeedRestart.Log("setting", name)
+	}
+}
+
 // Drain makes the planned stop and returns when the daemon has ended. Abort cuts it short.
 func (d *Daemon) Drain() {
 	event.DrainStarted.Log()
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -25,6 +25,7 @@
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/member"
 	"jacinthcross/internal/task/pages"
+	"jacinthcross/internal/task/reload"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/task/tick"
 	"jacinthcross/internal/task/watch"
@@ -49,6 +50,7 @@
 	listen *mail.Box[listen.Message]
 	front  *mail.Box[front.Message]
 	feed   *mail.Box[feed.Message]
+	reload *mail.Box[reload.Message]
 	// release is the last one that the tasks were told, from which restarted tasks begin.
 	// A restarted keeper may recover a lower one at first.
 	release atomic.Pointer[note.Release]
@@ -72,6 +74,7 @@
 		listen: mail.NewBox[listen.Message](controlMailbox),
 		front:  mail.NewBox[front.Message](callMailbox),
 		feed:   mail.NewBox[feed.Message](controlMailbox),
+		reload: mail.NewBox[reload.Message](controlMailbox),
 	}
 }
 
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -16,8 +16,9 @@
 )
 
 const (
-	// watchWait is how long a watch may wait. Each watch is a call that the platform counts, and the store allows 30 s.
-	watchWait = 25 * time.Second
+	// watchWait is how long a watch waits. The store can drop its history while a watch waits and tell it nothing
+	// until the next change, and a change has to be in force 2 s after it was accepted.
+	watchWait = 1500 * time.Millisecond
 	// settleTime is the pause between two watches, in which changes gather. It is a small part of the
 	// 2 s within which a change has to be in force.
 	settleTime = 150 * time.Millisecond
