Let few daemons read the store and the others ask them

Cause: the calls of the store were the largest price on the grown sites: a watch on each VM takes a call for each change and VM.

Ruled out: longer watches.

Change: fleet/follow places each daemon in a tree of its region by a hash that all compute alike; only the first reads the store. Questions wait for a change at the peer. Answers tell their age and whether the sender has lost its source, upon which the next source is asked. A daemon whose reply to a call shows a higher serial is asked beside that.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -22,6 +22,7 @@
 	HistoryGone                = Event{2009, "StoreHistoryGone", Warning}
 	EntryUnusable              = Event{2010, "EntryUnusable", Warning}
 	ConfigUnusable             = Event{2011, "ConfigUnusable", Warning}
+	StoreDuty                  = Event{2012, "StoreDuty", Info}
 	LinkOpened                 = Event{3001, "LinkOpened", Info}
 	LinkFailed                 = Event{3002, "LinkFailed", Warning}
 	PeerRefused                = Event{3003, "PeerMessageRefused", Warning}
@@ -48,7 +49,7 @@
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
-		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable,
+		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable, StoreDuty,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed,
--- a/internal/base/form/form.go
+++ b/internal/base/form/form.go
@@ -137,6 +137,9 @@
 	return ok
 }
 
+// Keys returns the keys of the table in order.
+func (t *Table) Keys() []string { return slices.Sorted(maps.Keys(t.values)) }
+
 // value returns the value of a key, with a mistake when it has another type than wanted.
 func value[T any](t *Table, key, want string) (v T, ok bool) {
 	t.used[key] = true
--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -50,6 +50,8 @@
 // A Store holds the config of the operators and an entry for each target.
 type Store struct {
 	Address string
+	// Regions has the region of each data centre.
+	Regions map[ident.DataCentre]ident.Region
 	// Bounds are what the platform demands of daemons, in the words of the platform.
 	Bounds []string
 }
@@ -145,11 +147,13 @@
 // source reads where the daemon learns what is in force. The keys of both sources exclude each other.
 func source(t *form.Table) Source {
 	notes := ReleaseNotes{VMList: address(t, "VMList", false), Seeds: seeds(t)}
-	store := Store{Address: address(t, "Store", false), Bounds: t.Texts("Bounds")}
+	store := Store{Address: address(t, "Store", false), Bounds: t.Texts("Bounds"), Regions: regions(t.Table("Regions"))}
 	if !t.Has("Store") {
 		notes.Config = address(t, "Config", true)
-		if t.Has("Bounds") {
-			t.Mistake("Bounds", "needs Store")
+		for _, key := range []string{"Bounds", "Regions"} {
+			if t.Has(key) {
+				t.Mistake(key, "needs Store")
+			}
 		}
 		return notes
 	}
@@ -161,6 +165,14 @@
 	return store
 }
 
+func regions(t *form.Table) map[ident.DataCentre]ident.Region {
+	out := map[ident.DataCentre]ident.Region{}
+	for _, key := range t.Keys() {
+		out[ident.DataCentre(key)] = ident.Region(t.Text(key))
+	}
+	return out
+}
+
 // optional returns an address that may be missing.
 func optional(t *form.Table, key string) netip.AddrPort {
 	if !t.Has(key) {
--- /dev/null
+++ b/internal/fleet/roster/after.go
@@ -0,0 +1,69 @@
+package roster
+
+import (
+	"time"
+
+	"jacinthcross/internal/fleet/note"
+)
+
+// A Lapsed says that a peer has found the entry of a target missing after the store was out of reach, and
+// trusts it until a time. It comes from peers only.
+type Lapsed struct {
+	Target   note.Target
+	Until    time.Time
+	Revision Revision
+}
+
+func (Lapsed) change() {}
+
+// At implements Change.
+func (c Lapsed) At() Revision { return c.Revision }
+
+// After returns what has changed after a revision, and whether that is all that is published because the
+// changes since the revision are not known one by one.
+func (r *Roster) After(revision Revision) (c Changes, whole bool) {
+	c.Revision = r.revision
+	whole = revision < r.base
+	if whole {
+		revision = 0
+	}
+	if r.configured > revision {
+		c.Changes = append(c.Changes, Configured{Config: r.config, Revision: r.configured})
+	}
+	for name, e := range r.entries {
+		switch {
+		case e.Revision <= revision:
+		case e.unusable:
+			c.Changes = append(c.Changes, Unusable{Name: name, Revision: e.Revision})
+		case !e.lapses.IsZero():
+			c.Changes = append(c.Changes, Lapsed{Target: e.Target, Until: e.lapses, Revision: e.Revision})
+		default:
+			c.Changes = append(c.Changes, e.Registered)
+		}
+	}
+	if whole {
+		return c, true
+	}
+	for name, at := range r.removals {
+		if at > revision {
+			c.Changes = append(c.Changes, Removed{Name: name, Revision: at})
+		}
+	}
+	return c, false
+}
+
+func (r *Roster) lapse(c Lapsed) bool {
+	e, ok := r.entries[c.Target.Name]
+	if !ok {
+		r.register(Registered{Target: c.Target, Revision: c.Revision})
+		if e, ok = r.entries[c.Target.Name]; !ok {
+			return false
+		}
+		e.lapses = c.Until
+		return true
+	}
+	if c.Revision >= e.Revision && e.lapses.IsZero() {
+		e.Revision, e.lapses = c.Revision, c.Until
+	}
+	return false
+}
--- a/internal/fleet/roster/change.go
+++ b/internal/fleet/roster/change.go
@@ -8,7 +8,7 @@
 // A Revision numbers the changes of the platform's store. It only rises.
 type Revision uint64
 
-// A Change is one change of what the platform publishes: Configured, Misconfigured, Registered, Removed or Unusable.
+// A Change is one change of what the platform publishes: Configured, Misconfigured, Registered, Removed, Lapsed or Unusable.
 type Change interface {
 	change()
 	// At returns the revision of the change.
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -18,7 +18,9 @@
 
 // A Roster is the newest state that is known. It never goes back: each part keeps the change with the highest revision.
 type Roster struct {
-	revision   Revision
+	revision Revision
+	// base is the revision after which each change is known.
+	base       Revision
 	config     Config
 	configured Revision
 	entries    map[ident.Target]*entry
@@ -50,11 +52,14 @@
 	if s.Revision < r.revision {
 		return false
 	}
+	r.base = s.Revision
 	present := map[ident.Target]bool{}
 	for _, c := range s.Changes {
 		switch c := c.(type) {
 		case Registered:
 			present[c.Target.Name] = true
+		case Lapsed:
+			present[c.Target.Name] = true
 		case Unusable:
 			present[c.Name] = true
 		case Configured, Misconfigured, Removed:
@@ -82,6 +87,8 @@
 			changed = r.remove(one, interrupted, now) || changed
 		case Unusable:
 			changed = r.disable(one) || changed
+		case Lapsed:
+			changed = r.lapse(one) || changed
 		case Misconfigured:
 		}
 	}
@@ -156,8 +163,9 @@
 
 func (r *Roster) removed(c Removed) {
 	if len(r.removals) >= maxRemovals {
-		for name := range r.removals {
+		for name, at := range r.removals {
 			delete(r.removals, name)
+			r.base = max(r.base, at)
 			break
 		}
 	}
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -78,6 +78,7 @@
 		Loop: tree.NewLoop(), platform: Platform{Dialect: header.Own(), StopTime: stopTime},
 		settings: settings, boxes: newBoxes(), cancel: cancel,
 	}
+	_, d.boxes.published = settings.Source.(conf.Store)
 	for _, o := range options {
 		o(d)
 	}
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -9,6 +9,7 @@
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/fleet/follow"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/relay"
 	"jacinthcross/internal/policy/crash"
@@ -59,6 +60,8 @@
 	confirmed atomic.Bool
 	// arrivals tells the readers of sockets when bytes may have arrived. The tick task writes it.
 	arrivals tick.Arrivals
+	// published says that a store publishes what is in force, instead of release notes.
+	published bool
 	// draining is true from the beginning of the planned stop.
 	draining atomic.Bool
 }
@@ -89,7 +92,7 @@
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
 	bodies := quota.New(s.MaxBodyMemory)
-	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of), listen.WithQuota(bodies))
+	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of), listen.WithQuota(bodies), listen.WithFeed(b.feed))
 	control := tree.NewSupervisor("control", append(sourceTasks(s, p, b, m), []tree.Child{
 		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
@@ -149,12 +152,19 @@
 		}
 	case conf.Store:
 		return []tree.Child{
-			{Name: "feed", Start: func() (tree.Task, error) { return feed.New(b.feed, p.Source, b.announce), nil }},
+			{Name: "feed", Start: func() (tree.Task, error) { return startFeed(s, p, b), nil }},
 		}
 	}
 	return nil
 }
 
+func startFeed(s *conf.Settings, p Platform, b *boxes) tree.Task {
+	return feed.New(feed.Config{
+		Own:   follow.Peer{VM: s.VM, DataCentre: s.DataCentre, Region: s.Region, Daemon: s.Peers},
+		Inbox: b.feed, Links: b.links, Source: p.Source, Announce: b.announce,
+	})
+}
+
 func startFront(s *conf.Settings, p Platform, b *boxes, bodies *quota.Quota) (tree.Task, error) {
 	options := []front.Option{
 		front.WithMaxBody(s.MaxBody), front.WithQuota(bodies), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of),
@@ -182,8 +192,12 @@
 
 func startRouter(s *conf.Settings, p Platform, b *boxes, m *meter.Meter) tree.Task {
 	b.tell(func(r *note.Release) { b.router.TryPut(router.ReleaseChanged{Release: r}) })
+	heads := b.headSeen
+	if _, ok := s.Source.(conf.Store); ok {
+		heads = b.revisionSeen
+	}
 	options := []router.Option{
-		router.WithMeter(m), router.WithProfile(s.Profile), router.WithRegion(s.Region), router.WithHeads(b.headSeen),
+		router.WithMeter(m), router.WithProfile(s.Profile), router.WithRegion(s.Region), router.WithHeads(heads),
 		router.WithOrigin(s.Service),
 	}
 	if p.Keyless {
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -8,7 +8,9 @@
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	fleet "jacinthcross/internal/fleet/member"
+	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/policy/crash"
+	"jacinthcross/internal/task/feed"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/links"
@@ -52,6 +54,11 @@
 	}
 }
 
+// revisionSeen tells the feed which revision a peer holds.
+func (b *boxes) revisionSeen(head ident.Head, peer netip.AddrPort) {
+	b.feed.TryPut(feed.HeadSeen{Revision: roster.Revision(head.Serial), Peer: peer})
+}
+
 // confirm tells the local task that the release was compared with peers.
 func (b *boxes) confirm(done bool) {
 	if done {
@@ -81,7 +88,7 @@
 func (b *boxes) paused(time.Duration) {
 	b.router.TryPut(router.Paused{})
 	reply := mail.NewBox[bool](1)
-	if !b.keeper.TryPut(keeper.Confirm{Reply: reply}) {
+	if !b.askConfirmation(reply) {
 		return
 	}
 	go func() {
@@ -93,6 +100,14 @@
 	}()
 }
 
+// askConfirmation asks the task that knows what is in force to compare it with others.
+func (b *boxes) askConfirmation(reply *mail.Box[bool]) bool {
+	if b.published {
+		return b.feed.TryPut(feed.Confirm{Reply: reply})
+	}
+	return b.keeper.TryPut(keeper.Confirm{Reply: reply})
+}
+
 // confirmTimeout ends the wait for a keeper that was restarted. The router waits for less.
 const confirmTimeout = 5 * time.Second
 
--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -185,9 +185,12 @@
 func (s *Status) setFeed(v feed.Status) {
 	s.setRelease(v.Release)
 	s.Release.Version = v.Release.Version
-	s.Service = ServiceStatus{Known: !v.ReadAt.IsZero(), Failing: v.Failing}
+	s.Service = ServiceStatus{Known: !v.ConfirmedAt.IsZero(), Failing: v.Failing, Duty: relay.Idle}
+	if v.Reads {
+		s.Service.Duty = relay.Watch
+	}
 	if s.Service.Known {
-		s.Service.AgeSeconds = time.Since(v.ReadAt).Seconds()
+		s.Service.AgeSeconds = time.Since(v.ConfirmedAt).Seconds()
 	}
 }
 
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -2,51 +2,82 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
-	"github.com/juju/errors"
-
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/follow"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/super/tree"
+	"jacinthcross/internal/task/links"
 )
 
 const (
 	// watchWait is how long a watch waits. The store can drop its history while a watch waits and tell it nothing
 	// until the next change, and a change has to be in force 2 s after it was accepted.
-	watchWait = 1500 * time.Millisecond
+	watchWait = time.Second
+	// peerWait is how long a question to a peer waits for a change.
+	peerWait = 500 * time.Millisecond
+	// answerTime bounds a call beyond the time that it waits. The store takes up to 0.3 s when it is slow.
+	answerTime = 500 * time.Millisecond
+	// readTime bounds the read of all that is published, which may take several calls.
+	readTime = 2 * time.Second
 	// settleTime is the pause between two watches, in which changes gather. It is a small part of the
 	// 2 s within which a change has to be in force.
 	settleTime = 150 * time.Millisecond
-	// firstRetry doubles with each failed call up to longestRetry. All calls count, failed ones too.
-	firstRetry   = 100 * time.Millisecond
-	longestRetry = time.Second
+	// maxAge is how old the knowledge of a peer may be before another source is asked. Changes are passed on at once,
+	// and a daemon that loses its source says so; the age shows only a chain of peers that has no end in the store.
+	// Three steps of peerWait after a watch make it about 2.3 s.
+	maxAge = 2500 * time.Millisecond
 	// interruption is how long the store has to be out of reach before entries may have lapsed
 	// without the end of their targets: a target that cannot write loses its entry after three heartbeats.
 	interruption = 1500 * time.Millisecond
 )
 
-// A Task owns the roster and the connection to the store.
+// A Config names the daemon and what the task talks to.
+type Config struct {
+	Own    follow.Peer
+	Inbox  *mail.Box[Message]
+	Links  *mail.Box[links.Message]
+	Source Source
+	// Announce is called with each release. It reports whether all tasks had room for it.
+	Announce func(*note.Release) bool
+}
+
+// A Task owns the roster and asks for its changes.
 type Task struct {
 	*tree.Loop
-	inbox    *mail.Box[Message]
-	source   Source
-	announce func(*note.Release) bool
-	clock    clock.Clock
-	roster   *roster.Roster
-	timer    *time.Timer
-	// readAt is when the last call that was answered was sent.
-	readAt time.Time
-	// failing is when the first of the calls failed that have failed since, and zero while they are answered.
+	config  Config
+	clock   clock.Clock
+	roster  *roster.Roster
+	sources *follow.Sources
+	place   follow.Place
+	timer   *time.Timer
+	// number is that of the last call, and cancel ends it while it is under way.
+	number int
+	cancel context.CancelFunc
+	// nextAt is when the next call may begin.
+	nextAt time.Time
+	// whole says that the store has to be asked for all, and exact that the answer may not be old.
+	whole, exact bool
+	// hinting is true while a peer is asked that was seen to be ahead.
+	hinting bool
+	// confirmedAt is when the store confirmed what is known.
+	confirmedAt time.Time
+	// failing is when the first call failed of those that have failed since, and zero while one is answered.
 	failing     time.Time
 	why         string
 	unannounced bool
 	confirms    []*mail.Box[bool]
-	recheck     chan struct{}
+	asks        []waitingAsk
+}
+
+// A waitingAsk is the question of a peer that waits for a change.
+type waitingAsk struct {
+	Ask
+	until time.Time
 }
 
 // An Option sets a property of a Task.
@@ -55,28 +86,32 @@
 // WithClock sets the clock.
 func WithClock(c clock.Clock) Option { return func(t *Task) { t.clock = c } }
 
-// New starts the task. It reads from inbox and calls announce with each release; announce reports whether
-// all tasks had room for it.
-func New(inbox *mail.Box[Message], source Source, announce func(*note.Release) bool, options ...Option) *Task {
+// New starts the task.
+func New(config Config, options ...Option) *Task {
+	t := newTask(config, options...)
+	go func() {
+		t.Run(t.loop)
+	}()
+	return t
+}
+
+func newTask(config Config, options ...Option) *Task {
 	t := &Task{
-		Loop: tree.NewLoop(), inbox: inbox, source: source, announce: announce, clock: clock.System{},
-		roster: roster.New(), timer: time.NewTimer(time.Hour), recheck: make(chan struct{}, 1),
+		Loop: tree.NewLoop(), config: config, clock: clock.System{}, roster: roster.New(), sources: follow.NewSources(),
+		place: follow.Place{Reads: true}, timer: time.NewTimer(0), whole: true,
 	}
 	for _, o := range options {
 		o(t)
 	}
-	go func() {
-		t.Run(t.loop)
-	}()
 	return t
 }
 
 func (t *Task) loop() error {
 	defer t.timer.Stop()
-	t.newReader()
+	defer t.endCall()
 	for {
 		select {
-		case m := <-t.inbox.C():
+		case m := <-t.config.Inbox.C():
 			t.receive(m)
 		case <-t.timer.C:
 		case <-t.Stopping():
@@ -89,176 +124,86 @@
 func (t *Task) receive(m Message) {
 	now := t.clock.Now()
 	switch m := m.(type) {
-	case snapshotRead:
-		t.logUnusable(m.snapshot.Changes)
-		t.unannounced = t.roster.Replace(m.snapshot, t.interrupted(now), now) || t.unannounced
-		t.answered(m.sent)
-	case changesRead:
-		t.logUnusable(m.changes.Changes)
-		t.unannounced = t.roster.Apply(m.changes, t.interrupted(now), now) || t.unannounced
-		t.answered(m.sent)
-	case readFailed:
-		t.failed(m.err, now)
+	case finished:
+		t.finish(m, now)
 	case Confirm:
 		t.confirms = append(t.confirms, m.Reply)
-		select {
-		case t.recheck <- struct{}{}:
-		default:
-		}
+		t.endCall()
+		t.nextAt = now
+	case Ask:
+		t.asks = append(t.asks, waitingAsk{m, now.Add(min(m.Wait, peerWait))})
+	case HeadSeen:
+		t.hint(m)
 	case StatusAsk:
-		m.Reply.TryPut(Status{Release: t.roster.Release(), ReadAt: t.readAt, Failing: t.why})
+		m.Reply.TryPut(Status{Release: t.roster.Release(), ConfirmedAt: t.confirmedAt, Reads: t.place.Reads, Failing: t.why})
 	}
 }
 
-// interrupted reports whether entries may have lapsed since the store was last read.
-func (t *Task) interrupted(now time.Time) bool {
-	return !t.failing.IsZero() && now.Sub(t.failing) >= interruption
-}
-
-func (t *Task) answered(sent time.Time) {
-	t.readAt = sent
-	if !t.failing.IsZero() {
-		event.StoreRegained.Log("after", t.clock.Now().Sub(t.failing), "serial", t.roster.Revision())
-		t.failing, t.why = time.Time{}, ""
+// advance drops lapsed entries, tells the other tasks and the peers what has changed, and begins the next call.
+func (t *Task) advance() {
+	now := t.clock.Now()
+	t.unannounced = t.roster.Advance(now) || t.unannounced
+	if t.unannounced {
+		t.announce()
 	}
-	for _, reply := range t.confirms {
-		reply.TryPut(true)
+	t.answerPeers(now)
+	if t.cancel == nil && !t.nextAt.After(now) {
+		t.call(now)
 	}
-	t.confirms = nil
+	t.timer.Reset(t.next(now).Sub(now))
 }
 
-func (t *Task) failed(err error, now time.Time) {
-	if t.failing.IsZero() {
-		event.StoreLost.Log("error", err.Error(), "serial", t.roster.Revision())
-		t.failing = now
+func (t *Task) announce() {
+	r := t.roster.Release()
+	t.unannounced = !t.config.Announce(r)
+	event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets))
+	place := follow.PlaceOf(t.config.Own, follow.PeersOf(r))
+	if place.Reads != t.place.Reads {
+		event.StoreDuty.Log("reads", place.Reads)
 	}
-	t.why = err.Error()
+	t.place = place
+	t.sources.Keep(place)
 }
 
-func (t *Task) logUnusable(changes []roster.Change) {
-	for _, c := range changes {
-		switch c := c.(type) {
-		case roster.Unusable:
-			event.EntryUnusable.Log("target", c.Name, "serial", c.Revision, "reason", c.Reason)
-		case roster.Misconfigured:
-			event.ConfigUnusable.Log("serial", c.Revision, "reason", c.Reason)
-		case roster.Configured, roster.Registered, roster.Removed:
+// next returns when advance has to be called next.
+func (t *Task) next(now time.Time) time.Time {
+	next := now.Add(watchWait + answerTime)
+	earlier := func(at time.Time) {
+		if at.Before(next) {
+			next = at
 		}
 	}
-}
-
-// advance drops lapsed entries and tells the other tasks what has changed.
-func (t *Task) advance() {
-	t.unannounced = t.roster.Advance(t.clock.Now()) || t.unannounced
-	if t.unannounced {
-		r := t.roster.Release()
-		t.unannounced = !t.announce(r)
-		event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets))
-	}
-	next, ok := t.roster.Next()
-	if t.unannounced && (!ok || next.After(t.clock.Now().Add(settleTime))) {
-		next, ok = t.clock.Now().Add(settleTime), true
+	if t.cancel == nil {
+		earlier(t.nextAt)
 	}
-	if ok {
-		t.timer.Reset(next.Sub(t.clock.Now()))
+	if at, ok := t.roster.Next(); ok {
+		earlier(at)
 	}
-}
-
-// newReader starts the goroutine that calls the store.
-func (t *Task) newReader() {
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() {
-		<-t.Stopping()
-		cancel()
-	}()
-	go func() {
-		r := &reader{task: t, stale: true, wait: watchWait}
-		for ctx.Err() == nil {
-			r.step(ctx)
-		}
-	}()
-}
-
-// A reader calls the store, one call at a time.
-type reader struct {
-	task *Task
-	// known is true when the changes after revision can be asked for.
-	known    bool
-	revision roster.Revision
-	// stale allows the first snapshot to be some seconds old: the changes after it follow.
-	stale    bool
-	wait     time.Duration
-	failures int
-}
-
-func (r *reader) step(ctx context.Context) {
-	err := r.read(ctx)
-	if ctx.Err() != nil {
-		return
-	}
-	pause := settleTime
-	switch {
-	case errors.Is(err, ErrHistoryGone):
-		event.HistoryGone.Log("serial", r.revision)
-		r.known, r.stale = false, false
-		pause = 0
-	case err != nil:
-		r.task.inbox.Put(readFailed{err}, ctx.Done())
-		pause = min(longestRetry, firstRetry<<min(r.failures, 10))
-		pause = pause/2 + rand.N(pause)
-		r.failures++
-	default:
-		r.failures = 0
+	if t.unannounced {
+		earlier(now.Add(settleTime))
 	}
-	select {
-	case <-time.After(pause):
-	case <-r.task.recheck:
-		r.wait = 0
-	case <-ctx.Done():
+	for _, a := range t.asks {
+		earlier(a.until)
 	}
+	return next
 }
 
-func (r *reader) read(ctx context.Context) error {
-	sent := r.task.clock.Now()
-	if !r.known {
-		s, err := r.task.source.Snapshot(ctx, r.stale)
-		if err != nil {
-			return err
+// answerPeers answers the questions for which there is something to tell, that have waited for as long as they
+// may, or that had better go to another daemon.
+func (t *Task) answerPeers(now time.Time) {
+	var waiting []waitingAsk
+	for _, a := range t.asks {
+		if t.roster.Revision() <= a.After && a.until.After(now) && !t.lost(now) {
+			waiting = append(waiting, a)
+			continue
 		}
-		r.known, r.revision = true, s.Revision
-		r.task.inbox.Put(snapshotRead{s, sent}, ctx.Done())
-		return nil
-	}
-	watch, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	wait := r.wait
-	r.wait = watchWait
-	if wait > 0 {
-		newWatchEnder(watch, cancel, r.task.recheck)
-	}
-	c, err := r.task.source.Changes(watch, r.revision, wait)
-	if errors.Is(context.Cause(watch), errRecheck) {
-		r.wait = 0
-		return nil
-	}
-	if err != nil {
-		return err
+		a.Reply.TryPut(t.published(a.After, now))
 	}
-	r.revision = max(r.revision, c.Revision)
-	r.task.inbox.Put(changesRead{c, sent}, ctx.Done())
-	return nil
+	t.asks = waiting
 }
 
-// errRecheck ends a watch in favour of a read that does not wait.
-const errRecheck = errors.ConstError("a check was asked for")
+// lost reports whether peers had better ask another daemon.
+func (t *Task) lost(now time.Time) bool { return !t.failing.IsZero() || t.age(now) > maxAge }
 
-// newWatchEnder starts the goroutine that ends a watch when a check is asked for.
-func newWatchEnder(watch context.Context, cancel context.CancelCauseFunc, recheck <-chan struct{}) {
-	go func() {
-		select {
-		case <-recheck:
-			cancel(errRecheck)
-		case <-watch.Done():
-		}
-	}()
-}
+// age returns the time since the store confirmed what is known.
+func (t *Task) age(now time.Time) time.Duration { return now.Sub(t.confirmedAt) }
--- a/internal/task/feed/message.go
+++ b/internal/task/feed/message.go
@@ -3,13 +3,16 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/fleet/follow"
 	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/fleet/roster"
+	"jacinthcross/internal/wire/codec"
 )
 
 // A Source reads what the platform publishes.
@@ -26,38 +29,60 @@
 // A Message is what the task receives.
 type Message interface{ message() }
 
-// A Confirm asks for a message when what is known was compared with the store.
+// A Confirm asks for a message when what is known was compared with the store or with a peer.
 type Confirm struct{ Reply *mail.Box[bool] }
 
+// An Ask is the question of a peer for changes.
+type Ask struct {
+	codec.Ask
+	Reply *mail.Box[codec.Published]
+}
+
+// A HeadSeen says which serial a peer holds.
+type HeadSeen struct {
+	Revision roster.Revision
+	Peer     netip.AddrPort
+}
+
 // A StatusAsk asks for the state of the task.
 type StatusAsk struct{ Reply *mail.Box[Status] }
 
 // A Status is the state of the task.
 type Status struct {
 	Release *note.Release
-	// ReadAt is when the store last answered, and zero when it never did.
-	ReadAt time.Time
+	// ConfirmedAt is when the store last confirmed what is known, and zero when it never did.
+	ConfirmedAt time.Time
+	// Reads says that this daemon reads the store for others.
+	Reads bool
 	// Failing is why the last call failed, or empty.
 	Failing string
 }
 
-// A snapshotRead carries a snapshot.
-type snapshotRead struct {
-	snapshot roster.Snapshot
-	sent     time.Time
+// A finished is the end of a call.
+type finished struct {
+	number int
+	source follow.Source
+	sent   time.Time
+	result result
 }
 
-// A changesRead carries changes, which may be none.
-type changesRead struct {
-	changes roster.Changes
-	sent    time.Time
-}
+// A result is what a call brought: a snapshot, changes, a codec.Published of a peer, or a failure.
+type result interface{ result() }
+
+type (
+	snapshot  struct{ roster.Snapshot }
+	changes   struct{ roster.Changes }
+	published struct{ codec.Published }
+	failed    struct{ err error }
+)
 
-// A readFailed says why a call failed.
-type readFailed struct{ err error }
+func (snapshot) result()  {}
+func (changes) result()   {}
+func (published) result() {}
+func (failed) result()    {}
 
-func (Confirm) message()      {}
-func (StatusAsk) message()    {}
-func (snapshotRead) message() {}
-func (changesRead) message()  {}
-func (readFailed) message()   {}
+func (Confirm) message()   {}
+func (Ask) message()       {}
+func (HeadSeen) message()  {}
+func (StatusAsk) message() {}
+func (finished) message()  {}
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -12,6 +12,7 @@
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/task/feed"
 	"jacinthcross/internal/task/keeper"
 	"jacinthcross/internal/task/link"
 	"jacinthcross/internal/task/local"
@@ -22,6 +23,7 @@
 type Server struct {
 	local   *mail.Box[local.Message]
 	keeper  *mail.Box[keeper.Message]
+	feed    *mail.Box[feed.Message]
 	maxSize int
 	bodies  *quota.Share
 	hello   func() codec.Hello
@@ -38,6 +40,9 @@
 // WithQuota sets the bound of the memory of all bodies, which tasks share.
 func WithQuota(q *quota.Quota) Option { return func(s *Server) { s.bodies = q.Open() } }
 
+// WithFeed sets the task that answers the questions of peers for what the platform publishes.
+func WithFeed(b *mail.Box[feed.Message]) Option { return func(s *Server) { s.feed = b } }
+
 // WithReports sets what is told of the peers. It must not block.
 func WithReports(report func(Report)) Option { return func(s *Server) { s.report = report } }
 
@@ -158,6 +163,8 @@
 		return s.load()
 	case codec.Control:
 		return s.control(m.Message)
+	case codec.Ask:
+		return s.published(m)
 	case codec.Drain:
 		event.PeerDraining.Log("vm", m.VM)
 		s.report(Draining{VM: m.VM})
@@ -168,7 +175,7 @@
 	case codec.TargetReport:
 		s.report(TargetChanged{Report: m})
 		return codec.Done{}
-	case codec.Hello, codec.Done, codec.Call, codec.Reply, codec.LoadReply:
+	case codec.Hello, codec.Done, codec.Call, codec.Reply, codec.LoadReply, codec.Published:
 		return codec.Done{}
 	}
 	return nil
@@ -187,6 +194,19 @@
 	}
 }
 
+func (s *Server) published(m codec.Ask) codec.Message {
+	reply := mail.NewBox[codec.Published](1)
+	if s.feed == nil || !s.feed.TryPut(feed.Ask{Ask: m, Reply: reply}) {
+		return nil
+	}
+	select {
+	case p := <-reply.C():
+		return p
+	case <-time.After(readTimeout):
+		return nil
+	}
+}
+
 func (s *Server) control(m relay.Message) codec.Message {
 	reply := mail.NewBox[relay.Message](1)
 	if !s.keeper.TryPut(keeper.FromPeer{Message: m, Reply: reply}) {
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -10,6 +10,7 @@
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/wire/peerpb"
 )
@@ -34,6 +35,10 @@
 		return decodeBlame(b.Blame)
 	case *peerpb.Envelope_Drain:
 		return Drain{VM: ident.VM(b.Drain.GetVM())}, nil
+	case *peerpb.Envelope_Ask:
+		return Ask{After: roster.Revision(b.Ask.GetAfter()), Wait: time.Duration(b.Ask.GetWaitNanoseconds())}, nil
+	case *peerpb.Envelope_Published:
+		return decodePublished(b.Published, now)
 	case *peerpb.Envelope_Done:
 		return Done{}, nil
 	case nil:
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -2,9 +2,12 @@
 package codec
 
 import (
+	"time"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/policy/crash"
 )
 
@@ -63,6 +66,24 @@
 	Entries []crash.Blame
 }
 
+// An Ask asks for what the platform has published after a revision.
+type Ask struct {
+	After roster.Revision
+	// Wait is how long the answer may wait for a change.
+	Wait time.Duration
+}
+
+// A Published answers an Ask.
+type Published struct {
+	roster.Changes
+	// Whole says that the changes are all that is published.
+	Whole bool
+	// Age is the time since the store confirmed what the sender knows.
+	Age time.Duration
+	// Lost says that the sender does not reach the store at the moment, nor a peer that does.
+	Lost bool
+}
+
 // A Drain announces the planned stop of the daemon on a VM.
 type Drain struct{ VM ident.VM }
 
@@ -79,3 +100,5 @@
 func (Blame) message()        {}
 func (Drain) message()        {}
 func (Done) message()         {}
+func (Ask) message()          {}
+func (Published) message()    {}
--- /dev/null
+++ b/internal/wire/codec/published.go
@@ -0,0 +1,183 @@
+package codec
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/proto"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/roster"
+	"jacinthcross/internal/wire/peerpb"
+)
+
+func encodePublished(m Published, now time.Time) *peerpb.Published {
+	p := &peerpb.Published{Revision: uint64(m.Revision), Whole: m.Whole, AgeNanoseconds: int64(m.Age), Lost: m.Lost}
+	for _, c := range m.Changes.Changes {
+		switch c := c.(type) {
+		case roster.Configured:
+			p.Config, p.ConfigRevision = encodeConfig(c.Config), uint64(c.Revision)
+		case roster.Registered:
+			p.Entries = append(p.Entries, &peerpb.Entry{
+				Name: string(c.Target.Name), Revision: uint64(c.Revision), Sequence: c.Sequence,
+				State: &peerpb.Entry_Target{Target: encodeTarget(c.Target, now)},
+			})
+		case roster.Lapsed:
+			p.Entries = append(p.Entries, &peerpb.Entry{
+				Name: string(c.Target.Name), Revision: uint64(c.Revision), LapsesNanoseconds: proto.Int64(int64(c.Until.Sub(now))),
+				State: &peerpb.Entry_Target{Target: encodeTarget(c.Target, now)},
+			})
+		case roster.Removed:
+			p.Entries = append(p.Entries, &peerpb.Entry{
+				Name: string(c.Name), Revision: uint64(c.Revision), State: &peerpb.Entry_Removed{Removed: true},
+			})
+		case roster.Unusable:
+			p.Entries = append(p.Entries, &peerpb.Entry{
+				Name: string(c.Name), Revision: uint64(c.Revision), State: &peerpb.Entry_Unusable{Unusable: true},
+			})
+		case roster.Misconfigured:
+			// A config that cannot be used is of no use to a peer.
+		}
+	}
+	return p
+}
+
+func encodeConfig(c roster.Config) *peerpb.Config {
+	p := &peerpb.Config{
+		Version: c.Version, MaxHeader: int64(c.Limits.MaxHeader), MaxBody: int64(c.Limits.MaxBody),
+		HeaderTimeoutNanoseconds: int64(c.Limits.HeaderTimeout), IdleTimeoutNanoseconds: int64(c.Limits.IdleTimeout),
+	}
+	for _, r := range c.Routes {
+		route := &peerpb.Route{
+			Name: string(r.Name), Host: r.Host, Prefix: r.Prefix, Idempotent: r.Idempotent,
+			TimeoutNanoseconds: int64(r.Timeout), AimNanoseconds: int64(r.Aim), Attempts: int64(r.Attempts), Rank: string(r.Rank),
+		}
+		for _, s := range r.Split {
+			route.Split = append(route.Split, &peerpb.Share{Service: string(s.Service), Weight: int64(s.Weight)})
+		}
+		p.Routes = append(p.Routes, route)
+	}
+	for _, s := range c.Services {
+		p.Services = append(p.Services, &peerpb.Service{
+			Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: int64(s.MaxConnections),
+		})
+	}
+	return p
+}
+
+func encodeTarget(t note.Target, now time.Time) *peerpb.Target {
+	p := &peerpb.Target{
+		Service: string(t.Service), VM: string(t.VM), DataCentre: string(t.DataCentre), Region: string(t.Region),
+		Daemon: encodeAddress(t.Daemon), Address: encodeAddress(t.Address), Slots: uint32(t.Slots), Draining: t.Draining,
+	}
+	if !t.WarmAt.IsZero() {
+		p.WarmNanoseconds = max(1, int64(t.WarmAt.Sub(now)))
+	}
+	if !t.StartedAt.IsZero() {
+		p.StartedMilliseconds = t.StartedAt.UnixMilli()
+	}
+	return p
+}
+
+// encodeAddress never fails: the text of an address has always a binary form.
+func encodeAddress(a netip.AddrPort) []byte {
+	b, _ := a.MarshalBinary()
+	return b
+}
+
+func decodePublished(p *peerpb.Published, now time.Time) (Message, error) {
+	m := Published{
+		Changes: roster.Changes{Revision: roster.Revision(p.GetRevision())}, Whole: p.GetWhole(),
+		Age: time.Duration(p.GetAgeNanoseconds()), Lost: p.GetLost(),
+	}
+	if p.Config != nil {
+		c, err := decodeConfig(p.Config)
+		if err != nil {
+			return nil, err
+		}
+		m.Changes.Changes = append(m.Changes.Changes, roster.Configured{Config: c, Revision: roster.Revision(p.GetConfigRevision())})
+	}
+	for _, e := range p.GetEntries() {
+		c, err := decodeEntry(e, now)
+		if err != nil {
+			return nil, errors.Annotatef(err, "entry of target %q", e.GetName())
+		}
+		m.Changes.Changes = append(m.Changes.Changes, c)
+	}
+	return m, nil
+}
+
+func decodeConfig(p *peerpb.Config) (roster.Config, error) {
+	c := roster.Config{
+		Version: p.GetVersion(), Routes: map[ident.Route]note.Route{}, Services: map[ident.Service]note.Service{},
+		Limits: note.Limits{
+			MaxHeader: int(p.GetMaxHeader()), MaxBody: int(p.GetMaxBody()),
+			HeaderTimeout: time.Duration(p.GetHeaderTimeoutNanoseconds()), IdleTimeout: time.Duration(p.GetIdleTimeoutNanoseconds()),
+		},
+	}
+	for _, r := range p.GetRoutes() {
+		rank, err := ident.ParseRank(r.GetRank())
+		if err != nil {
+			return c, errors.Annotatef(err, "route %q", r.GetName())
+		}
+		route := note.Route{
+			Name: ident.Route(r.GetName()), Host: r.GetHost(), Prefix: r.GetPrefix(), Idempotent: r.GetIdempotent(),
+			Timeout: time.Duration(r.GetTimeoutNanoseconds()), Aim: time.Duration(r.GetAimNanoseconds()),
+			Attempts: int(r.GetAttempts()), Rank: rank,
+		}
+		for _, s := range r.GetSplit() {
+			route.Split = append(route.Split, note.Share{Service: ident.Service(s.GetService()), Weight: int(s.GetWeight())})
+		}
+		if len(route.Split) == 0 {
+			return c, errors.NotValidf("route %q without a service", r.GetName())
+		}
+		c.Routes[route.Name] = route
+	}
+	for _, s := range p.GetServices() {
+		name := ident.Service(s.GetName())
+		c.Services[name] = note.Service{Name: name, HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections())}
+	}
+	return c, nil
+}
+
+func decodeEntry(e *peerpb.Entry, now time.Time) (roster.Change, error) {
+	name, revision := ident.Target(e.GetName()), roster.Revision(e.GetRevision())
+	switch s := e.State.(type) {
+	case *peerpb.Entry_Removed:
+		return roster.Removed{Name: name, Revision: revision}, nil
+	case *peerpb.Entry_Unusable:
+		return roster.Unusable{Name: name, Revision: revision}, nil
+	case *peerpb.Entry_Target:
+		t, err := decodeTarget(name, s.Target, now)
+		if err != nil {
+			return nil, err
+		}
+		if e.LapsesNanoseconds != nil {
+			return roster.Lapsed{Target: t, Until: now.Add(time.Duration(e.GetLapsesNanoseconds())), Revision: revision}, nil
+		}
+		return roster.Registered{Target: t, Sequence: e.GetSequence(), Revision: revision}, nil
+	}
+	return nil, errors.NotValidf("entry without a state")
+}
+
+func decodeTarget(name ident.Target, p *peerpb.Target, now time.Time) (note.Target, error) {
+	t := note.Target{
+		Name: name, Service: ident.Service(p.GetService()), VM: ident.VM(p.GetVM()), DataCentre: ident.DataCentre(p.GetDataCentre()),
+		Region: ident.Region(p.GetRegion()), Slots: int(p.GetSlots()), Draining: p.GetDraining(),
+	}
+	if err := t.Daemon.UnmarshalBinary(p.GetDaemon()); err != nil {
+		return t, errors.Trace(err)
+	}
+	if err := t.Address.UnmarshalBinary(p.GetAddress()); err != nil {
+		return t, errors.Trace(err)
+	}
+	if p.GetWarmNanoseconds() > 0 {
+		t.WarmAt = now.Add(time.Duration(p.GetWarmNanoseconds()))
+	}
+	if p.GetStartedMilliseconds() != 0 {
+		t.StartedAt = time.UnixMilli(p.GetStartedMilliseconds())
+	}
+	return t, nil
+}
