Recognise callers that return, and refuse at once what would miss its aim

Ruled out: recognising them by the time that they allow; callers of one route differ by 15% in it. They send the same path and body through the same daemon.

Change: the daemon remembers refused requests by a hash until their callers give up. A call that would miss its aim in a full queue is refused at once; one that has missed it waits at most a quarter of what it has left. Retry-After is the time of the work ahead, in a longer overload the time that it has lasted, at most a third of what the caller has left.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -33,6 +33,8 @@
 	Deadline time.Time
 	// Aim is until when an answer has its full value for the caller. Zero means that none is stated.
 	Aim time.Time
+	// Returned says that the caller was refused before and has come back.
+	Returned bool
 	// HoldUntil bounds the time for which the call waits beside the target. Zero sets no bound.
 	HoldUntil  time.Time
 	Rank       ident.Rank
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -15,13 +15,22 @@
 	// overloadAfter is how long calls must have been waiting without a break before the queue
 	// turns to last in, first out: as long as a Normal call may wait.
 	overloadAfter = 100 * time.Millisecond
+	// shortestRetry is the least time after which a refused caller is told to come back. A slot is free again
+	// after about a tenth of a second.
+	shortestRetry = 100 * time.Millisecond
+	// lateHold is how long a call waits that cannot make its aim any more, and lateShare the part of the
+	// time that it has left. The rest is for its caller, which may come back once more.
+	lateHold  = 500 * time.Millisecond
+	lateShare = 0.25
 	// delaySmoothing weighs a dispatched call in the reported queue delay.
 	delaySmoothing = 0.1
 )
 
 // A Gate is the admission to one target.
 type Gate struct {
-	limiter   limiter
+	limiter limiter
+	// timed says that the slots and the times of the calls are known well enough to tell when there is room again.
+	timed     bool
 	costs     costs
 	sensor    sensor
 	inFlight  int
@@ -37,7 +46,7 @@
 // WithFixedSlots makes the gate trust the number of slots, up to the point above which the target was found to
 // slow down. Without it, the limit follows the latency of the target, whose slots may be stated too high.
 func WithFixedSlots() Option {
-	return func(g *Gate) { g.limiter = newKnee(g.limiter.max()) }
+	return func(g *Gate) { g.limiter, g.timed = newKnee(g.limiter.max()), true }
 }
 
 // NewGate returns a Gate to a target with the number of slots.
@@ -66,17 +75,14 @@
 		case when == startMeasured && w.until.Before(now.Add(measureTimeout)):
 			w.until = now.Add(measureTimeout)
 		case when == startLater && !w.until.After(now):
-			return g.refuse(errs.TargetSlow)
+			return g.refuse(errs.TargetSlow, now)
 		}
 	}
-	if !w.until.After(now) {
-		return g.refuse(errs.Overloaded)
-	}
-	if w.cost > 0 && now.Add(g.ahead(w, now)).After(w.until) {
-		return g.refuse(errs.Overloaded)
+	if !w.until.After(now) || g.inFlight >= g.Limit() && g.hopeless(w, now) {
+		return g.refuse(errs.Overloaded, now)
 	}
 	if len(g.queue) >= queuePerSlot*g.limiter.max() && !g.makeRoom(w, now) {
-		return g.refuse(errs.Overloaded)
+		return g.refuse(errs.Overloaded, now)
 	}
 	if len(g.queue) == 0 {
 		g.busySince = now
@@ -85,8 +91,22 @@
 	return Wait{}
 }
 
-func (g *Gate) refuse(kind errs.Kind) Decision {
-	return Refuse{Kind: kind, RetryAfter: g.retryAfter(kind, len(g.queue))}
+func (g *Gate) refuse(kind errs.Kind, now time.Time) Decision {
+	return Refuse{Kind: kind, RetryAfter: g.retryAfter(kind, len(g.queue), now)}
+}
+
+// hopeless reports whether a call would wait in vain: one that states an aim and would miss it, while others that
+// can make theirs take every slot. It had better come back later. One that has come back waits for a while,
+// since a second refusal loses it.
+func (g *Gate) hopeless(w *waiting, now time.Time) bool {
+	if w.cost == 0 || w.prime.IsZero() {
+		return false
+	}
+	start := now.Add(g.ahead(w, now))
+	if w.late(now) {
+		return !w.Returned || start.After(w.until)
+	}
+	return start.After(w.prime) || start.After(w.until)
 }
 
 // tooLate reports whether the call cannot end before its deadline. A call to an idle target is
@@ -134,7 +154,7 @@
 		return false
 	}
 	victim := g.remove(last)
-	g.yielded = append(g.yielded, Drop{victim.Call, errs.Overloaded, g.retryAfter(errs.Overloaded, len(g.queue))})
+	g.yielded = append(g.yielded, Drop{victim.Call, errs.Overloaded, g.retryAfter(errs.Overloaded, len(g.queue), now)})
 	return true
 }
 
@@ -181,8 +201,8 @@
 }
 
 // Flush removes all queued calls and returns them as dropped.
-func (g *Gate) Flush(kind errs.Kind) []Step {
-	g.dropAll(func(*waiting) errs.Kind { return kind })
+func (g *Gate) Flush(kind errs.Kind, now time.Time) []Step {
+	g.dropAll(now, func(*waiting) errs.Kind { return kind })
 	return g.takeYielded()
 }
 
@@ -216,8 +236,10 @@
 
 // expire drops the calls that have waited for as long as they may.
 func (g *Gate) expire(now time.Time) {
-	g.dropAll(func(w *waiting) errs.Kind {
+	g.dropAll(now, func(w *waiting) errs.Kind {
 		switch {
+		case g.inFlight >= g.Limit() && w.cost > 0 && w.late(now) && !w.Returned:
+			return errs.Overloaded
 		case w.until.After(now):
 			return ""
 		case !w.Deadline.After(now):
@@ -233,7 +255,7 @@
 
 // dropUnheld drops the calls that may not be held until the target is fast again.
 func (g *Gate) dropUnheld(steps []Step, now time.Time) []Step {
-	g.dropAll(func(w *waiting) errs.Kind {
+	g.dropAll(now, func(w *waiting) errs.Kind {
 		if !w.held() || w.HoldUntil.After(now) {
 			return ""
 		}
@@ -243,7 +265,7 @@
 }
 
 // dropAll drops the queued calls for which why returns a kind.
-func (g *Gate) dropAll(why func(w *waiting) errs.Kind) {
+func (g *Gate) dropAll(now time.Time, why func(w *waiting) errs.Kind) {
 	queue := g.queue
 	g.queue = nil
 	for i, w := range queue {
@@ -252,7 +274,7 @@
 			g.queue = append(g.queue, w)
 			continue
 		}
-		g.yielded = append(g.yielded, Drop{w.Call, kind, g.retryAfter(kind, len(g.queue)+len(queue)-i-1)})
+		g.yielded = append(g.yielded, Drop{w.Call, kind, g.retryAfter(kind, len(g.queue)+len(queue)-i-1, now)})
 	}
 }
 
@@ -295,13 +317,23 @@
 	return next, !next.IsZero()
 }
 
-// retryAfter returns the table's delay for the kind plus the time that the queue takes to empty.
-func (g *Gate) retryAfter(kind errs.Kind, queued int) time.Duration {
+// retryAfter returns when a refused caller may come back: after the table's delay for the kind and the time that
+// the queue takes to empty. Where the slots are known, it is the time that the work ahead takes, and in a
+// longer overload the time that it has lasted, since it may last as long again.
+func (g *Gate) retryAfter(kind errs.Kind, queued int, now time.Time) time.Duration {
 	after := errs.AnswerTo(kind).RetryAfter
 	if after == 0 {
 		return 0
 	}
-	return after + g.Latency()*time.Duration(queued)/time.Duration(g.Limit())
+	empty := g.Latency() * time.Duration(queued) / time.Duration(g.Limit())
+	if !g.timed {
+		return after + empty
+	}
+	after = max(shortestRetry, 2*empty)
+	if len(g.queue) > 0 {
+		after = max(after, now.Sub(g.busySince))
+	}
+	return after
 }
 
 // InFlight returns the number of dispatched calls.
--- a/internal/policy/admit/decide.go
+++ b/internal/policy/admit/decide.go
@@ -56,6 +56,8 @@
 	Kind ident.Route
 	// Aim is until when an answer has its full value. Zero means that none is stated.
 	Aim time.Time
+	// Returned says that the caller was refused before and has come back.
+	Returned bool
 	// HoldUntil bounds the time for which a call waits for a slot or for the end of a slow spell, since another
 	// target may serve it earlier. Zero sets no bound.
 	HoldUntil time.Time
--- a/internal/policy/admit/order.go
+++ b/internal/policy/admit/order.go
@@ -42,16 +42,25 @@
 	default:
 		w.prime = a.Aim.Add(-w.cost)
 		w.until = a.Deadline.Add(-w.cost)
+		if w.cost > 0 && w.late(now) {
+			hold := min(lateHold, time.Duration(lateShare*float64(a.Deadline.Sub(now))))
+			w.until = earlier(w.until, now.Add(hold))
+		}
 	}
-	if w.held() && a.HoldUntil.Before(w.until) {
-		w.until = a.HoldUntil
-	}
-	if a.Deadline.Before(w.until) {
-		w.until = a.Deadline
+	if w.held() {
+		w.until = earlier(w.until, a.HoldUntil)
 	}
+	w.until = earlier(w.until, a.Deadline)
 	return w
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // late reports whether an answer cannot have its full value any more.
 func (w *waiting) late(now time.Time) bool { return !w.prime.IsZero() && w.prime.Before(now) }
 
--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -56,7 +56,8 @@
 func (t *Task) flush(kind errs.Kind) {
 	t.refuseHeld(kind)
 	if t.gate != nil {
-		t.step(t.gate.Flush(kind), t.clock.Now())
+		now := t.clock.Now()
+		t.step(t.gate.Flush(kind, now), now)
 	}
 }
 
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -200,7 +200,8 @@
 	if len(p.attempts) > 0 {
 		return
 	}
-	if refused, ok := o.(call.Refused); ok && !sent && t.bounce(p, a, refused, now) {
+	if refused, ok := o.(call.Refused); ok && !sent && t.keyless {
+		t.bounce(p, a, refused, now)
 		return
 	}
 	if p.route.Attempts > 0 && p.sends >= p.route.Attempts {
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -10,6 +10,7 @@
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/place"
 	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/policy/route"
 	"jacinthcross/internal/task/local"
@@ -29,6 +30,10 @@
 	Submit
 	route   note.Route
 	arrived time.Time
+	// first is when the caller first sent the request: earlier than arrived when it was refused and has come back.
+	first time.Time
+	// allowed is the time that the caller gave, or 0 when it set no limit.
+	allowed time.Duration
 	tried   []ident.Target
 	// bounced are the targets beside which the call could not start at once. Nothing of it was sent to them.
 	bounced []ident.Target
@@ -100,6 +105,10 @@
 	if !p.Arrived.IsZero() {
 		from = p.Arrived
 	}
+	p.first = from
+	if first, ok := t.returns.First(&p.Request, now); ok {
+		p.first, p.Request.Returned = first, true
+	}
 	p.limit(from)
 	if p.Request.Rank == "" {
 		p.Request.Rank = r.Rank
@@ -124,12 +133,15 @@
 // limit sets the deadline and the aim of a call that arrived at a time. The timeout of a service is for calls
 // that bring no deadline, that of a route for all of its calls.
 func (p *pending) limit(from time.Time) {
+	if !p.Request.Deadline.IsZero() {
+		p.allowed = p.Request.Deadline.Sub(from)
+	}
 	timeout := from.Add(p.route.Timeout)
 	if p.Request.Deadline.IsZero() || p.route.Name != "" && p.route.Timeout > 0 && timeout.Before(p.Request.Deadline) {
 		p.Request.Deadline = timeout
 	}
 	if p.route.Aim > 0 {
-		p.Request.Aim = from.Add(p.route.Aim)
+		p.Request.Aim = p.first.Add(p.route.Aim)
 	}
 }
 
@@ -229,12 +241,33 @@
 	if r, ok := o.(call.Refused); ok {
 		o = present(p, r)
 	}
+	if t.keyless && p.route.Name != "" {
+		o = t.remember(p, o)
+	}
 	t.count(p, o)
 	event.CallConcluded.Log("request", p.Request.ID, "route", p.Request.Route, "service", p.Request.Service, "outcome", call.Label(o),
-		"attempts", len(p.tried), "took", t.clock.Now().Sub(p.arrived), "caller", p.Request.Caller)
+		"attempts", len(p.tried), "took", t.clock.Now().Sub(p.arrived), "allowed", p.allowed, "caller", p.Request.Caller)
 	p.Reply.TryPut(Answer{ID: p.ID, Outcome: o})
 }
 
+// remember notes that a call was not served whose caller may come back, and tells a refused caller when to.
+func (t *Task) remember(p *pending, o call.Outcome) call.Outcome {
+	now := t.clock.Now()
+	until := p.arrived.Add(p.allowed)
+	switch r := o.(type) {
+	case call.Refused:
+		if r.RetryAfter > 0 {
+			r.RetryAfter = place.RetryAfter(r.RetryAfter, until.Sub(now), t.random)
+		}
+		t.returns.Refused(&p.Request, p.first, until, now)
+		return r
+	case call.Unknown:
+		t.returns.Refused(&p.Request, p.first, until, now)
+	case call.Answered:
+	}
+	return o
+}
+
 // present returns the refusal that the caller sees. When the daemon beside the owner of a key did not
 // refuse, an earlier send of the key may have run. When the key was internal, its owner does not concern the caller.
 func present(p *pending, r call.Refused) call.Refused {
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -45,20 +45,18 @@
 	return refusal(errs.NoTarget, "service "+string(p.Request.Service))
 }
 
-// bounce sends a call on that the daemon beside a target gave back, unless it has waited there for as long as it may.
-func (t *Task) bounce(p *pending, a *attempt, r call.Refused, now time.Time) bool {
-	if !t.keyless || !place.Bounces(r.Kind) || len(p.bounced) >= place.MaxBounces {
-		return false
-	}
+// bounce sends a call on that the daemon beside a target gave back. One that could not wait at the best
+// target either is refused.
+func (t *Task) bounce(p *pending, a *attempt, r call.Refused, now time.Time) {
+	event.CallBounced.Log("request", p.Request.ID, "target", a.target.Name, "reason", r.Kind, "waited", now.Sub(a.started), "pressed", p.pressed)
 	if p.refused == nil || r.RetryAfter < p.refused.RetryAfter {
 		p.refused = &r
 	}
-	event.CallBounced.Log("request", p.Request.ID, "target", a.target.Name, "reason", r.Kind, "waited", now.Sub(a.started), "pressed", p.pressed)
-	if p.pressed {
-		return false
+	if p.pressed || !place.Bounces(r.Kind) || len(p.bounced) >= place.MaxBounces {
+		t.conclude(p, *p.refused)
+		return
 	}
 	p.tried = slices.DeleteFunc(p.tried, func(n ident.Target) bool { return n == a.target.Name })
 	p.bounced = append(p.bounced, a.target.Name)
 	t.place(p)
-	return true
 }
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"math/rand/v2"
 	"net/netip"
 	"time"
 
@@ -43,6 +44,8 @@
 	retries    *retry.Policy
 	splits     *split.Splitter
 	costs      place.Costs
+	returns    *place.Returns
+	random     *rand.Rand
 	origin     ident.Service
 	keyless    bool
 	calls      map[call.ID]*pending
@@ -132,6 +135,8 @@
 		retries:    retry.NewPolicy(),
 		splits:     split.New(),
 		costs:      place.Costs{},
+		returns:    place.NewReturns(),
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		calls:      map[call.ID]*pending{},
 		attempts:   map[call.ID]*attempt{},
 		contexts:   map[string]*local.Context{},
