Find peers again that have restarted

Ruled out: an end of the draining by time alone; a stop lasts up to 6 s, a restart less than one. Change: a peer that opens a connection to this daemon runs. The profile Near asks silent, down and draining candidates for their load, as Tail does.

--- a/internal/fleet/member/member.go
+++ b/internal/fleet/member/member.go
@@ -102,6 +102,17 @@
 	return t.changed(daemon, p, now)
 }
 
+// Met says that the peer on a VM has opened a connection to this daemon, which shows that it runs.
+func (t *Table) Met(vm ident.VM, draining bool, now time.Time) []Change {
+	var changes []Change
+	for daemon, p := range t.peers {
+		if p.vm == vm {
+			changes = append(changes, t.Seen(daemon, draining, now)...)
+		}
+	}
+	return changes
+}
+
 // Lost says that a peer did not answer or that its link failed.
 func (t *Table) Lost(daemon netip.AddrPort, now time.Time) []Change {
 	p, ok := t.peers[daemon]
--- a/internal/fleet/member/member_test.go
+++ b/internal/fleet/member/member_test.go
@@ -52,6 +52,7 @@
 			{16 * time.Second, "lost", member.Suspect},
 			{ms, "seen", member.Alive},
 		}},
+		{"a restarted peer that opens a connection", []step{{0, "drain", member.Draining}, {0, "lost", member.Draining}, {500 * ms, "tick", member.Down}, {0, "met", member.Alive}}},
 		{"drain", []step{{0, "drain", member.Draining}, {0, "leaving", member.Draining}, {0, "seen", member.Leaving}}},
 		{"down and leaving", []step{{0, "leaving", member.Leaving}, {0, "lost", member.Leaving}, {500 * ms, "tick", member.Down}, {0, "seen", member.Leaving}}},
 		{"missing in the list", []step{{0, "unlisted", member.Alive}, {0, "leaving", member.Leaving}, {0, "unlisted", member.Alive}}},
@@ -80,6 +81,8 @@
 		return t.Lost(daemon, now)
 	case "seen":
 		return t.Seen(daemon, false, now)
+	case "met":
+		return t.Met("vm", false, now)
 	case "drain":
 		return t.Drain("vm", now)
 	case "leaving":
--- a/internal/policy/route/profile.go
+++ b/internal/policy/route/profile.go
@@ -11,7 +11,7 @@
 	Tail Profile = "Tail"
 	// Cost samples two candidates and allows one probe per 100 calls.
 	Cost Profile = "Cost"
-	// Near compares all candidates and keeps calls in the own data centre while its targets have room. It sends no probes.
+	// Near compares all candidates and keeps calls in the own data centre while its targets have room.
 	Near Profile = "Near"
 )
 
@@ -30,9 +30,7 @@
 	switch p {
 	case Cost:
 		return 1. / 100
-	case Near:
-		return 0
-	case Tail:
+	case Near, Tail:
 	}
 	return 1. / 20
 }
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -153,12 +153,13 @@
 	if !s.reported.IsZero() {
 		others += (s.others - others) * math.Exp(-v.now.Sub(s.reported).Seconds()/reportDecay.Seconds())
 	}
-	busy := (float64(len(s.inFlight)) + others + 1) / (limit * s.share(v.now))
+	busy := (float64(len(s.inFlight)) + others + 1) / limit
 	var score float64
 	if v.profile == Near {
+		// The daemon beside a target that has just started measures how slow it still is.
 		score = v.near(s, busy)
 	} else {
-		score = busy*v.latencyOf(s) + v.distance(s.DataCentre).Seconds()
+		score = busy/s.share(v.now)*v.latencyOf(s) + v.distance(s.DataCentre).Seconds()
 	}
 	if v.straggles(s) {
 		score += stragglerPenalty * v.unit()
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -36,8 +36,8 @@
 func (b *boxes) peerReported(r listen.Report) {
 	switch r := r.(type) {
 	case listen.Greeted:
-		// An accepted connection does not show the address at which the peer listens, and the
-		// digests that the peer exchanges tell its head.
+		// The digests that the peer exchanges tell its head.
+		b.member.TryPut(member.Met{VM: r.Hello.VM, Draining: r.Hello.Draining})
 	case listen.Draining:
 		b.member.TryPut(member.Drained{VM: r.VM})
 	case listen.TargetChanged:
--- a/internal/task/member/member.go
+++ b/internal/task/member/member.go
@@ -23,6 +23,12 @@
 	Draining bool
 }
 
+// A Met says that the daemon on a VM has opened a connection to this one. Draining is what it told of itself.
+type Met struct {
+	VM       ident.VM
+	Draining bool
+}
+
 // A Lost says that a peer did not answer or that its link failed.
 type Lost struct{ Peer netip.AddrPort }
 
@@ -39,6 +45,7 @@
 type StatusAsk struct{ Reply *mail.Box[[]member.Change] }
 
 func (Seen) message()           {}
+func (Met) message()            {}
 func (Lost) message()           {}
 func (Drained) message()        {}
 func (Listed) message()         {}
@@ -104,6 +111,8 @@
 	switch m := m.(type) {
 	case Seen:
 		return t.table.Seen(m.Peer, m.Draining, now)
+	case Met:
+		return t.table.Met(m.VM, m.Draining, now)
 	case Lost:
 		return t.table.Lost(m.Peer, now)
 	case Drained:
