Judge slowness against the target's best, and hold calls that cannot come back

Cause: after the loss of all machines the targets work at half their speed for 3 s, which counted as a slow spell, and a neighbour's spell on top of it did not. Inner calls that would miss their aim of 150 ms were refused, and their parents failed with them. A first run of unknown slowness gave a cost that refused all later calls of its route as too late.

Change: the gate keeps the lowest slowness of the last 1.2 s as the floor, at a start the lowest so far. A call whose caller allows no more time than its route's timeout is final and waits until its deadline. The target is measured before its first call. A cost without a new run for 1 s refuses nothing. After a 421 the daemon refuses on its own until the entry changes.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -35,6 +35,8 @@
 	Aim time.Time
 	// Returned says that the caller was refused before and has come back.
 	Returned bool
+	// Final says that the caller has no time to come back after a refusal.
+	Final bool
 	// HoldUntil bounds the time for which the call waits beside the target. Zero sets no bound.
 	HoldUntil  time.Time
 	Rank       ident.Rank
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -22,6 +22,8 @@
 	// time that it has left. The rest is for its caller, which may come back once more.
 	lateHold  = 500 * time.Millisecond
 	lateShare = 0.25
+	// shortRun is how short a run may be against those of its kind. The work of the users' calls spreads by a third.
+	shortRun = 0.6
 	// delaySmoothing weighs a dispatched call in the reported queue delay.
 	delaySmoothing = 0.1
 )
@@ -115,10 +117,17 @@
 	if !w.Deadline.After(now) {
 		return true
 	}
-	return g.inFlight > 0 && now.Add(g.expected(w)).After(w.Deadline)
+	if g.inFlight == 0 || w.cost > 0 && g.costs.stale(w.Kind, now) {
+		return false
+	}
+	run := g.expected(w)
+	if w.cost > 0 {
+		run = time.Duration(shortRun * float64(run))
+	}
+	return now.Add(run).After(w.Deadline)
 }
 
-// expected returns how long a call is expected to run at the usual speed of the target.
+// expected returns how long a call is expected to run with the target at its best.
 func (g *Gate) expected(w *waiting) time.Duration {
 	if w.cost > 0 {
 		return w.cost
@@ -182,7 +191,7 @@
 		if ran.Slowness > 1 {
 			work = time.Duration(float64(work) / ran.Slowness)
 		}
-		stretch := g.costs.add(ran.Kind, work)
+		stretch := g.costs.add(ran.Kind, work, now)
 		g.limiter.sample(work, stretch, max(ran.InFlight, g.inFlight))
 	case Shed:
 		g.limiter.shed(now)
@@ -238,7 +247,7 @@
 func (g *Gate) expire(now time.Time) {
 	g.dropAll(now, func(w *waiting) errs.Kind {
 		switch {
-		case g.inFlight >= g.Limit() && w.cost > 0 && w.late(now) && !w.Returned:
+		case g.inFlight >= g.Limit() && w.cost > 0 && w.late(now) && !w.Returned && !w.Final:
 			return errs.Overloaded
 		case w.until.After(now):
 			return ""
--- a/internal/policy/admit/decide.go
+++ b/internal/policy/admit/decide.go
@@ -58,6 +58,8 @@
 	Aim time.Time
 	// Returned says that the caller was refused before and has come back.
 	Returned bool
+	// Final says that a refusal ends the call for good: its caller has no time to come back.
+	Final bool
 	// HoldUntil bounds the time for which a call waits for a slot or for the end of a slow spell, since another
 	// target may serve it earlier. Zero sets no bound.
 	HoldUntil time.Time
--- a/internal/policy/admit/order.go
+++ b/internal/policy/admit/order.go
@@ -27,7 +27,7 @@
 	prime time.Time
 	// until is when the call is given up.
 	until time.Time
-	// cost is how long calls of this kind run at the usual speed of the target, or 0 when that is not known.
+	// cost is how long calls of this kind run with the target at its best at the moment, or 0 when that is not known.
 	cost time.Duration
 }
 
@@ -35,10 +35,14 @@
 func (w *waiting) held() bool { return !w.HoldUntil.IsZero() }
 
 func (g *Gate) newWaiting(a Arrival, now time.Time) *waiting {
-	w := &waiting{Arrival: a, since: now, cost: g.costs.of(a.Kind)}
+	w := &waiting{Arrival: a, since: now, cost: time.Duration(float64(g.costs.of(a.Kind)) * g.sensor.floor)}
 	switch {
 	case a.Aim.IsZero():
 		w.until = now.Add(maxWait(a.Rank))
+	case a.Final:
+		// What depends on a call whose caller cannot come back is lost with it, however late it is.
+		w.until = a.Deadline.Add(-w.cost)
+		w.prime = w.until
 	default:
 		w.prime = a.Aim.Add(-w.cost)
 		w.until = a.Deadline.Add(-w.cost)
--- a/internal/policy/admit/sense.go
+++ b/internal/policy/admit/sense.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// freshFor is how long a measurement of the target's speed counts. Spells of a slow VM last about a tenth of
@@ -13,30 +16,54 @@
 	// measureRate and measureBurst bound the measurements per second. The platform allows 60 for each target.
 	measureRate  = 45
 	measureBurst = 30
-	// slowFrom is the slowness from which a target counts as slow.
+	// slowFrom is how many times slower than its floor a target counts as slow.
 	slowFrom = 1.5
+	// floorWindow is how far back the floor looks, and floorSpan the least time between the first and the last
+	// measurement that make a new one. Spells that follow one another last that long in one of 200 cases where a
+	// third of the time is slow.
+	floorWindow = 1200 * time.Millisecond
+	floorSpan   = 800 * time.Millisecond
+	// coldFloor is the highest floor of a target that has just started, before it is measured for floorSpan. Targets of
+	// the users work at half their speed then.
+	coldFloor = 3
 	// usualSpell is how long a spell is expected to last before one was seen.
 	usualSpell = 100 * time.Millisecond
 	// spellSmoothing weighs a new spell in the usual length of spells.
 	spellSmoothing = 0.2
 )
 
+// A reading is a measurement of the slowness.
+type reading struct {
+	at       time.Time
+	slowness float64
+}
+
 // A sensor holds how slow the target's VM is at the moment, as the target tells it. Whoever shares the VM makes
 // it slow in spells, and a call that starts in one takes several times as long.
 type sensor struct {
-	// works is true once the target has told its slowness.
+	// works is true as long as the target tells its slowness, or has not been asked.
 	works    bool
 	slowness float64
 	at       time.Time
 	asked    time.Time
 	tokens   float64
 	refilled time.Time
+	// floor is how slow the target is at its best at the moment: more than 1 for one that is slow for long, such as
+	// after its start. readings are those of the last floorWindow.
+	floor     float64
+	readings  []reading
+	coldUntil time.Time
 	// since is when the current spell began, and zero when there is none.
 	since time.Time
 	spell time.Duration
 }
 
-func newSensor() sensor { return sensor{slowness: 1, tokens: measureBurst, spell: usualSpell} }
+func newSensor() sensor {
+	return sensor{slowness: 1, floor: 1, tokens: measureBurst, spell: usualSpell}
+}
+
+// WithSensor makes the gate ask for the slowness of the target from the first call on.
+func WithSensor() Option { return func(g *Gate) { g.sensor.works = true } }
 
 // Sense takes the slowness that the target tells: 1 as usual, 0 when it tells none.
 func (g *Gate) Sense(slowness float64, now time.Time) {
@@ -47,7 +74,8 @@
 		return
 	}
 	s.works, s.slowness, s.at = true, slowness, now
-	switch slow := slowness >= slowFrom; {
+	s.setFloor(now)
+	switch slow := s.slow(); {
 	case slow && s.since.IsZero():
 		s.since = now
 	case !slow && !s.since.IsZero():
@@ -56,6 +84,33 @@
 	}
 }
 
+// SetCold says until when a target that has just started is slow.
+func (g *Gate) SetCold(until time.Time) { g.sensor.coldUntil = until }
+
+// slow reports whether the target is slower than at its best.
+func (s *sensor) slow() bool { return s.slowness >= slowFrom*s.floor }
+
+// setFloor takes the last measurement into the floor.
+func (s *sensor) setFloor(now time.Time) {
+	s.readings = append(s.readings, reading{now, s.slowness})
+	old := 0
+	for now.Sub(s.readings[old].at) > floorWindow {
+		old++
+	}
+	s.readings = slices.Delete(s.readings, 0, old)
+	lowest := s.slowness
+	for _, r := range s.readings {
+		lowest = min(lowest, r.slowness)
+	}
+	switch {
+	case lowest < s.floor, now.Sub(s.readings[0].at) >= floorSpan:
+		s.floor = lowest
+	case now.Before(s.coldUntil):
+		s.floor = min(lowest, coldFloor)
+	}
+	s.floor = max(1, s.floor)
+}
+
 // Slowness returns the slowness that was told last, and when.
 func (g *Gate) Slowness() (float64, time.Time) { return g.sensor.slowness, g.sensor.at }
 
@@ -116,16 +171,16 @@
 func (g *Gate) starts(w *waiting, now time.Time) startTime {
 	s := &g.sensor
 	switch {
-	case !s.works || w.cost == 0:
+	case !s.works || w.Kind == "":
 		return startNow
 	case !s.known(now):
 		if s.asked.IsZero() || now.Sub(s.asked) < measureTimeout {
 			return startMeasured
 		}
 		return startNow
-	case s.slowness < slowFrom:
+	case !s.slow(), w.cost == 0 && s.at.IsZero():
 		return startNow
-	case time.Duration(float64(w.cost)*(s.slowness-1)) < s.remaining(now):
+	case time.Duration(float64(w.cost)*(s.slowness/s.floor-1)) < s.remaining(now):
 		return startNow
 	}
 	return startLater
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -40,11 +40,20 @@
 	return max(0, time.Duration(holdShare*float64(spare)))
 }
 
+// finalSlack is how much more time than the route's timeout a caller has to allow to be able to come back.
+const finalSlack = 1.1
+
+// Final reports whether the caller of a call has no time to come back after a refusal: it allows no more than the
+// route gives one try. The calls that targets make for others are of this kind.
+func Final(allowed, timeout time.Duration) bool {
+	return allowed > 0 && timeout > 0 && float64(allowed) <= finalSlack*float64(timeout)
+}
+
 // Bounces reports whether a refusal by a daemon says that another target may start the call at once. Nothing
 // was sent to the target.
 func Bounces(kind errs.Kind) bool {
 	switch kind {
-	case errs.TargetSlow, errs.Overloaded, errs.QueueTimeout, errs.Busy, errs.Draining, errs.Withdrawn, errs.TargetDown, errs.PeerUnreachable:
+	case errs.TargetSlow, errs.Overloaded, errs.QueueTimeout, errs.Busy, errs.Draining, errs.Withdrawn, errs.TargetDown, errs.TargetReplaced, errs.PeerUnreachable:
 		return true
 	}
 	return false
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -135,7 +135,7 @@
 // expired epoch concerns only the internal key of the attempt: the next one gets a new key.
 func retryable(kind errs.Kind) bool {
 	switch kind {
-	case errs.Busy, errs.Overloaded, errs.QueueTimeout, errs.TargetShed, errs.TargetDown,
+	case errs.Busy, errs.Overloaded, errs.QueueTimeout, errs.TargetShed, errs.TargetDown, errs.TargetReplaced, errs.TargetSlow,
 		errs.PeerUnreachable, errs.Draining, errs.Withdrawn, errs.Unconfirmed, errs.LedgerFull,
 		errs.OwnerGone, errs.KeyExpired:
 		return true
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -60,6 +60,7 @@
 	idle         []*conn        // least recently used first
 	suspicion    *suspicion
 	down         bool
+	replaced     bool // another target answers at the address
 	blamed       bool // the crash that took the target down was blamed
 	probing      bool
 	probeDelay   time.Duration
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -19,7 +19,7 @@
 		t.withdraw()
 		return
 	}
-	if t.gate == nil || target.Name != t.target.Name {
+	if t.gate == nil || target.Name != t.target.Name || !target.StartedAt.Equal(t.target.StartedAt) {
 		t.withdraw()
 		t.begin(target)
 	}
@@ -41,6 +41,7 @@
 		t.probe()
 	}
 	t.gate.SetSlots(target.Slots)
+	t.gate.SetCold(target.WarmAt)
 	t.advanceGate(t.clock.Now())
 }
 
@@ -51,13 +52,17 @@
 	if t.ledger != nil {
 		t.self = ident.NewIncarnation()
 	}
+	var options []admit.Option
 	if t.fixed {
-		t.gate = admit.NewGate(target.Slots, admit.WithFixedSlots())
-	} else {
-		t.gate = admit.NewGate(target.Slots)
+		options = append(options, admit.WithFixedSlots())
 	}
+	if target.HealthPath != "" {
+		options = append(options, admit.WithSensor())
+	}
+	t.gate = admit.NewGate(target.Slots, options...)
 	t.ledger = ledger.New(target.Name, t.self, t.limits, now)
 	t.crashes = crash.NewTable()
+	t.replaced = false
 	t.alarms.Set(epochAlarm{}, now.Add(t.limits.EpochLength))
 }
 
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -82,7 +82,7 @@
 func (t *Task) admit(r *run, now time.Time) {
 	q := &r.Request
 	switch d := r.gate.Arrive(admit.Arrival{
-		Call: r.ID, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Aim: q.Aim, HoldUntil: q.HoldUntil, Returned: q.Returned,
+		Call: r.ID, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Aim: q.Aim, HoldUntil: q.HoldUntil, Returned: q.Returned, Final: q.Final,
 	}, now).(type) {
 	case admit.Start:
 		t.dispatch(r, now)
@@ -135,6 +135,8 @@
 		return errs.Draining, true
 	case t.down:
 		return errs.TargetDown, true
+	case t.replaced:
+		return errs.TargetReplaced, true
 	case t.crashes.Len() > 0 && t.crashes.Quarantined(r.digest(), now):
 		return errs.Quarantined, true
 	}
@@ -196,6 +198,11 @@
 	}
 	event.CallEnded.Log("request", r.Request.ID, "target", r.Target, "ran", now.Sub(r.started), "outcome", call.Label(m.outcome),
 		"targetRunning", m.load.Running, "targetWaiting", m.load.Waiting, "slowness", m.load.Slowness, "startSlowness", r.slowness)
+	if o, ok := m.outcome.(call.Refused); ok && o.Kind == errs.TargetReplaced && r.Target == t.target.Name {
+		// All others would get the same answer until the entry of the new target is known.
+		t.replaced = true
+		t.flush(errs.TargetReplaced)
+	}
 	switch {
 	case m.reusable:
 		t.keep(m.conn, now)
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -110,6 +110,7 @@
 		p.first, p.Request.Returned = first, true
 	}
 	p.limit(from)
+	p.Request.Final = !p.Request.Returned && place.Final(p.allowed, r.Timeout)
 	if p.Request.Rank == "" {
 		p.Request.Rank = r.Rank
 	}
