Judge a target's pace by the route of each call

The first daemon compared targets by their smoothed latency, which mixes lookups of 40 ms with calls of 250 ms, so that chance decided, and a call of the longer kind made its target a straggler.

--- a/internal/bench/policy/model.go
+++ b/internal/bench/policy/model.go
@@ -241,7 +241,7 @@
 	t.assigned++
 	c.entry.inFlight[i]++
 	if c.entry.table != nil {
-		c.entry.table.Sent(t.name, c.id, m.time())
+		c.entry.table.Sent(t.name, c.id, 0, m.time())
 	}
 	m.after(m.oneWay(c.entry.dataCentre, t.dataCentre), func() { m.reach(c, i) })
 }
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -97,7 +97,7 @@
 	for _, c := range candidates {
 		s, ok := known[c.Target]
 		if !ok || s.VM != c.VM {
-			s = &state{inFlight: map[call.ID]time.Time{}}
+			s = &state{inFlight: map[call.ID]flight{}}
 			if t.filled {
 				s.since = now
 			}
@@ -191,10 +191,10 @@
 	return oldest.Target, true
 }
 
-// Sent notes that an attempt was sent to a target.
-func (t *Table) Sent(target ident.Target, attempt call.ID, now time.Time) {
+// Sent notes that an attempt was sent to a target. Usual is how long calls of its route usually take, or 0.
+func (t *Table) Sent(target ident.Target, attempt call.ID, usual time.Duration, now time.Time) {
 	if s := t.find(target); s != nil {
-		s.inFlight[attempt] = now
+		s.inFlight[attempt] = flight{now, usual}
 		s.sent = append(s.sent, attempt)
 	}
 }
@@ -205,11 +205,13 @@
 	if s == nil {
 		return
 	}
+	flight := s.inFlight[attempt]
 	delete(s.inFlight, attempt)
 	s.trim()
 	switch f := feedback.(type) {
 	case Served:
 		t.learn(s, f.Latency, now)
+		s.keepPace(f.Latency, flight.usual)
 		s.report(f.Load, now)
 		s.succeeded(now)
 	case Declined:
--- a/internal/policy/route/route_test.go
+++ b/internal/policy/route/route_test.go
@@ -40,7 +40,7 @@
 func serve(t *Table, target ident.Target, n int, latency time.Duration, now time.Time) time.Time {
 	for range n {
 		id := call.NextID()
-		t.Sent(target, id, now)
+		t.Sent(target, id, 0, now)
 		now = now.Add(latency)
 		t.Finished(target, id, Served{Latency: latency, Load: call.Load{Limit: 10, Incarnation: ident.Incarnation{1}}}, now)
 	}
@@ -54,7 +54,7 @@
 	for i := range 2000 {
 		target, _ := t.Pick(now, nil)
 		got[target] += 1. / 2000
-		t.Sent(target, call.ID(i), now)
+		t.Sent(target, call.ID(i), 0, now)
 		if sent = append(sent, target); i >= inFlight {
 			t.Finished(sent[i-inFlight], call.ID(i-inFlight), Cancelled{}, now)
 		}
@@ -74,11 +74,11 @@
 	}{
 		{"equal targets share", func(_ *Table, now time.Time) time.Time { return now }, "t1", .2, .5},
 		{"an old call in flight makes a straggler within 40 ms", func(table *Table, now time.Time) time.Time {
-			table.Sent("t1", call.NextID(), now)
+			table.Sent("t1", call.NextID(), 0, now)
 			return now.Add(40 * ms)
 		}, "t1", 0, .01},
 		{"a young call in flight does not", func(table *Table, now time.Time) time.Time {
-			table.Sent("t1", call.NextID(), now)
+			table.Sent("t1", call.NextID(), 0, now)
 			return now.Add(3 * ms)
 		}, "t1", .05, .5},
 		{"slow answers make a straggler", func(table *Table, now time.Time) time.Time {
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -35,7 +35,7 @@
 // A state is what is known of one candidate.
 type state struct {
 	Candidate
-	inFlight map[call.ID]time.Time
+	inFlight map[call.ID]flight
 	// sent holds the attempts in the order of sending; those that have ended are removed from its front.
 	sent []call.ID
 	load call.Load
@@ -49,6 +49,8 @@
 	// latency is smoothed, in seconds and without network distance, 0 when unknown.
 	latency float64
 	served  time.Time
+	// pace is how many times longer than usual the target takes, smoothed, for the profile Near.
+	pace float64
 	// since is when the target joined or restarted, zero when it did before the table was made.
 	since     time.Time
 	draining  bool
@@ -59,6 +61,12 @@
 	readmit   time.Duration
 }
 
+// A flight is an attempt that is under way: when it was sent and how long calls of its route usually take, or 0.
+type flight struct {
+	at    time.Time
+	usual time.Duration
+}
+
 // A floor is the shortest round trip to a data centre in the current and the previous window.
 type floor struct {
 	current  time.Duration
@@ -154,44 +162,16 @@
 		others += (s.others - others) * math.Exp(-v.now.Sub(s.reported).Seconds()/reportDecay.Seconds())
 	}
 	busy := (float64(len(s.inFlight)) + others + 1) / limit
-	var score float64
 	if v.profile == Near {
-		// The daemon beside a target that has just started measures how slow it still is.
-		score = v.near(s, busy)
-	} else {
-		score = busy/s.share(v.now)*v.latencyOf(s) + v.distance(s.DataCentre).Seconds()
+		return v.near(s, busy)
 	}
+	score := busy/s.share(v.now)*v.latencyOf(s) + v.distance(s.DataCentre).Seconds()
 	if v.straggles(s) {
 		score += stragglerPenalty * v.unit()
 	}
 	return score
 }
 
-const (
-	// crowding is what a full target adds to the score of a call that finds a free slot, in units of its latency.
-	crowding = .1
-	// remoteCost is what another data centre adds to the score, in seconds. A call that waits this long for
-	// a target of the own data centre costs its caller little, and saves the bytes between data centres.
-	remoteCost = .03
-	// slowness from which a target counts as slow, and the time constant with which a report of it loses its value.
-	slowFrom  = 1.5
-	slowDecay = 75 * time.Millisecond
-)
-
-// near scores a candidate for the profile Near: the wait for a slot, the rest of a slow spell, and the distance.
-func (v view) near(s *state, busy float64) float64 {
-	latency := v.latencyOf(s)
-	score := crowding*min(1, busy)*latency + latency*max(0, busy-1)
-	if s.load.Slowness >= slowFrom {
-		rest := math.Exp(-v.now.Sub(s.reported).Seconds() / slowDecay.Seconds())
-		score += rest * min(float64(s.load.Slowness-1)*latency, slowDecay.Seconds())
-	}
-	if s.DataCentre != v.dataCentre {
-		score += remoteCost
-	}
-	return score + v.distance(s.DataCentre).Seconds() + latency - v.unit()
-}
-
 // unit is the latency of the service, or a small one as long as it is unknown.
 func (v view) unit() float64 {
 	if len(v.latencies) == 0 {
@@ -301,7 +281,7 @@
 	if len(s.sent) == 0 {
 		return time.Time{}, false
 	}
-	return s.inFlight[s.sent[0]], true
+	return s.inFlight[s.sent[0]].at, true
 }
 
 func (s *state) trim() {
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -110,7 +110,7 @@
 	p.tried = append(p.tried, a.target.Name)
 	p.attempts = append(p.attempts, a)
 	t.attempts[a.id] = a
-	t.table(request.Service).Sent(a.target.Name, a.id, now)
+	t.table(request.Service).Sent(a.target.Name, a.id, t.costs.Of(request.Route), now)
 	event.CallSent.Log("request", request.ID, "route", request.Route, "service", request.Service, "target", a.target.Name,
 		"attempt", len(p.tried), "release", t.release.Head.Serial, "left", request.Deadline.Sub(now))
 	if !t.dispatch(a, request) {
