Send a call on that would run longer in a slow spell

A call of 40 ms was run at a fifth of the speed when the rest of the spell was expected to take longer than the 160 ms that it lost, although other targets could start it after some milliseconds. Change: a call that may go elsewhere starts in a slow spell only when it loses less than 20 ms. Where it was pressed to wait, the rest of the spell decides as before.

--- a/internal/policy/admit/sense.go
+++ b/internal/policy/admit/sense.go
@@ -26,6 +26,8 @@
 	// coldFloor is the highest floor of a target that has just started, before it is measured for floorSpan. Targets of
 	// the users work at half their speed then.
 	coldFloor = 3
+	// elsewhereCost is what it takes to start a call beside another target: the way back and there, on slow VMs.
+	elsewhereCost = 20 * time.Millisecond
 	// usualSpell is how long a spell is expected to last before one was seen.
 	usualSpell = 100 * time.Millisecond
 	// spellSmoothing weighs a new spell in the usual length of spells.
@@ -166,8 +168,8 @@
 	startLater startTime = "Later"
 )
 
-// starts reports when a call starts that has a slot. In a slow spell a call waits if it would end
-// earlier by starting after the spell.
+// starts reports when a call starts that has a slot. In a slow spell a call waits if it would end earlier by
+// starting after the spell, or beside another target.
 func (g *Gate) starts(w *waiting, now time.Time) startTime {
 	s := &g.sensor
 	switch {
@@ -180,8 +182,10 @@
 		return startNow
 	case !s.slow(), w.cost == 0 && s.at.IsZero():
 		return startNow
-	case time.Duration(float64(w.cost)*(s.slowness/s.floor-1)) < s.remaining(now):
-		return startNow
 	}
-	return startLater
+	longer := time.Duration(float64(w.cost) * (s.slowness/s.floor - 1))
+	if w.held() && longer > elsewhereCost || longer > s.remaining(now) {
+		return startLater
+	}
+	return startNow
 }
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -17,8 +17,7 @@
 
 // A Call is what is known of a call that is being placed.
 type Call struct {
-	Aim      time.Time
-	Deadline time.Time
+	Aim time.Time
 	// Cost is how long calls of its route usually take, or 0 when that is not known.
 	Cost time.Duration
 	// Near says that the target is in the own data centre.
@@ -27,17 +26,18 @@
 	Pressed bool
 }
 
-// Hold returns for how long a call may wait beside a target before it is given back. A call waits where it can
-// only when no target could start it, or for a short time where the way to another target costs more.
-func Hold(c Call, now time.Time) time.Duration {
+// Hold returns until when a call may wait beside a target before it is given back, or the zero time when it may
+// wait for as long as it has. It waits there when no target could start it, and for a short time where the way to
+// another target costs more.
+func Hold(c Call, now time.Time) time.Time {
 	if c.Pressed {
-		return c.Deadline.Sub(now)
+		return time.Time{}
 	}
 	if !c.Near || c.Aim.IsZero() {
-		return 0
+		return now
 	}
 	spare := c.Aim.Sub(now) - c.Cost
-	return max(0, time.Duration(holdShare*float64(spare)))
+	return now.Add(max(0, time.Duration(holdShare*float64(spare))))
 }
 
 // finalSlack is how much more time than the route's timeout a caller has to allow to be able to come back.
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -30,10 +30,9 @@
 		return
 	}
 	target := t.release.Targets[name]
-	p.Request.HoldUntil = now.Add(place.Hold(place.Call{
-		Aim: p.Request.Aim, Deadline: p.Request.Deadline, Cost: t.costs.Of(p.Request.Route),
-		Near: target.DataCentre == t.dataCentre, Pressed: p.pressed,
-	}, now))
+	p.Request.HoldUntil = place.Hold(place.Call{
+		Aim: p.Request.Aim, Cost: t.costs.Of(p.Request.Route), Near: target.DataCentre == t.dataCentre, Pressed: p.pressed,
+	}, now)
 	t.send(p, &attempt{target: target})
 }
 
