--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -33,6 +33,8 @@
 	Deadline time.Time
 	// Aim is until when an answer has its full value for the caller. Zero means that none is stated.
 	Aim time.Time
+	// Usual is how long calls of the route usually take, as the daemon knows it at which the call entered, or 0.
+	Usual time.Duration
 	// Returned says that the caller was refused before and has come back.
 	Returned bool
 	// Final says that the caller has no time to come back after a refusal.
--- /dev/null
+++ b/internal/fleet/follow/follow_test.go
@@ -0,0 +1,152 @@
+package follow_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/follow"
+)
+
+// fleet returns the daemons of a region, spread over data centres.
+func fleet(vms, dataCentres int) []follow.Peer {
+	var peers []follow.Peer
+	for i := range vms {
+		peers = append(peers, follow.Peer{
+			VM: ident.VM(fmt.Sprintf("10.0.%d.%d", i/200, i%200)), DataCentre: ident.DataCentre(fmt.Sprintf("d%d", i%dataCentres)), Region: "r",
+			Daemon: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 200), byte(i % 200)}), 7000),
+		})
+	}
+	return peers
+}
+
+// Guards against a fleet without a reader or with many, against daemons that no chain connects with the reader,
+// and against chains that are too long for a change to be in force in time.
+func TestPlaces(t *testing.T) {
+	for _, test := range []struct {
+		name             string
+		vms, dataCentres int
+		depth            int
+	}{
+		{"one VM", 1, 1, 0},
+		{"two VMs", 2, 1, 1},
+		{"eleven VMs in three data centres", 11, 3, 2},
+		{"81 VMs in five", 81, 5, 3},
+		{"1,800 VMs in twelve", 1800, 12, 4},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			peers := fleet(test.vms, test.dataCentres)
+			places := map[ident.VM]follow.Place{}
+			readers, asked := 0, map[ident.VM]int{}
+			for _, p := range peers {
+				place := follow.PlaceOf(p, peers)
+				places[p.VM] = place
+				if place.Reads {
+					readers++
+					continue
+				}
+				qt.Assert(t, len(place.Peers) > 0, qt.IsTrue)
+				asked[place.Peers[0].VM]++
+			}
+			qt.Assert(t, readers, qt.Equals, 1)
+			for _, p := range peers {
+				depth, at := 0, p.VM
+				for ; !places[at].Reads; depth++ {
+					qt.Assert(t, depth <= test.depth, qt.IsTrue, qt.Commentf("%s", p.VM))
+					at = places[at].Peers[0].VM
+				}
+			}
+			for vm, n := range asked {
+				qt.Assert(t, n <= 8+test.dataCentres, qt.IsTrue, qt.Commentf("%d daemons ask %s", n, vm))
+			}
+		})
+	}
+}
+
+// Guards against a daemon that is not in the store yet, or alone in its region, and then has no source.
+func TestPlaceOfUnlisted(t *testing.T) {
+	own := follow.Peer{VM: "10.9.9.9", DataCentre: "d0", Region: "r"}
+	for _, test := range []struct {
+		name  string
+		own   follow.Peer
+		peers []follow.Peer
+		reads bool
+	}{
+		{"no peers", own, nil, true},
+		{"peers of another region", follow.Peer{VM: "10.9.9.9", DataCentre: "x", Region: "q"}, fleet(5, 2), true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, follow.PlaceOf(test.own, test.peers).Reads, qt.Equals, test.reads)
+		})
+	}
+	place := follow.PlaceOf(own, fleet(5, 2))
+	qt.Assert(t, place.Reads || len(place.Peers) > 0, qt.IsTrue)
+}
+
+// Guards against a daemon that keeps asking a source that has failed, or that does not come back to the first one.
+func TestChoose(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := fleet(2, 1)
+	follower := follow.Place{Peers: peers}
+	reader := follow.Place{Reads: true, Peers: peers[:1]}
+	first, second := follow.FromPeer{Peer: peers[0]}, follow.FromPeer{Peer: peers[1]}
+	for _, test := range []struct {
+		name   string
+		place  follow.Place
+		failed []follow.Source
+		worked []follow.Source
+		after  time.Duration
+		want   follow.Source
+	}{
+		{"a follower asks its peer", follower, nil, nil, 0, first},
+		{"the next peer after a failure", follower, []follow.Source{first}, nil, 0, second},
+		{"the store after all peers", follower, []follow.Source{first, second}, nil, 0, follow.Store{}},
+		{"the peer again", follower, []follow.Source{first}, nil, time.Second, first},
+		{"the peer at once when it has answered since", follower, []follow.Source{first}, []follow.Source{first}, 0, first},
+		{"a reader reads", reader, nil, nil, 0, follow.Store{}},
+		{"a reader that is turned away asks a peer", reader, []follow.Source{follow.Store{}}, nil, 0, first},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := follow.NewSources()
+			for _, f := range test.failed {
+				s.Failed(f, test.place, now)
+			}
+			for _, w := range test.worked {
+				s.Worked(w)
+			}
+			got, at := s.Choose(test.place, now.Add(test.after))
+			qt.Assert(t, got, qt.Equals, test.want)
+			qt.Assert(t, at.After(now.Add(test.after)), qt.IsFalse)
+		})
+	}
+}
+
+// Guards against calls of a store that is down in quick succession: each is counted.
+func TestStoreIsNotPressed(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		place follow.Place
+		most  int
+	}{
+		{"a reader", follow.Place{Reads: true}, 14},
+		{"another daemon", follow.Place{}, 9},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s, now := follow.NewSources(), time.Unix(1000, 0)
+			calls, end := 0, now.Add(10*time.Second)
+			for {
+				source, at := s.Choose(test.place, now)
+				if now = at; !now.Before(end) {
+					break
+				}
+				calls++
+				s.Failed(source, test.place, now)
+			}
+			qt.Assert(t, calls <= test.most, qt.IsTrue, qt.Commentf("%d calls in 10 s", calls))
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/roster/roster_test.go
@@ -0,0 +1,217 @@
+package roster_test
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/fleet/roster"
+)
+
+var start = time.Unix(1_700_000_000, 0)
+
+// registered returns the report of a target whose address ends in n.
+func registered(name string, n byte, revision roster.Revision, change ...func(*roster.Registered)) roster.Registered {
+	r := roster.Registered{
+		Target: note.Target{
+			Name: ident.Target(name), Service: "s", VM: ident.VM(name), DataCentre: "d", Slots: 9, StartedAt: start,
+			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80),
+		},
+		Sequence: uint64(revision), Revision: revision,
+	}
+	for _, c := range change {
+		c(&r)
+	}
+	return r
+}
+
+func draining(r *roster.Registered) { r.Target.Draining = true }
+
+func sequence(n uint64) func(*roster.Registered) {
+	return func(r *roster.Registered) { r.Sequence = n }
+}
+
+func startedAt(at time.Time) func(*roster.Registered) {
+	return func(r *roster.Registered) { r.Target.StartedAt = at }
+}
+
+func configured(version uint64, revision roster.Revision) roster.Configured {
+	return roster.Configured{Config: roster.Config{Version: version, Services: map[ident.Service]note.Service{"s": {Name: "s"}}}, Revision: revision}
+}
+
+// A step is something that is read, after a pause.
+type step struct {
+	after       time.Duration
+	changes     []roster.Change
+	revision    roster.Revision
+	whole       bool
+	interrupted bool
+}
+
+// targets names the targets of a release, those that drain in brackets.
+func targets(r *note.Release) []string {
+	var names []string
+	for _, name := range slices.Sorted(maps.Keys(r.Targets)) {
+		if r.Targets[name].Draining {
+			names = append(names, "("+string(name)+")")
+		} else {
+			names = append(names, string(name))
+		}
+	}
+	return names
+}
+
+// Guards against a stale read, a delayed report or a deletion during an outage that take the view back or away.
+func TestViewNeverGoesBack(t *testing.T) {
+	tests := []struct {
+		name    string
+		steps   []step
+		want    []string
+		version uint64
+	}{
+		{"a target", []step{{changes: []roster.Change{configured(2, 1), registered("a", 1, 2)}, revision: 2}}, []string{"a"}, 2},
+		{"a target that has left", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 3}}, revision: 3},
+		}, nil, 0},
+		{"a report from before the removal", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 4}}, revision: 4},
+			{changes: []roster.Change{registered("a", 1, 3)}, revision: 4},
+		}, nil, 0},
+		{"a target that returns", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 4}}, revision: 4},
+			{changes: []roster.Change{registered("a", 1, 5)}, revision: 5},
+		}, []string{"a"}, 0},
+		{"a draining target", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{registered("a", 1, 3, draining)}, revision: 3},
+		}, []string{"(a)"}, 0},
+		{"a delayed report after the draining", []step{
+			{changes: []roster.Change{registered("a", 1, 3, draining)}, revision: 3},
+			{changes: []roster.Change{registered("a", 1, 4, sequence(2))}, revision: 4},
+		}, []string{"(a)"}, 0},
+		{"a new run under the name of a draining one", []step{
+			{changes: []roster.Change{registered("a", 1, 3, draining)}, revision: 3},
+			{changes: []roster.Change{registered("a", 1, 4, sequence(1), startedAt(start.Add(time.Second)))}, revision: 4},
+		}, []string{"a"}, 0},
+		{"an older config", []step{
+			{changes: []roster.Change{configured(7, 5)}, revision: 5},
+			{changes: []roster.Change{configured(3, 2)}, revision: 5},
+		}, nil, 7},
+		{"an unusable config", []step{
+			{changes: []roster.Change{configured(7, 5)}, revision: 5},
+			{changes: []roster.Change{roster.Misconfigured{Revision: 6}}, revision: 6},
+		}, nil, 7},
+		{"an unusable entry beside a good one", []step{
+			{changes: []roster.Change{registered("a", 1, 2), roster.Unusable{Name: "b", Revision: 3}}, revision: 3},
+		}, []string{"a"}, 0},
+		{"an entry that becomes unusable and good again", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Unusable{Name: "a", Revision: 3}}, revision: 3},
+			{changes: []roster.Change{registered("a", 1, 4)}, revision: 4},
+		}, []string{"a"}, 0},
+		{"an address with a new target while the old entry is left", []step{
+			{changes: []roster.Change{registered("a", 1, 2), registered("b", 1, 3, startedAt(start.Add(time.Second)))}, revision: 3},
+		}, []string{"b"}, 0},
+		{"a stale snapshot", []step{
+			{changes: []roster.Change{registered("a", 1, 2), registered("b", 2, 3)}, revision: 3},
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2, whole: true},
+		}, []string{"a", "b"}, 0},
+		{"a snapshot without a target", []step{
+			{changes: []roster.Change{registered("a", 1, 2), registered("b", 2, 3)}, revision: 3},
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 4, whole: true},
+		}, []string{"a"}, 0},
+		{"a snapshot whose later page is newer than its first", []step{
+			{changes: []roster.Change{registered("a", 1, 9)}, revision: 4, whole: true},
+			{changes: []roster.Change{registered("a", 1, 6, draining)}, revision: 6},
+		}, []string{"a"}, 0},
+		{"lapsed in an outage, not back yet", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 3}}, revision: 3, interrupted: true},
+			{after: roster.LapseGrace - time.Millisecond},
+		}, []string{"a"}, 0},
+		{"lapsed in an outage and back", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 3}}, revision: 3, interrupted: true},
+			{after: time.Second, changes: []roster.Change{registered("a", 1, 4)}, revision: 4},
+			{after: time.Minute},
+		}, []string{"a"}, 0},
+		{"gone in an outage", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 3}}, revision: 3, interrupted: true},
+			{after: roster.LapseGrace},
+		}, nil, 0},
+		{"missing in the snapshot after an outage", []step{
+			{changes: []roster.Change{registered("a", 1, 2)}, revision: 2},
+			{changes: nil, revision: 9, whole: true, interrupted: true},
+		}, []string{"a"}, 0},
+		{"draining and gone in an outage", []step{
+			{changes: []roster.Change{registered("a", 1, 2, draining)}, revision: 2},
+			{changes: []roster.Change{roster.Removed{Name: "a", Revision: 3}}, revision: 3, interrupted: true},
+		}, nil, 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r, now := roster.New(), start
+			for _, s := range test.steps {
+				now = now.Add(s.after)
+				c := roster.Changes{Changes: s.changes, Revision: s.revision}
+				if s.whole {
+					r.Replace(roster.Snapshot(c), s.interrupted, now)
+				} else {
+					r.Apply(c, s.interrupted, now)
+				}
+				r.Advance(now)
+			}
+			qt.Assert(t, targets(r.Release()), qt.DeepEquals, test.want)
+			qt.Assert(t, r.Release().Version, qt.Equals, test.version)
+		})
+	}
+}
+
+// Guards against a peer that misses a change, a removal or a lapse, or that gets more than it lacks.
+func TestPeersLearnWhatTheyLack(t *testing.T) {
+	r := roster.New()
+	r.Replace(roster.Snapshot{Changes: []roster.Change{configured(2, 1), registered("a", 1, 2), registered("b", 2, 3)}, Revision: 3}, false, start)
+	r.Apply(roster.Changes{Changes: []roster.Change{registered("c", 3, 5), roster.Removed{Name: "b", Revision: 6}}, Revision: 6}, false, start)
+	r.Apply(roster.Changes{Changes: []roster.Change{roster.Removed{Name: "a", Revision: 7}}, Revision: 7}, true, start)
+	tests := []struct {
+		name  string
+		after roster.Revision
+		whole bool
+		count int
+	}{
+		{"nothing lacks", 7, false, 0},
+		{"the lapse", 6, false, 1},
+		{"the changes since the snapshot", 3, false, 3},
+		{"a revision before the snapshot", 2, true, 3},
+		{"a new daemon", 0, true, 3},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			c, whole := r.After(test.after)
+			qt.Assert(t, whole, qt.Equals, test.whole)
+			qt.Assert(t, c.Changes, qt.HasLen, test.count)
+			qt.Assert(t, c.Revision, qt.Equals, roster.Revision(7))
+		})
+	}
+	// A peer that takes them holds the same release, and drops the lapsed entry at the same time.
+	peer := roster.New()
+	peer.Apply(roster.Changes{Changes: []roster.Change{configured(2, 1), registered("a", 1, 2), registered("b", 2, 3)}, Revision: 3}, false, start)
+	c, _ := r.After(3)
+	peer.Apply(c, false, start)
+	qt.Assert(t, targets(peer.Release()), qt.DeepEquals, targets(r.Release()))
+	late := start.Add(roster.LapseGrace)
+	qt.Assert(t, peer.Advance(late), qt.IsTrue)
+	qt.Assert(t, r.Advance(late), qt.IsTrue)
+	qt.Assert(t, targets(peer.Release()), qt.DeepEquals, []string{"c"})
+	qt.Assert(t, targets(r.Release()), qt.DeepEquals, []string{"c"})
+}
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -67,7 +67,7 @@
 func (g *Gate) Arrive(a Arrival, now time.Time) Decision {
 	w := g.newWaiting(a, now)
 	if g.tooLate(w, now) {
-		return Refuse{Kind: errs.DeadlineExceeded}
+		return Refuse{Kind: w.lateKind(now)}
 	}
 	if g.inFlight < g.Limit() {
 		switch when := g.starts(w, now); {
@@ -112,12 +112,14 @@
 }
 
 // tooLate reports whether the call cannot end before its deadline. A call to an idle target is
-// tried in any case, since otherwise one slow spell could refuse calls with short deadlines forever.
+// tried in any case, since otherwise one slow spell could refuse calls with short deadlines forever; but not
+// beside a target that is measured to be slow for long, which a measurement shows to be fast again.
 func (g *Gate) tooLate(w *waiting, now time.Time) bool {
 	if !w.Deadline.After(now) {
 		return true
 	}
-	if g.inFlight == 0 || w.cost > 0 && g.costs.stale(w.Kind, now) {
+	slow := g.sensor.works && g.sensor.floor >= slowFrom
+	if !slow && (g.inFlight == 0 || w.cost > 0 && g.costs.stale(w.Kind, now)) {
 		return false
 	}
 	run := g.expected(w)
@@ -234,7 +236,7 @@
 		}
 		w := g.remove(i)
 		if g.tooLate(w, now) {
-			steps = append(steps, Drop{w.Call, errs.DeadlineExceeded, 0})
+			steps = append(steps, Drop{w.Call, w.lateKind(now), 0})
 			continue
 		}
 		g.start(now.Sub(w.since))
--- a/internal/policy/admit/decide.go
+++ b/internal/policy/admit/decide.go
@@ -54,6 +54,8 @@
 	Deadline time.Time
 	// Kind is the kind of calls that take about as long as this one. It is empty when there is none.
 	Kind ident.Route
+	// Usual is how long calls of the kind take elsewhere, or 0. It counts until one has ended here.
+	Usual time.Duration
 	// Aim is until when an answer has its full value. Zero means that none is stated.
 	Aim time.Time
 	// Returned says that the caller was refused before and has come back.
--- a/internal/policy/admit/order.go
+++ b/internal/policy/admit/order.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 )
 
@@ -35,7 +36,11 @@
 func (w *waiting) held() bool { return !w.HoldUntil.IsZero() }
 
 func (g *Gate) newWaiting(a Arrival, now time.Time) *waiting {
-	w := &waiting{Arrival: a, since: now, cost: time.Duration(float64(g.costs.of(a.Kind)) * g.sensor.floor)}
+	w := &waiting{Arrival: a, since: now, cost: g.costs.of(a.Kind)}
+	if w.cost == 0 {
+		w.cost = a.Usual
+	}
+	w.cost = time.Duration(float64(w.cost) * g.sensor.floor)
 	switch {
 	case a.Aim.IsZero():
 		w.until = now.Add(maxWait(a.Rank))
@@ -65,6 +70,14 @@
 	return b
 }
 
+// lateKind returns why a call is not run that could not end before its deadline here. Another target may be faster.
+func (w *waiting) lateKind(now time.Time) errs.Kind {
+	if w.held() && w.Deadline.After(now) {
+		return errs.TargetSlow
+	}
+	return errs.DeadlineExceeded
+}
+
 // late reports whether an answer cannot have its full value any more.
 func (w *waiting) late(now time.Time) bool { return !w.prime.IsZero() && w.prime.Before(now) }
 
--- a/internal/policy/admit/sense.go
+++ b/internal/policy/admit/sense.go
@@ -28,6 +28,8 @@
 	coldFloor = 3
 	// elsewhereCost is what it takes to start a call beside another target: the way back and there, on slow VMs.
 	elsewhereCost = 20 * time.Millisecond
+	// unknownCost is how long calls of a kind are taken to run of which none has ended yet.
+	unknownCost = 100 * time.Millisecond
 	// usualSpell is how long a spell is expected to last before one was seen.
 	usualSpell = 100 * time.Millisecond
 	// spellSmoothing weighs a new spell in the usual length of spells.
@@ -180,10 +182,14 @@
 			return startMeasured
 		}
 		return startNow
-	case !s.slow(), w.cost == 0 && s.at.IsZero():
+	case !s.slow():
 		return startNow
 	}
-	longer := time.Duration(float64(w.cost) * (s.slowness/s.floor - 1))
+	cost := w.cost
+	if cost == 0 {
+		cost = unknownCost
+	}
+	longer := time.Duration(float64(cost) * (s.slowness/s.floor - 1))
 	if w.held() && longer > elsewhereCost || longer > s.remaining(now) {
 		return startLater
 	}
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -30,8 +30,9 @@
 		return
 	}
 	target := t.release.Targets[name]
+	p.Request.Usual = t.costs.Of(p.Request.Route)
 	p.Request.HoldUntil = place.Hold(place.Call{
-		Aim: p.Request.Aim, Cost: t.costs.Of(p.Request.Route), Near: target.DataCentre == t.dataCentre, Pressed: p.pressed,
+		Aim: p.Request.Aim, Cost: p.Request.Usual, Near: target.DataCentre == t.dataCentre, Pressed: p.pressed,
 	}, now)
 	t.send(p, &attempt{target: target})
 }
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -30,7 +30,7 @@
 	return []codec.Message{
 		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true},
 		codec.Call{Target: "target", Number: 9, Request: call.Request{
-			ID: "request", Route: "route", Origin: "origin", Aim: now.Add(-time.Second), HoldUntil: now.Add(time.Millisecond), Returned: true, Final: true,
+			ID: "request", Route: "route", Origin: "origin", Aim: now.Add(-time.Second), HoldUntil: now.Add(time.Millisecond), Returned: true, Final: true, Usual: time.Millisecond,
 			Service: "service", Method: "POST", URI: "/a?b", Header: fields, Body: []byte("body"),
 			Caller: netip.MustParseAddr("2001:db8::1"), Deadline: now.Add(time.Second), Rank: ident.Normal,
 			Depth: 2, Allowance: 1, Key: "key", Idempotent: true,
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -68,7 +68,7 @@
 	// A caller address that cannot be read counts as unknown: it only selects a retry budget.
 	caller, _ := netip.AddrFromSlice(p.GetCaller())
 	m := Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), Request: call.Request{
-		ID: p.GetRequestID(), Route: ident.Route(p.GetRoute()), Origin: ident.Service(p.GetOrigin()), Returned: p.GetReturned(), Final: p.GetFinal(),
+		ID: p.GetRequestID(), Route: ident.Route(p.GetRoute()), Origin: ident.Service(p.GetOrigin()), Returned: p.GetReturned(), Final: p.GetFinal(), Usual: time.Duration(p.GetUsualNanoseconds()),
 		Service: ident.Service(p.GetService()), Method: p.GetMethod(), URI: p.GetURI(),
 		Header: decodeFields(p.GetHeader()), Body: p.GetBody(), Caller: caller,
 		Deadline: now.Add(time.Duration(p.GetRemainingNanoseconds())), Rank: rank,
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -49,7 +49,7 @@
 func encodeCall(m Call, now time.Time) *peerpb.CallRequest {
 	r := m.Request
 	p := &peerpb.CallRequest{
-		RequestID: r.ID, Route: string(r.Route), Origin: string(r.Origin), Returned: r.Returned, Final: r.Final,
+		RequestID: r.ID, Route: string(r.Route), Origin: string(r.Origin), Returned: r.Returned, Final: r.Final, UsualNanoseconds: int64(r.Usual),
 		Service: string(r.Service), Target: string(m.Target), Method: r.Method, URI: r.URI,
 		Header: encodeFields(r.Header), Body: r.Body, Caller: r.Caller.AsSlice(),
 		RemainingNanoseconds: int64(r.Deadline.Sub(now)), Rank: string(r.Rank),
