--- a/internal/policy/retry/budget.go
+++ b/internal/policy/retry/budget.go
@@ -36,7 +36,9 @@
 
 // A Policy decides on retries and hedges under the budgets of a daemon.
 type Policy struct {
-	random  *rand.Rand
+	random *rand.Rand
+	// shares replaces the budgets of callers and of the daemon where the platform sets a bound, or is nil.
+	shares  *Shares
 	total   float64
 	hedges  float64
 	callers map[netip.Addr]*list.Element
@@ -55,6 +57,9 @@
 // WithRandom sets the source of the jitter.
 func WithRandom(r *rand.Rand) Option { return func(p *Policy) { p.random = r } }
 
+// WithShares makes the platform's bound the budget of all retries.
+func WithShares(s *Shares) Option { return func(p *Policy) { p.shares = s } }
+
 // NewPolicy returns a Policy without callers.
 func NewPolicy(options ...Option) *Policy {
 	p := &Policy{total: initialTokens, callers: map[netip.Addr]*list.Element{}, recent: list.New()}
@@ -86,9 +91,12 @@
 	c.tokens = min(callerTokens, c.tokens+tokensPerCall)
 }
 
-// take reports whether the budgets allow a retry for a caller, and pays for it.
-func (p *Policy) take(address netip.Addr) bool {
-	e, ok := p.callers[address]
+// take reports whether the budgets allow a retry, and pays for it.
+func (p *Policy) take(a Attempt, now time.Time) bool {
+	if p.shares != nil {
+		return p.shares.Take(a.Service, now)
+	}
+	e, ok := p.callers[a.Caller]
 	if !ok || p.total < 1 {
 		return false
 	}
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -7,6 +7,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/ident"
 )
 
 // A Decision is what to do after an attempt: Stop, Again or Reattach.
@@ -45,6 +46,7 @@
 // An Attempt is what is known of a call when one of its attempts has ended.
 type Attempt struct {
 	Caller     netip.Addr
+	Service    ident.Service
 	Outcome    call.Outcome
 	Idempotent bool
 	// Bound is true when the key of the call names one owner, so that no other target may run it.
@@ -125,7 +127,7 @@
 
 func (p *Policy) again(a Attempt, delay time.Duration, reason Reason, now time.Time) Decision {
 	d := unpaid(a, delay, reason, now)
-	if _, ok := d.(Again); ok && !p.take(a.Caller) {
+	if _, ok := d.(Again); ok && !p.take(a, now) {
 		return Stop{}
 	}
 	return d
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -74,7 +74,7 @@
 			for i := range test.spent {
 				a := netip.AddrFrom4([4]byte{10, 0, 1, byte(i)})
 				p.Called(a)
-				qt.Assert(t, p.take(a), qt.IsTrue)
+				qt.Assert(t, p.take(Attempt{Caller: a}, time.Time{}), qt.IsTrue)
 			}
 			got, after := "Stop", time.Duration(0)
 			switch d := p.Decide(test.attempt, start).(type) {
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -10,6 +10,7 @@
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/cli/conf"
+	"jacinthcross/internal/policy/retry"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/feed"
 	"jacinthcross/internal/task/front"
@@ -39,6 +40,8 @@
 	ReadyPath string
 	// Keyless says that callers have no keys: a non-idempotent call is sent once for each send of its caller.
 	Keyless bool
+	// Retries is the platform's bound of repeated sends. Without a window, the daemon has budgets of its own.
+	Retries retry.Bound
 	// Linger is how long a daemon that stops goes on taking calls, so that the platform sees that it is not ready.
 	Linger time.Duration
 	// StopTime bounds the time from the request to stop to the end of the process.
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -203,6 +203,9 @@
 	if p.Keyless {
 		options = append(options, router.WithoutKeys(), router.WithProfile(route.Near))
 	}
+	if p.Retries.Window > 0 {
+		options = append(options, router.WithRetryBound(p.Retries))
+	}
 	return router.New(router.Config{VM: s.VM, DataCentre: s.DataCentre, Inbox: b.router, Local: b.local, Links: b.links}, options...)
 }
 
--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -114,8 +114,7 @@
 	case len(t.calls) >= maxCalls:
 		t.refuse(c, errs.Busy, strconv.Itoa(maxCalls)+" calls are outstanding")
 		return
-	case t.draining && t.empty == nil:
-		// The calls have been awaited and the router may stop at any time.
+	case t.awaited:
 		t.refuse(c, errs.Draining, "the daemon stops")
 		return
 	}
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -68,7 +68,9 @@
 	calls     map[call.ID]*caller
 	empty     chan<- struct{}
 	draining  bool
-	buffer    []byte
+	// awaited is true when the last calls have been awaited and the router may stop at any time.
+	awaited bool
+	buffer  []byte
 }
 
 // An Option sets a property of a Task.
@@ -262,5 +264,5 @@
 		}
 	}
 	close(t.empty)
-	t.empty = nil
+	t.empty, t.awaited = nil, true
 }
--- a/internal/task/front/message.go
+++ b/internal/task/front/message.go
@@ -9,8 +9,8 @@
 // A Message is what the task receives.
 type Message interface{ message() }
 
-// A Drain stops the accepting of connections. Each answer from then on ends its connection,
-// and Empty is closed when no call is outstanding.
+// A Drain stops the accepting of connections, unless the task lingers. Each answer from then on ends its connection,
+// and Empty, if there is one, is closed when no call is outstanding.
 type Drain struct{ Empty chan<- struct{} }
 
 // An arrived is a complete request of a caller.
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -198,7 +198,7 @@
 			r.Body = io.NopCloser(bytes.NewReader(body))
 		}
 		if err == nil && skipped < maxForeign && c.foreign(j, r) {
-			limited.N += maxHeader
+			limited.N = maxHeader
 			continue
 		}
 		defer r.Body.Close()
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -210,7 +210,7 @@
 	}
 	_, untried := t.table(p.Request.Service).Pick(now, p.tried)
 	decision := t.retries.Decide(retry.Attempt{
-		Caller: p.Request.Caller, Outcome: o, Idempotent: p.Request.Idempotent,
+		Caller: p.Request.Caller, Service: p.Request.Service, Outcome: o, Idempotent: p.Request.Idempotent,
 		Bound: p.Request.Key != "", Keyed: a.key != "", Uncertain: earlier, Untried: untried,
 		Retries: p.retries, Reattachments: p.reattachments, Allowance: p.allowance, Deadline: p.Request.Deadline,
 	}, now)
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -85,6 +85,9 @@
 	t.calls[p.ID] = p
 	t.alarms.Set(deadline{p.ID}, p.Request.Deadline)
 	t.retries.Called(p.Request.Caller)
+	if t.shares != nil {
+		t.shares.Called(p.Request.Service, now)
+	}
 	table := t.table(p.Request.Service)
 	table.Called(now)
 	t.probe(table, now)
@@ -161,7 +164,7 @@
 		return s.Route(p.Request.Method), "", ""
 	}
 	switch {
-	case t.release.Head.IsZero():
+	case len(t.release.Services) == 0:
 		return note.Route{}, errs.Unconfirmed, "the daemon has no release yet"
 	case p.Request.Service == "" && len(t.release.Routes) > 0:
 		return note.Route{}, errs.NoRoute, "host " + p.Host + ", path " + path
--- a/internal/task/router/peer.go
+++ b/internal/task/router/peer.go
@@ -42,6 +42,10 @@
 			delete(t.peers, vm)
 		}
 	}
+	if t.shares != nil {
+		t.shares.SetFleet(len(vms))
+		t.shares.Keep(func(s ident.Service) bool { _, ok := r.Services[s]; return ok })
+	}
 }
 
 func (t *Task) table(service ident.Service) *route.Table {
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -42,6 +42,7 @@
 	latencies  map[ident.Service]*retry.Latency
 	budget     *route.Budget
 	retries    *retry.Policy
+	shares     *retry.Shares
 	splits     *split.Splitter
 	costs      place.Costs
 	returns    *place.Returns
@@ -87,6 +88,14 @@
 // WithoutKeys sends non-idempotent calls without internal keys: an attempt with an unknown outcome is never joined again.
 func WithoutKeys() Option { return func(t *Task) { t.keyless = true } }
 
+// WithRetryBound makes the platform's bound the budget of all retries.
+func WithRetryBound(b retry.Bound) Option {
+	return func(t *Task) {
+		t.shares = retry.NewShares(b, t.clock.Now())
+		t.retries = retry.NewPolicy(retry.WithShares(t.shares))
+	}
+}
+
 // WithMaxCalls bounds the calls that have no outcome yet.
 func WithMaxCalls(n int) Option { return func(t *Task) { t.maxCalls = n } }
 
