Count deadlines from the read of a request where its caller is known by its send

Ruled out: a higher threshold for pauses; a stall of a second does occur. Change: without keys the time of the read counts. A caller that left during the pause is still noticed by its connection.

--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -138,7 +138,7 @@
 	for _, name := range c.Dropped {
 		delete(routes, name)
 	}
-	c.Config.Routes = routes
+	c.Routes = routes
 	return Configured{Config: c.Config, Revision: c.Revision}
 }
 
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
@@ -92,7 +93,7 @@
 	limit := tree.WithLimit(&tree.Limit{})
 	hello := func() codec.Hello { return b.hello(s) }
 	bodies := quota.New(s.MaxBodyMemory)
-	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivals.Of), listen.WithQuota(bodies), listen.WithFeed(b.feed))
+	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivalOf(p)), listen.WithQuota(bodies), listen.WithFeed(b.feed))
 	control := tree.NewSupervisor("control", append(sourceTasks(s, p, b, m), []tree.Child{
 		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
@@ -142,6 +143,19 @@
 	return h
 }
 
+// arrivalOf returns what tells when bytes may have arrived. Where a call is identified by the send of its caller,
+// nothing is proved by an early time: the caller that has left meanwhile is noticed by its connection, and a
+// deadline that counts from the beginning of a pause would end calls too early.
+func (b *boxes) arrivalOf(p Platform) func(time.Time) (time.Time, bool) {
+	if !p.Keyless {
+		return b.arrivals.Of
+	}
+	return func(read time.Time) (time.Time, bool) {
+		_, exact := b.arrivals.Of(read)
+		return read, exact
+	}
+}
+
 // sourceTasks names the tasks that learn what is in force.
 func sourceTasks(s *conf.Settings, p Platform, b *boxes, m *meter.Meter) []tree.Child {
 	switch source := s.Source.(type) {
@@ -167,7 +181,7 @@
 
 func startFront(s *conf.Settings, p Platform, b *boxes, bodies *quota.Quota) (tree.Task, error) {
 	options := []front.Option{
-		front.WithMaxBody(s.MaxBody), front.WithQuota(bodies), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivals.Of),
+		front.WithMaxBody(s.MaxBody), front.WithQuota(bodies), front.WithMaxHeader(s.MaxHeader), front.WithArrivals(b.arrivalOf(p)),
 		front.WithDialect(p.Dialect),
 	}
 	if p.Linger > 0 {
