Leave a lost store to the first daemons of the data centres

Cause: when the reader of a region lost the store, every daemon read it itself within 0.1 s, failed and tried again four times in the first second.

Change: a peer that answers but has lost its sources is asked again after 1 s, and only the first daemon of each data centre reads the store at once; the others wait 1 s first and keep within 2 s after it, so a change is in force in 2.5 s on a daemon whose peers are all turned away. Ruled out: waiting longer than 2 s, which breaks that bound. A call is logged as queued only when it waits for a slot.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -27,6 +27,9 @@
 type Place struct {
 	// Reads says that the daemon reads the store. The others read it when no peer tells them what it holds.
 	Reads bool
+	// Leads says that the daemon is the first of its data centre, which reads the store soon after the reader of the
+	// region has lost it.
+	Leads bool
 	// Peers are asked in this order. A daemon that reads the store asks them when the store does not answer.
 	Peers []Peer
 }
@@ -58,7 +61,7 @@
 	heads := headsOf(region)
 	near := slices.DeleteFunc(slices.Clone(region), func(p Peer) bool { return p.DataCentre != own.DataCentre })
 	i := slices.IndexFunc(near, func(p Peer) bool { return p.VM == own.VM })
-	place := Place{Reads: heads[0].VM == own.VM}
+	place := Place{Reads: heads[0].VM == own.VM, Leads: i == 0}
 	add := func(p Peer) {
 		if p.VM != own.VM && !slices.ContainsFunc(place.Peers, func(o Peer) bool { return o.VM == p.VM }) {
 			place.Peers = append(place.Peers, p)
--- a/internal/fleet/follow/source.go
+++ b/internal/fleet/follow/source.go
@@ -22,9 +22,14 @@
 const (
 	firstStoreDelay   = 100 * time.Millisecond
 	longestStoreDelay = time.Second
+	// firstOtherDelay gives the first daemons of the data centres time to reach a store that turned the reader away.
+	firstOtherDelay = time.Second
+	// longestOtherDelay keeps a change in force within 2.5 s on a daemon whose peers are all turned away.
 	longestOtherDelay = 2 * time.Second
 	firstPeerDelay    = 500 * time.Millisecond
 	longestPeerDelay  = 8 * time.Second
+	// stalePeerDelay is short because a question to a daemon that runs costs little.
+	stalePeerDelay = time.Second
 )
 
 // Sources remember which sources have failed.
@@ -67,14 +72,14 @@
 	return best, at
 }
 
-// Failed notes that a source did not answer, or that what it knows is too old.
+// Failed notes that a source did not answer.
 func (s *Sources) Failed(source Source, p Place, now time.Time) {
 	f := s.of(source)
 	first, longest := firstPeerDelay, longestPeerDelay
 	if _, ok := source.(Store); ok {
 		first, longest = firstStoreDelay, longestStoreDelay
-		if !p.Reads {
-			longest = longestOtherDelay
+		if !p.Reads && !p.Leads {
+			first, longest = firstOtherDelay, longestOtherDelay
 		}
 	}
 	f.until = now.Add(min(longest, first<<min(f.n, 10)))
@@ -82,8 +87,22 @@
 	s.set(source, f)
 }
 
+// Stale notes that a peer has answered and knows nothing newer than the asker, or has lost its own sources.
+// Its sources fail for it too, so a daemon that only follows leaves the store to others at first.
+func (s *Sources) Stale(source Source, p Place, now time.Time) {
+	s.set(source, failure{n: s.of(source).n, until: now.Add(stalePeerDelay)})
+	if !p.Reads && !p.Leads && s.store == (failure{}) {
+		s.store.until = now.Add(firstOtherDelay)
+	}
+}
+
 // Worked notes that a source has answered.
-func (s *Sources) Worked(source Source) { s.set(source, failure{}) }
+func (s *Sources) Worked(source Source) {
+	s.set(source, failure{})
+	if _, ok := source.(FromPeer); ok {
+		s.store = failure{}
+	}
+}
 
 // Keep forgets the peers that are not in a place.
 func (s *Sources) Keep(p Place) {
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -87,7 +87,9 @@
 	case admit.Start:
 		t.dispatch(r, now)
 	case admit.Wait:
-		event.CallQueued.Log("request", r.Request.ID, "rank", r.Request.Rank, "queued", r.gate.Queued(), "running", r.gate.InFlight(), "limit", r.gate.Limit())
+		if r.gate.InFlight() >= r.gate.Limit() {
+			event.CallQueued.Log("request", r.Request.ID, "rank", r.Request.Rank, "queued", r.gate.Queued(), "running", r.gate.InFlight(), "limit", r.gate.Limit())
+		}
 		t.advanceGate(now)
 	case admit.Refuse:
 		t.end(r, call.Refused{Kind: d.Kind, RetryAfter: d.RetryAfter})
