Refuse new calls at the end of a stop's linger

Cause: a daemon that stops goes on taking calls for 3 s so that the platform sees that it is not ready. It then waited for its calls to end, but went on taking new ones, and callers that do not learn of the stop (the platform keeps sending while fewer than half of a data centre's daemons are in) kept it busy until its time was over; the last calls were cut.

Change: after the linger new calls are refused as not run and the calls in flight end within the time that is left. Ruled out: closing the listener, which answers nothing to callers whose request is already on its way.

--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -114,7 +114,7 @@
 	case len(t.calls) >= maxCalls:
 		t.refuse(c, errs.Busy, strconv.Itoa(maxCalls)+" calls are outstanding")
 		return
-	case t.awaited:
+	case t.awaited, t.linger && t.empty != nil:
 		t.refuse(c, errs.Draining, "the daemon stops")
 		return
 	}
--- a/internal/task/front/front_test.go
+++ b/internal/task/front/front_test.go
@@ -380,3 +380,28 @@
 	qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, string(errs.NotRun))
 	qt.Assert(t, r.close, qt.IsTrue)
 }
+
+// Guards against a stop that takes calls until its time is over and then cuts them off: callers that do not
+// learn of the stop keep sending.
+func TestLingerEndsBeforeTheStop(t *testing.T) {
+	f := start(t, front.WithLinger())
+	f.inbox.TryPut(front.Drain{})
+	c := dial(t, f)
+	c.send("GET /1 HTTP/1.1\r\nHost: a\r\n\r\n")
+	running := next[router.Submit](t, f)
+	empty := make(chan struct{})
+	f.inbox.TryPut(front.Drain{Empty: empty})
+	for range 3 {
+		late := dial(t, f)
+		late.send("GET /2 HTTP/1.1\r\nHost: a\r\n\r\n")
+		r := late.response(http.MethodGet)
+		qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.Draining))
+		qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, string(errs.NotRun))
+		qt.Assert(t, r.close, qt.IsTrue)
+	}
+	answer(running, "one")
+	<-empty
+	r := c.response(http.MethodGet)
+	qt.Assert(t, r.body, qt.Equals, "one")
+	qt.Assert(t, r.close, qt.IsTrue)
+}
--- a/internal/task/front/message.go
+++ b/internal/task/front/message.go
@@ -10,7 +10,8 @@
 type Message interface{ message() }
 
 // A Drain stops the accepting of connections, unless the task lingers. Each answer from then on ends its connection,
-// and Empty, if there is one, is closed when no call is outstanding.
+// and Empty, if there is one, is closed when no call is outstanding. A task that lingers takes new calls until
+// a Drain has an Empty: callers can go on sending until the daemon is gone, and their calls would never end.
 type Drain struct{ Empty chan<- struct{} }
 
 // An arrived is a complete request of a caller.
