Keep the target of a stopping daemon in use while it lingers

Cause: a daemon that stops told its peers at once, so its target was out of use for the 3 s of the linger and the restart. When a fleet is restarted one by one 0.8 s apart, four of eleven targets were missing at any time.

Change: peers go on sending to it until 1 s before the end of the linger; the calls then in flight have 3.5 s. Ruled out: until the end of the linger, which leaves long calls 2.5 s; half of the linger gave a little less.

--- a/internal/base/event/nbio.go
+++ b/internal/base/event/nbio.go
@@ -1,6 +1,8 @@
 package event
 
 import (
+	"sync"
+
 	"github.com/lesismal/nbio/logging"
 	"k8s.io/klog/v2"
 )
@@ -9,7 +11,10 @@
 const detailLevel = 2
 
 // RouteLibraryLogs sends the messages of the network library to klog instead of standard output.
-func RouteLibraryLogs() { logging.DefaultLogger = libraryLogger{} }
+func RouteLibraryLogs() { routeOnce.Do(func() { logging.DefaultLogger = libraryLogger{} }) }
+
+// routeOnce is needed where a process starts several daemons at the same time.
+var routeOnce sync.Once
 
 type libraryLogger struct{}
 
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -28,6 +28,9 @@
 	stopTime = 20 * time.Second
 	// stopMargin is the part of the bound that is left to close connections and end the tasks.
 	stopMargin = 500 * time.Millisecond
+	// targetLead is how long before the end of the linger the target beside the daemon stops taking calls. The calls
+	// then in flight have that time and what the bound leaves after the linger, 3.5 s of the 6 s of the platform.
+	targetLead = time.Second
 )
 
 // A Platform is what a daemon has to know of the platform on which it runs.
@@ -119,7 +122,6 @@
 func (d *Daemon) Drain() {
 	event.DrainStarted.Log()
 	d.boxes.draining.Store(true)
-	d.announceDrain()
 	d.awaitCalls(time.After(d.platform.StopTime - stopMargin))
 	for _, part := range []*tree.Supervisor{d.parts.edge, d.parts.data, d.parts.control} {
 		if d.ended() {
@@ -153,18 +155,21 @@
 }
 
 // awaitCalls stops the taking of new calls and waits until none is left, or until timeout. Where callers
-// learn of the stop from the platform, the calls that they still send meanwhile are served.
+// learn of the stop from the platform, the calls that they still send meanwhile are served, and at first
+// the peers' calls for the target here too: a fleet that is restarted one by one keeps its targets in use.
 func (d *Daemon) awaitCalls(timeout <-chan time.Time) {
 	callers, target := make(chan struct{}), make(chan struct{})
-	d.boxes.local.Put(local.Drain{Empty: target}, d.Done())
 	if d.platform.Linger > 0 {
 		d.boxes.front.Put(front.Drain{}, d.Done())
-		select {
-		case <-time.After(d.platform.Linger):
-		case <-d.Done():
+		if !d.sleep(d.platform.Linger - targetLead) {
 			return
 		}
 	}
+	d.announceDrain()
+	d.boxes.local.Put(local.Drain{Empty: target}, d.Done())
+	if d.platform.Linger > 0 && !d.sleep(targetLead) {
+		return
+	}
 	d.boxes.front.Put(front.Drain{Empty: callers}, d.Done())
 	for _, empty := range []chan struct{}{callers, target} {
 		select {
@@ -176,3 +181,13 @@
 		}
 	}
 }
+
+// sleep waits for a time, and reports whether the daemon still runs.
+func (d *Daemon) sleep(t time.Duration) bool {
+	select {
+	case <-time.After(t):
+		return true
+	case <-d.Done():
+		return false
+	}
+}
