Add a fault soak of daemons as processes on the users' platform

jcbench soak runs daemons as processes, with relays to their peers, targets and store, and harms them by a seeded plan: SIGTERM, SIGKILL, SIGSTOP and SIGHUP, connections that are delayed, reset, blocked one way, silenced or refused, store trouble, targets that fail in eight ways, crash, are slow, leave or are replaced at their address, and configs that follow each other.

A daemon that gets SIGTERM while it starts now stops as planned too: the first run had a process that ended by the signal, 16 ms after its start.

Relays can reset connections and block one direction.

--- a/internal/bench/cmds/cmds.go
+++ b/internal/bench/cmds/cmds.go
@@ -15,6 +15,7 @@
 	Overhead *overheadCommand `arg:"subcommand:overhead" help:"measure what one and two daemons add to a call"`
 	Fleet    *fleetCommand    `arg:"subcommand:fleet" help:"measure the distribution of releases to many daemons"`
 	Target   *targetCommand   `arg:"subcommand:target" help:"run a stand-in for a target"`
+	Soak     *soakCommand     `arg:"subcommand:soak" help:"harm daemons by a seeded plan and check what they promise"`
 	Config   *configCommand   `arg:"subcommand:config" help:"run a stand-in for the configuration service"`
 }
 
--- /dev/null
+++ b/internal/bench/cmds/soak.go
@@ -0,0 +1,86 @@
+package cmds
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"jacinthcross/internal/bench/soak"
+	"jacinthcross/internal/cli/args"
+)
+
+type soakCommand struct {
+	Seed   uint64        `arg:"--seed" help:"first seed (default a fresh one)"`
+	Seeds  int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	VMs    int           `arg:"--vms" default:"8" help:"number of VMs, 4 to 300"`
+	Length time.Duration `arg:"--length" default:"12s" help:"time with faults for each seed"`
+	Daemon string        `arg:"--daemon" help:"program of the daemon; built when absent" placeholder:"PATH"`
+	Logs   string        `arg:"--logs" help:"folder for the logs of seeds with findings (default a new one)" placeholder:"FOLDER"`
+}
+
+func (c *soakCommand) Run(env args.Env) error {
+	config := soak.Config{VMs: c.VMs, Length: c.Length}
+	if err := config.Check(); err != nil {
+		return err
+	}
+	if c.Seeds < 1 {
+		return errors.NotValidf("%d seeds", c.Seeds)
+	}
+	if c.Seed == 0 {
+		c.Seed = rand.Uint64N(1 << 32)
+	}
+	program, clean, err := daemonProgram(c.Daemon, false)
+	if err != nil {
+		return err
+	}
+	defer clean()
+	if c.Logs == "" {
+		if c.Logs, err = os.MkdirTemp("", "jcbench-soak"); err != nil {
+			return errors.Annotate(err, "create folder for logs")
+		}
+	}
+	failed := 0
+	for i := range c.Seeds {
+		config.Program, config.Seed = program, c.Seed+uint64(i)
+		config.Folder = filepath.Join(c.Logs, strconv.FormatUint(config.Seed, 10))
+		findings, err := c.one(config, env)
+		if err != nil {
+			return errors.Annotatef(err, "seed %d", config.Seed)
+		}
+		if findings > 0 {
+			failed++
+		}
+	}
+	if failed > 0 {
+		return errors.Errorf("%d of %d seeds with findings; logs are in %s", failed, c.Seeds, c.Logs)
+	}
+	return nil
+}
+
+// one runs a seed, prints what was found and returns how much that was. Logs are kept when something was found.
+func (c *soakCommand) one(config soak.Config, env args.Env) (int, error) {
+	if err := os.MkdirAll(config.Folder, 0o755); err != nil {
+		return 0, errors.Annotate(err, "create folder for logs")
+	}
+	findings, history, err := soak.Run(config)
+	if err != nil {
+		return 0, err
+	}
+	if _, err := fmt.Fprintf(env.Out, "seed %d: %d steps, %s, %d findings\n", config.Seed, len(history.Steps), history.Summary(), len(findings)); err != nil {
+		return 0, errors.Trace(err)
+	}
+	for _, f := range findings {
+		if _, err := fmt.Fprintf(env.Out, "  %s %s %s\n", f.Promise, f.Request, f.Detail); err != nil {
+			return 0, errors.Trace(err)
+		}
+	}
+	if len(findings) > 0 {
+		return len(findings), errors.Trace(os.WriteFile(filepath.Join(config.Folder, "plan.txt"), []byte(history.Plan()), 0o600))
+	}
+	return 0, errors.Trace(os.RemoveAll(config.Folder))
+}
--- a/internal/bench/delay/delay.go
+++ b/internal/bench/delay/delay.go
@@ -28,6 +28,13 @@
 // made silent and this one does not name are closed.
 type Cut struct{ From map[ident.DataCentre]bool }
 
+// A Reset resets all open connections. New ones work.
+type Reset struct{}
+
+// A Block holds back the bytes of a direction, of open connections and new ones, while it is true. They are
+// carried afterwards.
+type Block struct{ ToServer, ToClient bool }
+
 // An opened message tells where a new connection comes from.
 type opened struct {
 	pair *pair
@@ -44,6 +51,8 @@
 func (Silence) message()   {}
 func (Partition) message() {}
 func (Cut) message()       {}
+func (Reset) message()     {}
+func (Block) message()     {}
 func (opened) message()    {}
 func (accepted) message()  {}
 func (ended) message()     {}
@@ -66,6 +75,8 @@
 	oneWay   OneWay
 	opening  time.Duration
 	pairs    map[*pair]bool
+	toServer gate
+	toClient gate
 	cut      map[ident.DataCentre]bool
 	closed   bool
 	probing  bool
@@ -166,6 +177,13 @@
 		}
 	case Cut:
 		t.cutOff(m.From)
+	case Reset:
+		for p := range t.pairs {
+			p.reset()
+		}
+	case Block:
+		t.toServer.set(m.ToServer)
+		t.toClient.set(m.ToClient)
 	case Partition:
 		t.closed = m.Closed
 		if t.closed {
@@ -236,6 +254,12 @@
 
 func (p *pair) close() { p.once.Do(func() { close(p.stop) }) }
 
+// reset closes the side of the client with a reset. An error means that it is closed already.
+func (p *pair) reset() {
+	_ = p.client.SetLinger(0)
+	p.close()
+}
+
 func (p *pair) silence() { p.hush.Do(func() { close(p.silent) }) }
 
 // wait waits for a time, or reports false when the pair is closed before.
@@ -279,8 +303,8 @@
 		}
 		delay := t.oneWay(from)
 		done := make(chan struct{}, 2)
-		go func() { p.carry(server, client, delay); done <- struct{}{} }()
-		go func() { p.carry(client, server, delay); done <- struct{}{} }()
+		go func() { p.carry(server, client, delay, &t.toServer); done <- struct{}{} }()
+		go func() { p.carry(client, server, delay, &t.toClient); done <- struct{}{} }()
 		select {
 		case <-done:
 		case <-p.stop:
@@ -299,7 +323,7 @@
 const chunksInFlight = 1024
 
 // carry copies until one side fails. Bytes that were read before the end of the stream still arrive.
-func (p *pair) carry(to, from *net.TCPConn, delay time.Duration) {
+func (p *pair) carry(to, from *net.TCPConn, delay time.Duration, g *gate) {
 	chunks := make(chan chunk, chunksInFlight)
 	go func() {
 		defer close(chunks)
@@ -328,6 +352,9 @@
 		if d := time.Until(c.due); d > 0 {
 			time.Sleep(d)
 		}
+		if !g.pass(p.stop) {
+			return
+		}
 		if _, err := to.Write(c.bytes); err != nil {
 			return
 		}
--- a/internal/bench/delay/delay_test.go
+++ b/internal/bench/delay/delay_test.go
@@ -102,6 +102,9 @@
 		{"cut", delay.Cut{From: map[ident.DataCentre]bool{"a": true}}, false, false},
 		{"cut of another data centre", delay.Cut{From: map[ident.DataCentre]bool{"b": true}}, true, true},
 		{"no partition", delay.Partition{Closed: false}, true, true},
+		{"reset", delay.Reset{}, false, true},
+		{"nothing to the server", delay.Block{ToServer: true}, false, false},
+		{"nothing to the client", delay.Block{ToClient: true}, false, false},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			c := qt.New(t)
@@ -137,6 +140,31 @@
 	c.Assert(ok, qt.IsTrue)
 }
 
+// A block that loses bytes would show as a fault of the programs after its end.
+func TestBlockedBytesArrive(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		block delay.Block
+	}{
+		{"to the server", delay.Block{ToServer: true}},
+		{"to the client", delay.Block{ToClient: true}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := qt.New(t)
+			r := start(c)
+			conn := r.dial(c)
+			c.Assert(r.box.TryPut(test.block), qt.IsTrue)
+			time.Sleep(50 * time.Millisecond)
+			_, ok := echo(c, conn)
+			c.Assert(ok, qt.IsFalse)
+			c.Assert(r.box.TryPut(delay.Block{}), qt.IsTrue)
+			c.Assert(conn.SetReadDeadline(time.Now().Add(10*time.Second)), qt.IsNil)
+			_, err := io.ReadFull(conn, make([]byte, 1))
+			c.Assert(err, qt.IsNil)
+		})
+	}
+}
+
 // A relay that accepts connections for a dead server would turn refused calls into unknown outcomes.
 func TestRefusesWhileServerIsDown(t *testing.T) {
 	c := qt.New(t)
--- a/internal/bench/proc/embed.go
+++ b/internal/bench/proc/embed.go
@@ -44,7 +44,7 @@
 				return ErrExited
 			case AskPID:
 				m.Reply.TryPut(os.Getpid())
-			case Pause, Continue:
+			case Pause, Continue, Reload:
 			}
 		case <-t.daemon.Done():
 			return errors.Annotate(ErrExited, "daemon in this process")
--- a/internal/bench/proc/proc.go
+++ b/internal/bench/proc/proc.go
@@ -34,6 +34,9 @@
 // A Continue lets a paused process run again.
 type Continue struct{}
 
+// A Reload lets the daemon read its settings again.
+type Reload struct{}
+
 // An AskPID asks for the process id. It goes to Reply.
 type AskPID struct{ Reply *mail.Box[int] }
 
@@ -43,6 +46,7 @@
 func (End) message()       {}
 func (Pause) message()     {}
 func (Continue) message()  {}
+func (Reload) message()    {}
 func (AskPID) message()    {}
 
 // ErrExited is returned by a task whose process ended and has to be started again.
@@ -107,6 +111,9 @@
 	}
 }
 
+// State returns how the process ended. It may be called after Done.
+func (t *Task) State() *os.ProcessState { return t.command.ProcessState }
+
 func (t *Task) receive(m Message) {
 	switch m := m.(type) {
 	case Terminate:
@@ -123,6 +130,8 @@
 		t.signal(syscall.SIGSTOP)
 	case Continue:
 		t.signal(syscall.SIGCONT)
+	case Reload:
+		t.signal(syscall.SIGHUP)
 	case AskPID:
 		m.Reply.TryPut(t.command.Process.Pid)
 	}
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -19,6 +19,10 @@
 }
 
 func (c *serveCommand) Run(env args.Env) error {
+	// A signal that arrives while the daemon starts is a planned stop too.
+	stops, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	if c.Config == "" {
 		c.Config = platform.SettingsFile()
 	}
@@ -38,9 +42,6 @@
 		options = append(options, daemon.WithPlatform(p))
 	}
 	defer event.WriteTo(env.Out)()
-	stops, reloads := make(chan os.Signal, 2), make(chan os.Signal, 1)
-	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(reloads, syscall.SIGHUP)
 	d, err := daemon.New(settings, Version, options...)
 	if err != nil {
 		return err
