Do not end a planned stop at a second SIGTERM, and log what a refusal was decided from

Cause: a second SIGTERM stopped the daemon at once. Planned work may overlap on a VM, so that the calls of the first stop were cut off.

Change: another SIGTERM changes nothing, SIGINT after the first signal stops at once.

CallRefused logs each refusal of the daemon beside a target with its inputs: the queue, the slots, the slowness and its age; before, only the daemon at which the call entered logged that it came back.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -38,10 +38,11 @@
 	CallSent                   = Event{5001, "CallSent", Decision}
 	CallRetried                = Event{5002, "CallRetried", Decision}
 	CallConcluded              = Event{5003, "CallConcluded", Decision}
-	CallBounced                = Event{5007, "CallBounced", Decision}
 	CallQueued                 = Event{5004, "CallQueued", Decision}
 	CallDispatched             = Event{5005, "CallDispatched", Decision}
 	CallEnded                  = Event{5006, "CallEnded", Decision}
+	CallBounced                = Event{5007, "CallBounced", Decision}
+	CallRefused                = Event{5008, "CallRefused", Decision}
 )
 
 // All lists every event.
@@ -53,6 +54,6 @@
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed,
-		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced,
+		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced, CallRefused,
 	}
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -42,11 +42,11 @@
 	return path
 }
 
-func run(t *testing.T, program string, seed uint64, vms int) []soak.Finding {
+func run(t *testing.T, program string, seed uint64, vms int, length time.Duration) []soak.Finding {
 	t.Helper()
 	folder, err := os.MkdirTemp("", "jacinthcross-soak")
 	qt.Assert(t, err, qt.IsNil)
-	findings, history, err := soak.Run(soak.Config{Program: program, Folder: folder, Seed: seed, VMs: vms, Length: 8 * time.Second})
+	findings, history, err := soak.Run(soak.Config{Program: program, Folder: folder, Seed: seed, VMs: vms, Length: length})
 	qt.Assert(t, err, qt.IsNil)
 	t.Logf("seed %d: %s; logs in %s", seed, history.Summary(), folder)
 	if len(findings) == 0 {
@@ -64,14 +64,24 @@
 		t.Skip("starts processes")
 	}
 	program := build(t, "", "", "")
+	const secondTerm = "a second SIGTERM ended the planned stop at once and cut off its calls"
 	for _, test := range []struct {
-		seed  uint64
-		cause string
+		seed   uint64
+		vms    int
+		length time.Duration
+		cause  string
 	}{
-		{20, "none: a seed that has steps of all kinds"},
+		{20, 6, 8 * time.Second, "none: a short run"},
+		{1001, 8, 12 * time.Second, secondTerm},
+		{1002, 8, 12 * time.Second, secondTerm},
+		{2002, 8, 12 * time.Second, secondTerm},
+		{2003, 8, 12 * time.Second, secondTerm},
+		{3001, 8, 12 * time.Second, secondTerm},
+		{3003, 8, 12 * time.Second, secondTerm},
 	} {
 		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
-			qt.Assert(t, run(t, program, test.seed, 6), qt.HasLen, 0, qt.Commentf("%s", test.cause))
+			t.Parallel()
+			qt.Assert(t, run(t, program, test.seed, test.vms, test.length), qt.HasLen, 0, qt.Commentf("%s", test.cause))
 		})
 	}
 }
@@ -101,7 +111,7 @@
 			t.Parallel()
 			program := build(t, test.file, test.old, test.new)
 			for seed := range uint64(brokenSeeds) {
-				for _, f := range run(t, program, 20+seed, 6) {
+				for _, f := range run(t, program, 20+seed, 6, 8*time.Second) {
 					if f.Promise == test.promise {
 						return
 					}
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -46,6 +46,22 @@
 	if err != nil {
 		return err
 	}
+	return follow(d, stops, reloads)
+}
+
+// A running is a daemon that signals are meant for.
+type running interface {
+	Reload()
+	Drain()
+	Abort()
+	Done() <-chan struct{}
+	Err() error
+}
+
+// follow passes signals on to a daemon until it has ended. The first one of stops begins a planned stop. Another
+// SIGTERM changes nothing, since planned work on a VM may overlap and must not cut calls off. SIGINT, which a person
+// sends, then stops at once.
+func follow(d running, stops, reloads <-chan os.Signal) error {
 	for {
 		select {
 		case <-reloads:
@@ -53,9 +69,12 @@
 			continue
 		case <-stops:
 			go func() {
-				// A second signal stops at once.
-				<-stops
-				d.Abort()
+				for s := range stops {
+					if s == syscall.SIGINT {
+						d.Abort()
+						return
+					}
+				}
 			}()
 			d.Drain()
 		case <-d.Done():
--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -7,6 +7,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/policy/admit"
 )
@@ -21,7 +22,26 @@
 
 // refuseRun answers a call that was not dispatched and frees its key.
 func (t *Task) refuseRun(r *run, kind errs.Kind) {
-	t.end(r, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter})
+	t.turnAway(r, call.Refused{Kind: kind, RetryAfter: errs.AnswerTo(kind).RetryAfter})
+}
+
+// turnAway answers a call that was not dispatched with a refusal, and logs what that was decided from.
+func (t *Task) turnAway(r *run, o call.Refused) {
+	now := t.clock.Now()
+	var queued, running, limit int
+	var slowness float64
+	var measured time.Duration
+	if r.gate != nil {
+		queued, running, limit = r.gate.Queued(), r.gate.InFlight(), r.gate.Limit()
+		var at time.Time
+		if slowness, at = r.gate.Slowness(); !at.IsZero() {
+			measured = now.Sub(at)
+		}
+	}
+	event.CallRefused.Log("request", r.Request.ID, "target", r.Target, "reason", o.Kind, "waited", now.Sub(r.arrived),
+		"left", r.Request.Deadline.Sub(now), "retryAfter", o.RetryAfter, "queued", queued, "running", running, "limit", limit,
+		"slowness", slowness, "measured", measured)
+	t.end(r, o)
 }
 
 // end answers a call and those that joined it, and settles its key.
@@ -82,7 +102,7 @@
 			}
 		case admit.Drop:
 			if r, ok := t.runs[s.Call]; ok {
-				t.end(r, call.Refused{Kind: s.Kind, RetryAfter: s.RetryAfter})
+				t.turnAway(r, call.Refused{Kind: s.Kind, RetryAfter: s.RetryAfter})
 			}
 		case admit.Measure:
 			t.measure()
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -92,7 +92,7 @@
 		}
 		t.advanceGate(now)
 	case admit.Refuse:
-		t.end(r, call.Refused{Kind: d.Kind, RetryAfter: d.RetryAfter})
+		t.turnAway(r, call.Refused{Kind: d.Kind, RetryAfter: d.RetryAfter})
 	}
 }
 
