End the sessions of peers that are greeted while a daemon stops

Cause: the task that listens for peers closed the sessions that its loop knew and then waited for all that were served. A session whose greeting was still in the mailbox when the loop ended was never closed, so that the daemon waited for the peer to close it, up to 25 s, and was killed at the end of its stop time.

Ruled out: the front, which took no calls any more and whose stop is bounded by 5 s, and the links, which opened a connection 4 s after the end should have been.

Change: a stopping task closes such sessions as their messages arrive. The soak kills a daemon that has not stopped in the platform's time and reports it. A peer that knows nothing yet is no longer logged with an age of 292 years.

--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -84,6 +84,8 @@
 	// Asked is when SIGTERM was sent, or zero.
 	Asked  time.Time
 	Killed bool
+	// Overdue says that it had to be killed, since it had not ended in time.
+	Overdue bool
 	// Frozen says that the process was frozen after SIGTERM.
 	Frozen bool
 	Code   int
@@ -260,13 +262,13 @@
 	}
 	for _, e := range h.Exits {
 		switch {
-		case e.Killed:
+		case e.Killed, e.Overdue && e.Frozen:
 		case e.Asked.IsZero():
 			add(e, fmt.Sprintf("ended by itself with code %d", e.Code))
+		case e.Overdue:
+			add(e, "had not stopped "+stopTime.String()+" after SIGTERM")
 		case e.Code != 0:
 			add(e, fmt.Sprintf("ended with code %d after SIGTERM", e.Code))
-		case !e.Frozen && e.At.Sub(e.Asked) > stopTime:
-			add(e, "took "+e.At.Sub(e.Asked).String()+" to stop")
 		}
 	}
 	return out
--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -196,10 +196,18 @@
 	number := int(n.process.Add(1))
 	inbox.Put(started{n.number, number, time.Now()}, n.stopped)
 	e := Exit{VM: n.number, Process: number}
+	var end <-chan time.Time
 	for {
 		select {
 		case a := <-n.asks:
 			n.send(a, &e)
+			if end == nil && !e.Asked.IsZero() {
+				end = time.After(stopTime)
+			}
+		case <-end:
+			// The platform ends a process then.
+			e.Overdue = true
+			n.daemon.TryPut(proc.Kill{})
 		case <-task.Done():
 			e.At, e.Code = time.Now(), task.State().ExitCode()
 			inbox.Put(e, n.stopped)
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -78,6 +78,7 @@
 		{2003, 8, 12 * time.Second, secondTerm},
 		{3001, 8, 12 * time.Second, secondTerm},
 		{3003, 8, 12 * time.Second, secondTerm},
+		{2007, 8, 12 * time.Second, "a session that was greeted while the daemon stopped kept it from ending"},
 	} {
 		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/task/feed/call.go
+++ b/internal/task/feed/call.go
@@ -150,7 +150,7 @@
 			t.worked(m.source, now.Add(-r.Age), now)
 		} else {
 			t.sources.Stale(m.source, t.place, now)
-			t.lose(m.source, errors.Errorf("the peer has no newer knowledge (age %s, serial %d, lost %t)", r.Age, r.Revision, r.Lost), now)
+			t.lose(m.source, stale(r), now)
 		}
 	case failed:
 		if errors.Is(r.err, ErrHistoryGone) {
@@ -162,6 +162,14 @@
 	}
 }
 
+// stale says why what a peer knows is of no use.
+func stale(r published) error {
+	if r.Revision == 0 {
+		return errors.New("the peer knows nothing yet")
+	}
+	return errors.Errorf("the peer has no newer knowledge (age %s, serial %d, lost %t)", r.Age, r.Revision, r.Lost)
+}
+
 // takePublished takes what a peer knows, and reports whether it is not older than what is known, and not too old.
 func (t *Task) takePublished(p published, now time.Time) bool {
 	if p.Whole {
--- a/internal/task/listen/calls_test.go
+++ b/internal/task/listen/calls_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -152,6 +153,39 @@
 	qt.Assert(t, len(inbox.C()), qt.Equals, 0)
 }
 
+// Guards against a stop that waits for peers to close sessions which were greeted while the task stopped. Peers keep
+// sessions open for as long as they use them.
+func TestStopEndsSessionsJustGreeted(t *testing.T) {
+	const rounds, peers = 40, 8
+	for round := range rounds {
+		task, err := listen.New(netip.MustParseAddrPort("127.0.0.1:0"), listen.NewServer(mail.NewBox[local.Message](8), nil, 1<<20),
+			mail.NewBox[listen.Message](4))
+		qt.Assert(t, err, qt.IsNil)
+		var dialled sync.WaitGroup
+		for range peers {
+			dialled.Go(func() {
+				conn, err := net.Dial("tcp", task.Addr().String())
+				if err != nil {
+					return
+				}
+				t.Cleanup(func() { conn.Close() })
+				session, err := link.NewSession(conn, true)
+				qt.Check(t, err, qt.IsNil)
+				// The task may stop first.
+				_, _ = session.Greet(codec.Hello{Protocol: codec.Protocol})
+			})
+		}
+		time.Sleep(time.Duration(round) * 50 * time.Microsecond)
+		task.Stop()
+		select {
+		case <-task.Done():
+		case <-time.After(patience):
+			t.Fatal("the task has not stopped")
+		}
+		dialled.Wait()
+	}
+}
+
 // Guards against a sum of bodies of peers without bound, and against memory that is never given back.
 func TestBodiesOfPeersAreBounded(t *testing.T) {
 	for _, test := range []struct {
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -229,7 +229,27 @@
 		}
 		s.Close()
 	}
-	t.serving.Wait()
+	t.endGreeted()
+}
+
+// endGreeted closes the sessions that were greeted too late for the loop to know them, until none is served. Without
+// it the task would wait until their peers close them.
+func (t *Task) endGreeted() {
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		t.serving.Wait()
+	}()
+	for {
+		select {
+		case m := <-t.inbox.C():
+			if g, ok := m.(greeted); ok {
+				g.session.Close()
+			}
+		case <-served:
+			return
+		}
+	}
 }
 
 // stopPoll is the interval at which a stopping task looks for exchanges that are still under way.
