Model the attempts of a call and the roster, and fail on a model that cannot be built

While the models were written, the script reported a model with syntax errors as holding: "set -e" does not hold in a function that is part of a condition, so that the program of the model before was run again.

The script removes what the model before left and ends when a model cannot be built.

--- a/scripts/spec.sh
+++ b/scripts/spec.sh
@@ -5,16 +5,22 @@
 cd "$(dirname "$0")/../spec"
 work="$(mktemp -d)"
 trap 'rm -rf "$work"' EXIT
-# explore runs in the folder of the model, so that its include is found.
+# explore runs in the folder of the model, so that its include is found. A model that cannot be built ends the
+# script: "set -e" does not hold in the conditions that call this.
 explore() {
+  rm -f "$work"/*
   (
-    cd "$(dirname "$1")"
-    cpp -P -undef "$(basename "$1")" "$work/model.pml"
-    cd "$work"
-    spin -a model.pml >spin.log
-    gcc -O1 -DSAFETY -DVECTORSZ=4096 -o pan pan.c 2>gcc.log
-    ./pan -E -m2000000 -w22 >pan.log
-  )
+    cd "$(dirname "$1")" &&
+      cpp -P -undef "$(basename "$1")" "$work/model.pml" &&
+      cd "$work" &&
+      spin -a model.pml >spin.log &&
+      gcc -O1 -DSAFETY -DVECTORSZ=4096 -o pan pan.c 2>gcc.log
+  ) || {
+    echo "$1: cannot be built" >&2
+    cat "$work"/*.log >&2
+    exit 1
+  }
+  (cd "$work" && ./pan -E -m2000000 -w22 >pan.log) || true
   if ! grep -q '^Full statespace search' "$work/pan.log" || grep -q 'max search depth too small\|out of memory' "$work/pan.log"; then
     echo "$1: search incomplete" >&2
     exit 1
--- /dev/null
+++ b/spec/broken/attempt-crash.pml
@@ -0,0 +1,2 @@
+#define BROKEN_CRASH
+#include "../attempt.pml"
--- /dev/null
+++ b/spec/broken/attempt-drop.pml
@@ -0,0 +1,2 @@
+#define BROKEN_DROP
+#include "../attempt.pml"
--- /dev/null
+++ b/spec/broken/attempt-leaves.pml
@@ -0,0 +1,2 @@
+#define BROKEN_LEAVES
+#include "../attempt.pml"
--- /dev/null
+++ b/spec/broken/attempt-lost.pml
@@ -0,0 +1,2 @@
+#define BROKEN_LOST
+#include "../attempt.pml"
--- /dev/null
+++ b/spec/broken/attempt-unknown.pml
@@ -0,0 +1,2 @@
+#define BROKEN_UNKNOWN
+#include "../attempt.pml"
--- /dev/null
+++ b/spec/broken/roster-config.pml
@@ -0,0 +1,2 @@
+#define BROKEN_CONFIG
+#include "../roster.pml"
--- /dev/null
+++ b/spec/broken/roster-draining.pml
@@ -0,0 +1,2 @@
+#define BROKEN_DRAINING
+#include "../roster.pml"
--- /dev/null
+++ b/spec/broken/roster-oldest.pml
@@ -0,0 +1,2 @@
+#define BROKEN_OLDEST
+#include "../roster.pml"
--- /dev/null
+++ b/spec/broken/roster-peer.pml
@@ -0,0 +1,2 @@
+#define BROKEN_PEER
+#include "../roster.pml"
