Take a suspension of the VM for a pause

Cause: the steady clock does not count the time of a suspension, so that the daemon saw no pause after one: calls that had waited counted as young, and requests that arrived meanwhile got a deadline that began with their read.

Ruled out: a clock that counts suspensions in all code, since deadlines of sockets and timers run on the steady clock; and asking the system at each read, which is a call of it for every request. A reader asks only when the time of day has moved on further than the steady clock, the tick every 100 ms.

Change: the tick tells the daemon beside the target, which gives back the calls that wait as not run and tells of it as of a pause; bytes read within 200 ms of it count as arrived before it. MachineSuspended (J1009) logs it.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -11,6 +11,7 @@
 	SettingsReloaded           = Event{1006, "SettingsReloaded", Info}
 	SettingsRefused            = Event{1007, "SettingsRefused", Error}
 	SettingsNeedRestart        = Event{1008, "SettingsNeedRestart", Warning}
+	MachineSuspended           = Event{1009, "MachineSuspended", Warning}
 	ReleaseInForce             = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                = Event{2002, "NoteRefused", Error}
 	ServiceUnread              = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -48,7 +49,7 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart,
+		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart, MachineSuspended,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable, StoreDuty,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
--- a/internal/policy/pause/arrival_test.go
+++ b/internal/policy/pause/arrival_test.go
@@ -30,11 +30,43 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			start := time.Unix(1000, 0)
-			ticks := NewTicks(start)
+			ticks := NewTicks(start, 0)
 			for _, at := range test.ticks {
-				ticks = ticks.Next(start.Add(at))
+				ticks = ticks.Next(start.Add(at), 0)
 			}
-			arrived, exact := ticks.Arrival(start.Add(test.read))
+			arrived, exact := ticks.Arrival(start.Add(test.read), 0)
+			qt.Assert(t, arrived.Sub(start), qt.Equals, test.want)
+			qt.Assert(t, exact, qt.Equals, test.exact)
+		})
+	}
+}
+
+// Guards against deadlines that count from a read after a suspension of the machine, which the steady clock does not
+// show, and against a time of day that was set and is taken for one.
+func TestArrivalAfterSuspension(t *testing.T) {
+	const slept = 3 * time.Second
+	for _, test := range []struct {
+		name string
+		// ticked says that a tick has followed the suspension of a length before the read at an offset.
+		ticked bool
+		slept  time.Duration
+		read   time.Duration
+		want   time.Duration
+		exact  bool
+	}{
+		{"none", false, 0, 50 * time.Millisecond, 50 * time.Millisecond, true},
+		{"short", false, Threshold / 2, 50 * time.Millisecond, 50 * time.Millisecond, true},
+		{"read before the tick", false, slept, 50 * time.Millisecond, -slept, false},
+		{"read after the tick", true, slept, Interval + Window/2, -slept, false},
+		{"read after the window", true, slept, Interval + Window, Interval + Window, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			ticks := NewTicks(start, time.Minute)
+			if test.ticked {
+				ticks = ticks.Next(start.Add(Interval), time.Minute+test.slept)
+			}
+			arrived, exact := ticks.Arrival(start.Add(test.read), time.Minute+test.slept)
 			qt.Assert(t, arrived.Sub(start), qt.Equals, test.want)
 			qt.Assert(t, exact, qt.Equals, test.exact)
 		})
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -95,7 +95,7 @@
 	bodies := quota.New(s.MaxBodyMemory)
 	server := listen.NewServer(b.local, b.keeper, s.MaxBody+messageOverhead, listen.WithHello(hello), listen.WithReports(b.peerReported), listen.WithArrivals(b.arrivalOf(p)), listen.WithQuota(bodies), listen.WithFeed(b.feed))
 	control := tree.NewSupervisor("control", append(sourceTasks(s, p, b, m), []tree.Child{
-		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals), nil }},
+		{Name: "tick", Start: func() (tree.Task, error) { return tick.New(&b.arrivals, tick.WithNotify(b.suspended)), nil }},
 		{Name: "member", Start: func() (tree.Task, error) {
 			b.tell(func(r *note.Release) { b.member.TryPut(member.ReleaseChanged{Release: r}) })
 			return member.New(b.member, b.peersChanged), nil
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	fleet "jacinthcross/internal/fleet/member"
@@ -100,6 +101,12 @@
 	}()
 }
 
+// suspended tells the local task that the machine was suspended, which tells of it as of a pause.
+func (b *boxes) suspended(slept time.Duration) {
+	event.MachineSuspended.Log("slept", slept)
+	b.local.TryPut(local.Suspended{For: slept})
+}
+
 // askConfirmation asks the task that knows what is in force to compare it with others.
 func (b *boxes) askConfirmation(reply *mail.Box[bool]) bool {
 	if b.published {
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -199,6 +199,14 @@
 	}
 }
 
+// slept gives back the calls that waited while the machine was suspended: their times do not count it, so that most
+// of them have expired unseen.
+func (t *Task) slept(d time.Duration) {
+	t.onPause(d)
+	t.closeIdle(t.clock.Now())
+	t.flush(errs.Busy)
+}
+
 func (t *Task) receive(m Message) {
 	switch m := m.(type) {
 	case Run:
@@ -231,6 +239,8 @@
 		if r, ok := t.runs[t.tokens[m.Token]]; ok {
 			r.retries++
 		}
+	case Suspended:
+		t.slept(m.For)
 	case Drain:
 		t.draining, t.empty = true, m.Empty
 		t.flush(errs.Draining)
--- a/internal/task/local/local_test.go
+++ b/internal/task/local/local_test.go
@@ -159,6 +159,22 @@
 			want: []string{"Refused Withdrawn", `Answered 200 "book"`},
 			runs: 1,
 		},
+		{
+			name: "suspension of the machine gives back the queued call as not run",
+			hold: true,
+			run: func(b *bench, target *rawTarget, release chan struct{}, key string) []call.Outcome {
+				b.release(note.Target{Name: "b1", Address: target.address(), Slots: 1})
+				first, _ := b.send(post(key))
+				b.until("the call runs", func() bool { return target.runs.Load() == 1 })
+				second, _ := b.send(post(b.key()))
+				b.inbox.Put(Suspended{For: time.Minute}, nil)
+				all := []call.Outcome{b.wait(second)}
+				close(release)
+				return append(all, b.wait(first))
+			},
+			want: []string{"Refused Busy", `Answered 200 "book"`},
+			runs: 1,
+		},
 		{
 			name: "a resend keeps a queued call whose first caller has gone",
 			hold: true,
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -38,6 +38,9 @@
 // A Drain says that the daemon stops: no new call is taken, and Empty is closed when none is left.
 type Drain struct{ Empty chan<- struct{} }
 
+// A Suspended says that the machine was suspended for a time, which the steady clock does not count.
+type Suspended struct{ For time.Duration }
+
 // A Confirmed says that the daemon has compared its release with peers.
 type Confirmed struct{}
 
@@ -89,6 +92,7 @@
 func (ReleaseChanged) message() {}
 func (RetrySpent) message()     {}
 func (Drain) message()          {}
+func (Suspended) message()      {}
 func (Blamed) message()         {}
 func (Confirmed) message()      {}
 func (completed) message()      {}
--- a/internal/task/tick/tick_test.go
+++ b/internal/task/tick/tick_test.go
@@ -1,11 +1,13 @@
 package tick_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
+	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/task/tick"
 )
 
@@ -22,3 +24,47 @@
 	qt.Assert(t, arrived, qt.Equals, later)
 	qt.Assert(t, exact, qt.IsTrue)
 }
+
+// Guards against a suspension of the machine after which queued calls and bytes that had arrived count as young: the
+// steady clock does not show it.
+func TestSuspension(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		slept time.Duration
+		exact bool
+	}{
+		{"long", time.Hour, false},
+		{"short", pause.Threshold / 2, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var total atomic.Int64
+			told := make(chan time.Duration, 1)
+			arrivals := &tick.Arrivals{}
+			started := time.Now()
+			task := tick.New(arrivals, tick.WithSuspended(func() time.Duration { return time.Duration(total.Load()) }),
+				tick.WithNotify(func(slept time.Duration) { told <- slept }))
+			t.Cleanup(func() {
+				task.Stop()
+				<-task.Done()
+			})
+			total.Store(int64(test.slept))
+			select {
+			case slept := <-told:
+				qt.Assert(t, slept, qt.Equals, test.slept)
+				qt.Assert(t, test.exact, qt.IsFalse)
+			case <-time.After(3 * pause.Interval):
+				qt.Assert(t, test.exact, qt.IsTrue)
+				return
+			}
+			// The task tells before it records the tick.
+			for {
+				arrived, exact := arrivals.Of(time.Now())
+				if !exact {
+					qt.Assert(t, arrived.Before(started.Add(pause.Interval-test.slept)), qt.IsTrue)
+					return
+				}
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
