Let a daemon that starts while the store is away learn from the peers that greet it

Cause: a daemon knows its peers from the store only, so that one that started while the store was away answered 503 until it was back, although its peers sent it calls.

Ruled out: seeds in the settings, which the platform does not give, and the address from which a peer connects, whose port is not the one at which it listens.

Change: a greeting says where its sender listens for peers, and a daemon that knows less asks there, as it does for heads that are ahead. DrainTimedOut (J1010) says what a planned stop was still waiting for when its time was over. A log line no longer says that nothing was confirmed for 292 years.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -12,6 +12,7 @@
 	SettingsRefused            = Event{1007, "SettingsRefused", Error}
 	SettingsNeedRestart        = Event{1008, "SettingsNeedRestart", Warning}
 	MachineSuspended           = Event{1009, "MachineSuspended", Warning}
+	DrainTimedOut              = Event{1010, "DrainTimedOut", Warning}
 	ReleaseInForce             = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                = Event{2002, "NoteRefused", Error}
 	ServiceUnread              = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -49,7 +50,7 @@
 // All lists every event.
 func All() []Event {
 	return []Event{
-		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart, MachineSuspended,
+		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart, MachineSuspended, DrainTimedOut,
 		ReleaseInForce, NoteRefused, ServiceUnread, NoteAccepted, NoteConflict, ListUnread,
 		StoreLost, StoreRegained, HistoryGone, EntryUnusable, ConfigUnusable, StoreDuty,
 		LinkOpened, LinkFailed, PeerRefused, PeerVersion, PeerDraining, PeerSilent,
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -171,10 +171,14 @@
 		return
 	}
 	d.boxes.front.Put(front.Drain{Empty: callers}, d.Done())
-	for _, empty := range []chan struct{}{callers, target} {
+	for _, part := range []struct {
+		calls string
+		empty chan struct{}
+	}{{"callers", callers}, {"target", target}} {
 		select {
-		case <-empty:
+		case <-part.empty:
 		case <-timeout:
+			event.DrainTimedOut.Log("calls", part.calls)
 			return
 		case <-d.Done():
 			return
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -136,7 +136,7 @@
 
 // hello is what the daemon tells a peer of itself.
 func (b *boxes) hello(s *conf.Settings) codec.Hello {
-	h := codec.Hello{Protocol: codec.Protocol, VM: s.VM, DataCentre: s.DataCentre, Draining: b.draining.Load()}
+	h := codec.Hello{Protocol: codec.Protocol, VM: s.VM, DataCentre: s.DataCentre, Draining: b.draining.Load(), Daemon: s.Peers}
 	if r := b.release.Load(); r != nil {
 		h.Head = r.Head
 	}
--- a/internal/super/daemon/wire.go
+++ b/internal/super/daemon/wire.go
@@ -39,6 +39,10 @@
 	case listen.Greeted:
 		// The digests that the peer exchanges tell its head.
 		b.member.TryPut(member.Met{VM: r.Hello.VM, Draining: r.Hello.Draining})
+		if b.published && r.Hello.Daemon.IsValid() {
+			// A daemon that starts while the store is away knows no peer to ask until one opens a connection.
+			b.revisionSeen(r.Hello.Head, r.Hello.Daemon)
+		}
 	case listen.Draining:
 		b.member.TryPut(member.Drained{VM: r.VM})
 	case listen.TargetChanged:
--- a/internal/task/feed/call.go
+++ b/internal/task/feed/call.go
@@ -211,7 +211,7 @@
 	if t.failing.IsZero() {
 		t.failing = now
 	}
-	event.StoreLost.Log("source", nameOf(source), "error", err.Error(), "serial", t.roster.Revision(), "age", t.age(now))
+	event.StoreLost.Log("source", nameOf(source), "error", err.Error(), "serial", t.roster.Revision(), "age", t.knownFor(now))
 	t.why = err.Error()
 }
 
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -205,5 +205,13 @@
 // lost reports whether peers had better ask another daemon.
 func (t *Task) lost(now time.Time) bool { return !t.failing.IsZero() || t.age(now) > maxAge }
 
+// knownFor returns the time since the store confirmed what is known, for the log, and 0 when nothing is known.
+func (t *Task) knownFor(now time.Time) time.Duration {
+	if t.confirmedAt.IsZero() {
+		return 0
+	}
+	return t.age(now)
+}
+
 // age returns the time since the store confirmed what is known.
 func (t *Task) age(now time.Time) time.Duration { return now.Sub(t.confirmedAt) }
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -28,7 +28,7 @@
 		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5,
 	}
 	return []codec.Message{
-		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true},
+		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true, Daemon: netip.MustParseAddrPort("127.0.0.1:7000")},
 		codec.Call{Target: "target", Number: 9, Request: call.Request{
 			ID: "request", Route: "route", Origin: "origin", Aim: now.Add(-time.Second), HoldUntil: now.Add(time.Millisecond), Returned: true, Final: true, Usual: time.Millisecond,
 			Service: "service", Method: "POST", URI: "/a?b", Header: fields, Body: []byte("body"),
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -54,10 +54,19 @@
 		return nil, err
 	}
 	h, err := decodeHead(p.GetHead())
-	return Hello{
+	if err != nil {
+		return nil, err
+	}
+	m := Hello{
 		Protocol: int(p.GetProtocol()), VM: ident.VM(p.GetVM()), DataCentre: ident.DataCentre(p.GetDataCentre()),
 		Incarnation: i, Head: h, Draining: p.GetDraining(),
-	}, err
+	}
+	if b := p.GetDaemon(); len(b) > 0 {
+		if err := m.Daemon.UnmarshalBinary(b); err != nil {
+			return nil, errors.NewNotValid(err, "address of a peer")
+		}
+	}
+	return m, nil
 }
 
 func decodeCall(p *peerpb.CallRequest, now time.Time) (Message, error) {
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -16,7 +16,7 @@
 	case Hello:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{
 			Protocol: uint32(m.Protocol), VM: string(m.VM), DataCentre: string(m.DataCentre),
-			Incarnation: m.Incarnation[:], Head: encodeHead(m.Head), Draining: m.Draining,
+			Incarnation: m.Incarnation[:], Head: encodeHead(m.Head), Draining: m.Draining, Daemon: encodeAddress(m.Daemon),
 		}}}
 	case Call:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_CallRequest{CallRequest: encodeCall(m, now)}}
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -2,6 +2,7 @@
 package codec
 
 import (
+	"net/netip"
 	"time"
 
 	"jacinthcross/internal/base/call"
@@ -27,6 +28,8 @@
 	Incarnation ident.Incarnation
 	Head        ident.Head
 	Draining    bool
+	// Daemon is where the sender listens for peers, and zero when it does not tell.
+	Daemon netip.AddrPort
 }
 
 // A Call asks the daemon beside a target to run a request.
