Say ready only once the daemon listens for callers

Cause: the task that answers whether the daemon is ready starts beside the one that listens for callers, and did not look at it. Where the processor is short, a daemon was ready before it could be reached: TestRouteTimeout got no answer in two of six runs of the tests of platform/ beside load.

Ruled out: a connection that was reset; the test failed at its first request, and its start took any answer but a refusal for one of a daemon that serves.

TestTargetsThatMisbehave takes 504 after the timeout of the route where the target sheds: in one of six runs beside load the refusal was made 82 ms before the deadline and taken after it (request sent at 26.088, refused beside the target at 26.194, concluded at 26.277).

Before and after: TestReady fails on the code before and passes. Nine more runs of the tests of platform/ before the change, three at a time, did not show either failure again.

--- /dev/null
+++ b/internal/super/daemon/ready_test.go
@@ -0,0 +1,38 @@
+package daemon
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/fleet/note"
+)
+
+// Guards against a daemon that the platform sends callers to before it listens for them, knows where to send their
+// calls, or while it stops.
+func TestReady(t *testing.T) {
+	served := note.NewRelease()
+	served.Services = map[ident.Service]note.Service{"a": {}}
+	for _, test := range []struct {
+		name      string
+		listening bool
+		release   *note.Release
+		draining  bool
+		want      bool
+	}{
+		{"all", true, served, false, true},
+		{"not listening", false, served, false, false},
+		{"no release", true, nil, false, false},
+		{"release without services", true, note.NewRelease(), false, false},
+		{"stopping", true, served, true, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			b := newBoxes()
+			b.listening.Store(test.listening)
+			b.release.Store(test.release)
+			b.draining.Store(test.draining)
+			qt.Assert(t, b.ready(), qt.Equals, test.want)
+		})
+	}
+}
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -65,6 +65,8 @@
 	published bool
 	// draining is true from the beginning of the planned stop.
 	draining atomic.Bool
+	// listening is true while the socket for callers is open.
+	listening atomic.Bool
 }
 
 func newBoxes() *boxes {
@@ -128,10 +130,10 @@
 	return supervisors{root: root, edge: edge, data: data, control: control}
 }
 
-// ready reports whether the daemon takes calls: it has a release and is not stopping.
+// ready reports whether the daemon takes calls: it listens for callers, has a release and is not stopping.
 func (b *boxes) ready() bool {
 	r := b.release.Load()
-	return r != nil && len(r.Services) > 0 && !b.draining.Load()
+	return b.listening.Load() && r != nil && len(r.Services) > 0 && !b.draining.Load()
 }
 
 // hello is what the daemon tells a peer of itself.
@@ -187,7 +189,13 @@
 	if p.Linger > 0 {
 		options = append(options, front.WithLinger())
 	}
-	return front.New(s.Callers, b.front, b.router, options...)
+	b.listening.Store(false)
+	f, err := front.New(s.Callers, b.front, b.router, options...)
+	if err != nil {
+		return nil, err
+	}
+	b.listening.Store(true)
+	return f, nil
 }
 
 func startAdmin(s *conf.Settings, version string, b *boxes, m *meter.Meter) (tree.Task, error) {
