--- a/internal/cli/cmds/config.go
+++ b/internal/cli/cmds/config.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/cli/args"
 	"jacinthcross/internal/cli/conf"
 )
@@ -16,6 +18,9 @@
 	if err != nil {
 		return fileError(env, c.File, err)
 	}
+	if _, err := platformOptions(s); err != nil {
+		return errors.Annotate(err, c.File)
+	}
 	fmt.Fprintf(env.Out, "%s: valid settings of VM %s in data centre %s\n", c.File, s.VM, s.DataCentre)
 	return nil
 }
--- a/internal/cli/cmds/serve.go
+++ b/internal/cli/cmds/serve.go
@@ -33,14 +33,11 @@
 	if err != nil {
 		return fileError(env, c.Config, err)
 	}
-	options := []daemon.Option{daemon.WithSettingsFile(c.Config)}
-	if _, ok := settings.Source.(conf.Store); ok {
-		p, err := platform.New(settings)
-		if err != nil {
-			return errors.Annotate(err, c.Config)
-		}
-		options = append(options, daemon.WithPlatform(p))
+	options, err := platformOptions(settings)
+	if err != nil {
+		return errors.Annotate(err, c.Config)
 	}
+	options = append(options, daemon.WithSettingsFile(c.Config))
 	defer event.WriteTo(env.Out)()
 	d, err := daemon.New(settings, Version, options...)
 	if err != nil {
@@ -49,6 +46,18 @@
 	return follow(d, stops, reloads)
 }
 
+// platformOptions returns what settings with a store add to a daemon.
+func platformOptions(settings *conf.Settings) ([]daemon.Option, error) {
+	if _, ok := settings.Source.(conf.Store); !ok {
+		return nil, nil
+	}
+	p, err := platform.New(settings)
+	if err != nil {
+		return nil, err
+	}
+	return []daemon.Option{daemon.WithPlatform(p)}, nil
+}
+
 // A running is a daemon that signals are meant for.
 type running interface {
 	Reload()
--- a/internal/task/reload/reload.go
+++ b/internal/task/reload/reload.go
@@ -38,6 +38,7 @@
 // mistakes are logged and leave those in force.
 func New(path string, inbox *mail.Box[Message], apply func(*conf.Settings)) *Task {
 	t := &Task{Loop: tree.NewLoop(), path: path, inbox: inbox, apply: apply}
+	// A file that cannot be read now is logged by the next look, which finds another text.
 	t.text, _ = os.ReadFile(path)
 	go func() {
 		t.Run(t.loop)
--- /dev/null
+++ b/internal/wire/header/dialect_test.go
@@ -0,0 +1,89 @@
+package header_test
+
+import (
+	"net/http"
+	"slices"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/wire/header"
+)
+
+// other is a dialect with names of its own.
+func other() *header.Dialect {
+	return &header.Dialect{
+		RequestID: "X-Id", Deadline: "X-Deadline", Origin: "X-Origin", Instance: "X-Instance", NotRun: "X-Not-Run", Stamp: "X-Stamp", Load: "X-Load",
+	}
+}
+
+func names(fields []call.Field) []string {
+	var out []string
+	for _, f := range fields {
+		out = append(out, f.Name)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Guards against fields of one connection that are passed on, against callers that set what only daemons may, and
+// against fields of the caller that are lost.
+func TestFieldsThatArePassedOn(t *testing.T) {
+	h := func(all ...string) http.Header {
+		out := http.Header{}
+		for _, name := range all {
+			out.Set(name, "x")
+		}
+		return out
+	}
+	named := h("X-Own", "Accept")
+	named.Set("Connection", "close, X-Own")
+	for _, test := range []struct {
+		name    string
+		dialect *header.Dialect
+		in      http.Header
+		caller  []string
+		target  []string
+	}{
+		{"usual", other(), h("Accept", "Cookie"), []string{"Accept", "Cookie"}, []string{"Accept", "Cookie"}},
+		{
+			"of one connection", other(), h("Keep-Alive", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Content-Length", "Proxy-Connection"),
+			nil, nil,
+		},
+		{"named by Connection", other(), named, []string{"Accept"}, []string{"Accept"}},
+		{"set by daemons", other(), h("X-Id", "X-Deadline", "X-Origin", "X-Instance"), nil, []string{"X-Deadline", "X-Id", "X-Instance", "X-Origin"}},
+		{"load of the target", other(), h("X-Load", "X-Stamp"), []string{"X-Load", "X-Stamp"}, []string{"X-Stamp"}},
+		{"own prefix", header.Own(), h("Jacinth-Outcome", "Jacinth-Anything", "Idempotency-Key", "Accept"), []string{"Accept"}, []string{"Accept", "Idempotency-Key"}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Check(t, names(test.dialect.FromCaller(test.in)), qt.DeepEquals, test.caller)
+			qt.Check(t, names(test.dialect.FromTarget(test.in)), qt.DeepEquals, test.target)
+		})
+	}
+}
+
+// Guards against a second run after a response that proves nothing.
+func TestProofs(t *testing.T) {
+	proof := func(value string) http.Header { return http.Header{"X-Not-Run": {value}} }
+	for _, test := range []struct {
+		name   string
+		status int
+		header http.Header
+		want   bool
+	}{
+		{"shed", 503, proof("1"), true},
+		{"too many", 429, proof("true"), true},
+		{"refused before it was read", 400, proof("1"), true},
+		{"not the instance that was named", 421, http.Header{}, true},
+		{"503 without the proof", 503, http.Header{}, false},
+		{"another value", 503, proof("0"), false},
+		{"failed", 500, proof("1"), false},
+		{"success", 200, proof("1"), false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, other().Proves(test.status, test.header), qt.Equals, test.want)
+		})
+	}
+	qt.Assert(t, header.Own().Proves(421, http.Header{}), qt.IsFalse)
+}
