--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -24,7 +24,7 @@
 // A message goes to the soak.
 type message interface{ message() }
 
-// A started message tells that a process of a daemon was started.
+// A started tells that a process of a daemon was started.
 type started struct {
 	vm, process int
 	at          time.Time
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -62,7 +62,7 @@
 
 var services = []string{"catalogue", "bookings"}
 
-// A step message tells that a step of the plan begins or ends.
+// A stepDue tells that a step of the plan begins or ends.
 type stepDue struct {
 	step  Step
 	begin bool
