Test the checks and the plans of the soak

A process that was frozen before it got SIGTERM, and ran again, excused a stop that took too long; now only one that is frozen then or later does.

--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -51,6 +51,8 @@
 	relays  map[Path]*relay
 	stopped chan struct{}
 	ended   chan struct{}
+	// frozen is true while the process stands still. It belongs to the goroutine that owns the process.
+	frozen bool
 }
 
 // A relay is a task of package delay, with the delay that it applies now.
@@ -193,6 +195,7 @@
 		return false
 	}
 	n.discard()
+	n.frozen = false
 	number := int(n.process.Add(1))
 	inbox.Put(started{n.number, number, time.Now()}, n.stopped)
 	e := Exit{VM: n.number, Process: number}
@@ -235,16 +238,17 @@
 	switch a {
 	case askStop:
 		if e.Asked.IsZero() {
-			e.Asked = time.Now()
+			e.Asked, e.Frozen = time.Now(), n.frozen
 		}
 		n.daemon.TryPut(proc.Restart{})
 	case askKill:
 		e.Killed = true
 		n.daemon.TryPut(proc.Kill{})
 	case askFreeze:
-		e.Frozen = true
+		n.frozen, e.Frozen = true, e.Frozen || !e.Asked.IsZero()
 		n.daemon.TryPut(proc.Pause{})
 	case askThaw:
+		n.frozen = false
 		n.daemon.TryPut(proc.Continue{})
 	case askReload:
 		n.daemon.TryPut(proc.Reload{})
