--- a/internal/super/daemon/daemon_test.go
+++ b/internal/super/daemon/daemon_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -16,6 +15,7 @@
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/bench/config"
+	"jacinthcross/internal/bench/stage"
 	"jacinthcross/internal/cli/conf"
 	"jacinthcross/internal/super/daemon"
 	"jacinthcross/internal/super/tree"
@@ -74,11 +74,11 @@
 	return nodes
 }
 
+// freePort returns an address that outgoing connections do not take before it is used.
 func freePort(t testing.TB) netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := stage.FreeAddress()
 	qt.Assert(t, err, qt.IsNil)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+	return a
 }
 
 // awaitRelease waits until the daemon answers calls of the service.
