Let the changes of a config name the config that they build on

Cause: a peer tells what has changed in its config since the revision that the asker names. When it has not held the config in between, as after an outage of the store in which several changes were made, a route that was changed and changed back has not changed for it, and the asker kept the value in between. All daemons logged the newest version in force.

Ruled out: a change that was not learned; serial 159 and version 7 were in force everywhere 0.5 s after the store was back, and no config was refused.

Change: a peer tells the changes since the newest config that it has held at that revision, and names it. A daemon that holds another one takes nothing and asks for all at once.

--- a/internal/fleet/roster/after.go
+++ b/internal/fleet/roster/after.go
@@ -30,10 +30,10 @@
 	}
 	switch {
 	case r.configured <= revision:
-	case whole:
+	case whole || r.heldAt(revision) == 0:
 		c.Changes = append(c.Changes, Configured{Config: r.config, Revision: r.configured})
 	default:
-		c.Changes = append(c.Changes, r.reconfigured(revision))
+		c.Changes = append(c.Changes, r.reconfigured(r.heldAt(revision)))
 	}
 	for name, e := range r.entries {
 		switch {
@@ -57,9 +57,20 @@
 	return c, false
 }
 
-// reconfigured returns what has changed in the config after a revision.
+// heldAt returns the revision of the config that was the newest one at a revision, as far as it was known here, or 0.
+func (r *Roster) heldAt(revision Revision) Revision {
+	var base Revision
+	for _, at := range r.held {
+		if at <= revision {
+			base = at
+		}
+	}
+	return base
+}
+
+// reconfigured returns what has changed in the config since the one of a revision.
 func (r *Roster) reconfigured(revision Revision) Reconfigured {
-	c := Reconfigured{Config: r.config, Revision: r.configured}
+	c := Reconfigured{Config: r.config, Base: revision, Revision: r.configured}
 	c.Routes = map[ident.Route]note.Route{}
 	for name, at := range r.routes {
 		if at > revision {
--- a/internal/fleet/roster/change.go
+++ b/internal/fleet/roster/change.go
@@ -43,13 +43,15 @@
 	Revision Revision
 }
 
-// A Reconfigured is a new config as what has changed in it since a revision, after which its receiver knows all
-// changes. It comes from peers only.
+// A Reconfigured is a new config as what has changed in it since another one. It comes from peers only, and is of use
+// only to those that hold that one: what was changed and changed back in between is not part of it.
 type Reconfigured struct {
 	// Config has the routes that were added or have changed, and all services.
 	Config
 	// Dropped are the routes that are gone.
-	Dropped  []ident.Route
+	Dropped []ident.Route
+	// Base is the revision of the config since which this has changed.
+	Base     Revision
 	Revision Revision
 }
 
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -24,6 +24,8 @@
 	base       Revision
 	config     Config
 	configured Revision
+	// held are the revisions of the last configs, with that in force as the last.
+	held []Revision
 	// routes has the revision at which each route changed last, and dropped those at which routes went.
 	routes  map[ident.Route]Revision
 	dropped map[ident.Route]Revision
@@ -83,8 +85,21 @@
 	return changed
 }
 
-// Apply takes changes and reports whether any had an effect.
+// Lacks reports whether changes build on another config than the one in force, so that all has to be read.
+func (r *Roster) Lacks(c Changes) bool {
+	for _, one := range c.Changes {
+		if one, ok := one.(Reconfigured); ok && one.Revision > r.configured && one.Base != r.configured {
+			return true
+		}
+	}
+	return false
+}
+
+// Apply takes changes and reports whether any had an effect. Those that build on another config have none.
 func (r *Roster) Apply(c Changes, interrupted bool, now time.Time) bool {
+	if r.Lacks(c) {
+		return false
+	}
 	changed := false
 	for _, one := range c.Changes {
 		switch one := one.(type) {
@@ -107,6 +122,12 @@
 	return changed
 }
 
+// maxHeld bounds the configs that are remembered by their revision. Peers ask within seconds of a change.
+const maxHeld = 64
+
+// Configured returns the revision of the config in force.
+func (r *Roster) Configured() Revision { return r.configured }
+
 // configure takes a config whose version is higher than that in force.
 func (r *Roster) configure(c Configured) bool {
 	if c.Version <= r.config.Version || c.Revision < r.configured {
@@ -125,6 +146,10 @@
 		}
 	}
 	r.config, r.configured, r.release = c.Config, c.Revision, nil
+	r.held = append(r.held, c.Revision)
+	if len(r.held) > maxHeld {
+		r.held = r.held[1:]
+	}
 	return true
 }
 
--- a/internal/fleet/roster/roster_test.go
+++ b/internal/fleet/roster/roster_test.go
@@ -215,3 +215,48 @@
 	qt.Assert(t, targets(peer.Release()), qt.DeepEquals, []string{"c"})
 	qt.Assert(t, targets(r.Release()), qt.DeepEquals, []string{"c"})
 }
+
+// Guards against a daemon that keeps a change which was taken back: its peer has not seen the config in between, and
+// so does not tell of the change back.
+func TestChangeThatWasTakenBack(t *testing.T) {
+	config := func(version uint64, revision roster.Revision, timeout time.Duration) roster.Change {
+		return roster.Configured{Revision: revision, Config: roster.Config{
+			Version: version, Routes: map[ident.Route]note.Route{"r": {Name: "r", Timeout: timeout}, "s": {Name: "s", Timeout: time.Duration(version)}},
+		}}
+	}
+	for _, test := range []struct {
+		name string
+		// seen are the configs that the peer has held, and own those of the daemon that asks it.
+		seen, own []roster.Change
+	}{
+		{"peer skipped it", []roster.Change{config(1, 1, 10), config(3, 3, 10)}, []roster.Change{config(1, 1, 10), config(2, 2, 20)}},
+		{"peer saw it", []roster.Change{config(1, 1, 10), config(2, 2, 20), config(3, 3, 10)}, []roster.Change{config(1, 1, 10), config(2, 2, 20)}},
+		{"asker skipped it", []roster.Change{config(1, 1, 10), config(2, 2, 20), config(3, 3, 10)}, []roster.Change{config(1, 1, 10)}},
+		{"peer saw nothing before", []roster.Change{config(3, 3, 10)}, []roster.Change{config(2, 2, 20)}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			peer, own := roster.New(), roster.New()
+			for _, c := range test.seen {
+				peer.Apply(roster.Changes{Changes: []roster.Change{c}, Revision: c.At()}, false, start)
+			}
+			for _, c := range test.own {
+				own.Apply(roster.Changes{Changes: []roster.Change{c}, Revision: c.At()}, false, start)
+			}
+			c, _ := peer.After(own.Revision())
+			own.Apply(c, false, start)
+			if own.Revision() < peer.Revision() {
+				// What has changed is of no use; all is asked for.
+				c, whole := peer.After(0)
+				qt.Assert(t, c.Changes, qt.HasLen, 1)
+				if whole {
+					own.Replace(roster.Snapshot(c), false, start)
+				} else {
+					own.Apply(c, false, start)
+				}
+			}
+			qt.Assert(t, own.Revision(), qt.Equals, roster.Revision(3))
+			qt.Assert(t, own.Release().Routes["r"].Timeout, qt.Equals, time.Duration(10))
+			qt.Assert(t, own.Release().Routes["s"].Timeout, qt.Equals, time.Duration(3))
+		})
+	}
+}
--- a/internal/task/feed/call.go
+++ b/internal/task/feed/call.go
@@ -83,7 +83,10 @@
 
 func (t *Task) askPeer(source follow.FromPeer, wait bool) (time.Duration, func(ctx context.Context) result) {
 	box, ask := t.config.Links, codec.Ask{After: t.roster.Revision()}
-	if wait {
+	switch {
+	case t.all:
+		ask.After = 0
+	case wait:
 		ask.Wait = peerWait
 	}
 	return ask.Wait + answerTime, func(ctx context.Context) result {
@@ -145,6 +148,11 @@
 		// The store answers when the wait is over at the latest. A later time would be that of a delay on this side.
 		t.worked(m.source, earlier(now, m.sent.Add(watchWait)), now)
 	case published:
+		if t.roster.Lacks(r.Changes) {
+			t.all = true
+			return
+		}
+		t.all = false
 		if t.takePublished(r, now) {
 			t.whole = t.roster.Revision() == 0
 			t.worked(m.source, now.Add(-r.Age), now)
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -60,6 +60,8 @@
 	cancel context.CancelFunc
 	// nextAt is when the next call may begin.
 	nextAt time.Time
+	// all says that a peer has to be asked for all, since what has changed builds on a config that is not known.
+	all bool
 	// whole says that the store has to be asked for all, and exact that the answer may not be old.
 	whole, exact bool
 	// hinting is true while a peer is asked that was seen to be ahead.
--- a/internal/wire/codec/published.go
+++ b/internal/wire/codec/published.go
@@ -21,7 +21,7 @@
 			p.Config, p.ConfigRevision = encodeConfig(c.Config), uint64(c.Revision)
 		case roster.Reconfigured:
 			p.Config, p.ConfigRevision = encodeConfig(c.Config), uint64(c.Revision)
-			p.Config.Changes = true
+			p.Config.Changes, p.Config.BaseRevision = true, uint64(c.Base)
 			for _, name := range c.Dropped {
 				p.Config.Dropped = append(p.Config.Dropped, string(name))
 			}
@@ -120,7 +120,7 @@
 	if !p.Config.GetChanges() {
 		return roster.Configured{Config: c, Revision: revision}
 	}
-	change := roster.Reconfigured{Config: c, Revision: revision}
+	change := roster.Reconfigured{Config: c, Base: roster.Revision(p.Config.GetBaseRevision()), Revision: revision}
 	for _, name := range p.Config.GetDropped() {
 		change.Dropped = append(change.Dropped, ident.Route(name))
 	}
