Keep signals for an ended process from the next one in the soak

Cause: the mailbox of a VM's process outlives the process. A SIGTERM that the node passed on while the process was ending stayed there and reached the next process right after its start, before it handles signals.

Ruled out: a daemon that does not handle SIGTERM while it starts. The exit had no request to stop on record, so that the signal was not one for this process.

Change: what waits for an ended process is dropped before the next one is started. TestSignalsForAnEndedProcess failed before (code -1) and passes.

--- a/internal/bench/soak/node.go
+++ b/internal/bench/soak/node.go
@@ -189,12 +189,12 @@
 
 // once runs one process to its end, and reports whether another one has to follow.
 func (n *node) once(name, program string, inbox *mail.Box[message]) bool {
+	n.discard()
 	task, err := proc.New(n.daemon, name+".log", program, "serve", "--config", name+".toml")
 	if err != nil {
 		inbox.Put(Exit{VM: n.number, At: time.Now(), Code: -1}, n.stopped)
 		return false
 	}
-	n.discard()
 	n.frozen = false
 	number := int(n.process.Add(1))
 	inbox.Put(started{n.number, number, time.Now()}, n.stopped)
@@ -223,11 +223,12 @@
 	}
 }
 
-// discard drops what was sent while no process ran.
+// discard drops what was sent while no process ran, also what the process that ended had not taken.
 func (n *node) discard() {
 	for {
 		select {
 		case <-n.asks:
+		case <-n.daemon.C():
 		default:
 			return
 		}
