Quarantine a request on the word of two targets, and only briefly on that of one

Ruled out: retries alone.

Change: crashes of one other target no longer quarantine a request; crashes of targets of two VMs do, for 60 s as before. The own target's word alone holds for 5 s, and for twice as long after each later crash. Three clean runs clear a request of what other targets report for 60 s. A refusal as Quarantined is tried on another target, without cost to the budget as no target was asked. A table whose evidence has expired no longer makes each call pay for its digest.

Tests that failed before: TestQuarantined (a peer's crashes of a request that completes here), TestDecide (quarantine at one target).

--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -79,6 +79,7 @@
 		{3001, 8, 12 * time.Second, secondTerm},
 		{3003, 8, 12 * time.Second, secondTerm},
 		{2007, 8, 12 * time.Second, "a session that was greeted while the daemon stopped kept it from ending"},
+		{9003, 8, 12 * time.Second, "a path that all callers read was quarantined everywhere after crashes of one target"},
 	} {
 		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/policy/crash/table.go
+++ b/internal/policy/crash/table.go
@@ -8,13 +8,20 @@
 )
 
 const (
-	// window is how long a crash counts, and how long a quarantine lasts.
+	// window is how long a crash counts, and how long a quarantine lasts that crashes of several targets prove.
 	window = 60 * time.Second
+	// firstHold is how long the first quarantine lasts for which only the own target speaks. A target may crash for
+	// reasons of its own, or lose its connections, while calls of one popular request are in flight. Each later
+	// crash within the window doubles the time, up to the window, so that a request that does crash the target runs
+	// a few times a minute at first and then once.
+	firstHold = 5 * time.Second
 	// A digest is quarantined with this blame from this many crashes. One crash is never enough,
 	// since a target may crash for reasons of its own while a single call is in flight.
 	blameLimit = 1.5
 	crashLimit = 2
-	// cleanLimit is the number of clean completions after which a digest loses its blame.
+	// cleanLimit is the number of clean completions after which a digest loses its blame, and after which crashes of
+	// other targets do not count against it until the window is over: a request that completes on one target and
+	// was in flight at crashes of another one is no proof that it brought them about.
 	cleanLimit = 3
 	// maxDigests bounds the table and maxReported the entries of one message.
 	maxDigests  = 1024
@@ -37,11 +44,15 @@
 	marks []mark
 	clean int
 	until time.Time // end of the quarantine
+	// cleared is how long the reports of peers do not count.
+	cleared time.Time
 }
 
 // A Table holds the blame of requests for crashes of the targets of one service.
 type Table struct {
 	digests map[ident.Digest]*evidence
+	// expires is when nothing in the table counts any more.
+	expires time.Time
 }
 
 // NewTable returns an empty Table.
@@ -85,21 +96,30 @@
 		if from == "" || !(m.weight > 0) || !m.expires.After(now) {
 			continue
 		}
-		if e := t.entry(b.Digest, m.weight, now); e != nil {
+		if e := t.entry(b.Digest, m.weight, now); e != nil && !e.cleared.After(now) {
 			e.add(m, now)
 		}
 	}
 }
 
 // Completed notes that a call with the digest ended without a crash.
-func (t *Table) Completed(d ident.Digest) {
+func (t *Table) Completed(d ident.Digest, now time.Time) {
 	e, ok := t.digests[d]
-	if !ok {
+	if !ok || !e.cleared.IsZero() {
 		return
 	}
 	if e.clean++; e.clean >= cleanLimit {
-		delete(t.digests, d)
+		*e = evidence{cleared: now.Add(window)}
+		t.expires = now.Add(window)
+	}
+}
+
+// Active reports whether the table has to be asked. Without it each call would pay for its digest.
+func (t *Table) Active(now time.Time) bool {
+	if !t.expires.After(now) {
+		clear(t.digests)
 	}
+	return len(t.digests) > 0
 }
 
 // Quarantined reports whether a call with the digest must not run.
@@ -114,6 +134,7 @@
 // entry returns the evidence on a digest. In a full table a new digest displaces the
 // weakest one, and gets no entry when none is weaker.
 func (t *Table) entry(d ident.Digest, weight float64, now time.Time) *evidence {
+	t.expires = now.Add(window)
 	if e, ok := t.digests[d]; ok {
 		return e
 	}
@@ -136,6 +157,7 @@
 }
 
 func (e *evidence) add(m mark, now time.Time) {
+	e.cleared = time.Time{}
 	e.marks = slices.DeleteFunc(e.marks, func(o mark) bool {
 		return !o.expires.After(now) || m.from != "" && o.from == m.from
 	})
@@ -150,8 +172,20 @@
 	e.marks = append(e.marks, m)
 	weight, crashes := e.sum(now, func(mark) bool { return true })
 	if weight >= blameLimit-rounding && crashes >= crashLimit && !e.until.After(now) {
-		e.until = now.Add(window)
+		e.until = now.Add(e.hold(crashes))
+	}
+}
+
+// hold returns how long a quarantine lasts. Crashes of one other target are no reason for one: that target may be at
+// fault, and the request may complete here.
+func (e *evidence) hold(crashes int) time.Duration {
+	switch from := e.marks[0].from; {
+	case slices.ContainsFunc(e.marks, func(m mark) bool { return m.from != from }):
+		return window
+	case from != "":
+		return 0
 	}
+	return min(window, firstHold<<(crashes-crashLimit))
 }
 
 // rounding allows for sums of fractions such as 15 x 1/10, which floating point makes less than 1.5.
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -83,7 +83,7 @@
 		}
 		return Stop{}
 	}
-	if a.Bound || !retryable(o.Kind) {
+	if a.Bound || !retryable(o.Kind) || o.Kind == errs.Quarantined && !a.Untried {
 		return Stop{}
 	}
 	delay := p.delay(firstDelay, longestDelay, a.Retries)
@@ -91,8 +91,8 @@
 	if !a.Untried && o.RetryAfter > delay {
 		delay = o.RetryAfter + p.delay(firstDelay, longestDelay, a.Retries)
 	}
-	if o.Kind == errs.PeerUnreachable {
-		// Nothing was sent, so the retry adds no load to a target and costs only the allowance.
+	if o.Kind == errs.PeerUnreachable || o.Kind == errs.Quarantined {
+		// No target was asked, so the retry adds no load to one and costs only the allowance.
 		return unpaid(a, delay, ProvedNotRun, now)
 	}
 	return p.again(a, delay, ProvedNotRun, now)
@@ -134,12 +134,13 @@
 }
 
 // retryable reports whether another target may accept what one refused. An owner that has gone or an
-// expired epoch concerns only the internal key of the attempt: the next one gets a new key.
+// expired epoch concerns only the internal key of the attempt: the next one gets a new key. A request that one
+// target refuses since it crashed there may complete on the others; these refuse it too when it may crash them.
 func retryable(kind errs.Kind) bool {
 	switch kind {
 	case errs.Busy, errs.Overloaded, errs.QueueTimeout, errs.TargetShed, errs.TargetDown, errs.TargetReplaced, errs.TargetSlow,
 		errs.PeerUnreachable, errs.Draining, errs.Withdrawn, errs.Unconfirmed, errs.LedgerFull,
-		errs.OwnerGone, errs.KeyExpired:
+		errs.OwnerGone, errs.KeyExpired, errs.Quarantined:
 		return true
 	}
 	return false
--- a/internal/policy/retry/retry_test.go
+++ b/internal/policy/retry/retry_test.go
@@ -55,6 +55,8 @@
 		{"peer that was not reached costs no budget", Attempt{Outcome: down, Untried: true, Allowance: 1}, 0, 0, time.Second, "ProvedNotRun", 0},
 		{"peer that was not reached, no allowance", Attempt{Outcome: down, Untried: true}, 20, 0, time.Second, "Stop", 0},
 		{"refusal that no target would change", Attempt{Outcome: call.Refused{Kind: errs.KeyMismatch}, Untried: true, Allowance: 1}, 20, 0, time.Second, "Stop", 0},
+		{"quarantine at one target costs no budget", Attempt{Outcome: call.Refused{Kind: errs.Quarantined}, Untried: true, Allowance: 1}, 0, 0, time.Second, "ProvedNotRun", 0},
+		{"quarantine at all targets", Attempt{Outcome: call.Refused{Kind: errs.Quarantined}, Allowance: 1}, 20, 0, time.Second, "Stop", 0},
 		{"refusal of a bound call", Attempt{Outcome: shed, Bound: true, Keyed: true, Untried: true, Allowance: 1}, 20, 0, time.Second, "Stop", 0},
 		{"unknown outcome of an idempotent call", Attempt{Outcome: failed, Idempotent: true, Untried: true, Allowance: 1}, 20, 0, time.Second, "IdempotentUnknown", 0},
 		{"unknown outcome of a non-idempotent call", Attempt{Outcome: failed, Keyed: true, Untried: true, Allowance: 1}, 20, 0, time.Second, "Stop", 0},
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -139,7 +139,7 @@
 		return errs.TargetDown, true
 	case t.replaced:
 		return errs.TargetReplaced, true
-	case t.crashes.Len() > 0 && t.crashes.Quarantined(r.digest(), now):
+	case t.crashes.Active(now) && t.crashes.Quarantined(r.digest(), now):
 		return errs.Quarantined, true
 	}
 	return "", false
@@ -191,8 +191,8 @@
 	if m.broken {
 		t.suspect(m.conn)
 	}
-	if _, answered := m.outcome.(call.Answered); answered && t.crashes.Len() > 0 {
-		t.crashes.Completed(r.digest())
+	if _, answered := m.outcome.(call.Answered); answered && t.crashes.Active(now) {
+		t.crashes.Completed(r.digest(), now)
 	}
 	r.gate.Done(endOf(m.outcome), r.ran(now), now)
 	if m.loaded && m.conn.target == t.target.Address {
