Apply the limits of a published config to callers

Cause: the header and body sizes and the times of a config were decoded and passed between daemons, and the front did not use them. A connection without a request was kept for 120 s where the users' config says 15 s, which fills the descriptors of a small VM with connections that callers never use again.

Change: the front takes the limits of the release in force, never above those of its settings. Connections read them from a value that is replaced as a whole. An idle connection whose alarm comes late, since the process stood still, gets 200 ms more, so that a request that waits on it is read.

--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -189,6 +189,7 @@
 	if p.Linger > 0 {
 		options = append(options, front.WithLinger())
 	}
+	b.tell(func(r *note.Release) { b.front.TryPut(front.LimitsChanged{Limits: r.Limits}) })
 	b.listening.Store(false)
 	f, err := front.New(s.Callers, b.front, b.router, options...)
 	if err != nil {
@@ -294,7 +295,8 @@
 		return true
 	}
 	b.release.Store(r)
+	toFront := b.front.TryPut(front.LimitsChanged{Limits: r.Limits})
 	toRouter := b.router.TryPut(router.ReleaseChanged{Release: r})
 	toLocal := b.local.TryPut(local.ReleaseChanged{Release: r})
-	return b.member.TryPut(member.ReleaseChanged{Release: r}) && toRouter && toLocal
+	return b.member.TryPut(member.ReleaseChanged{Release: r}) && toFront && toRouter && toLocal
 }
--- a/internal/task/front/caller.go
+++ b/internal/task/front/caller.go
@@ -43,6 +43,11 @@
 	until time.Time
 }
 
+// idle reports whether a connection has no request and a time at which it is closed.
+func (c *caller) idle() bool {
+	return !c.closing && c.current == nil && len(c.queue) == 0 && c.refusal == nil && !c.until.IsZero()
+}
+
 // giveHeld gives back what an incomplete request holds.
 func (c *caller) giveHeld() { c.task.memory.Give(int(c.held.Swap(0))) }
 
@@ -100,7 +105,7 @@
 			t.send(c, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
 			return
 		default:
-			c.until = t.clock.Now().Add(t.keepalive)
+			c.until = t.clock.Now().Add(t.limits.Load().idle)
 			t.alarms.Set(c, c.until)
 			return
 		}
@@ -187,7 +192,11 @@
 		t.alarms.Set(c, now.Add(unsentPoll))
 	case c.closing && now.Before(c.until):
 		t.alarms.Set(c, c.until)
-	case c.closing, c.current == nil && len(c.queue) == 0 && c.refusal == nil && !c.until.IsZero() && !now.Before(c.until):
+	case c.idle() && now.Sub(c.until) > lateAlarm:
+		// The process stood still. Bytes that arrived meanwhile are read first.
+		c.until = now.Add(lateAlarm)
+		t.alarms.Set(c, c.until)
+	case c.closing, c.idle() && !now.Before(c.until):
 		_ = c.conn.Close()
 	default:
 		t.next(c)
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -36,8 +36,12 @@
 
 // Bounds of time. A request must be complete sendLimit after its first byte, an answer must be
 // taken within takeLimit, and a refused caller has lingerTime to read its answer while its bytes are dropped.
+// A connection without a request is kept for idleLimit. An alarm that is later than lateAlarm shows that the process
+// stood still, so that bytes of callers may wait to be read.
 const (
 	sendLimit   = 30 * time.Second
+	idleLimit   = 120 * time.Second
+	lateAlarm   = 200 * time.Millisecond
 	takeLimit   = 30 * time.Second
 	lingerTime  = time.Second
 	unsentPoll  = 20 * time.Millisecond
@@ -47,27 +51,26 @@
 // A Task owns the listening socket for callers and their connections.
 type Task struct {
 	*tree.Loop
-	engine    *nbio.Engine
-	listener  *listener
-	parsing   *nbhttp.Engine
-	inbox     *mail.Box[Message]
-	answers   *mail.Box[router.Answer]
-	router    *mail.Box[router.Message]
-	clock     clock.Clock
-	arrival   func(time.Time) (arrived time.Time, exact bool)
-	maxBody   int
-	maxHeader int
-	sendLimit time.Duration
-	keepalive time.Duration
-	dialect   *header.Dialect
-	linger    bool
-	quota     *quota.Quota
-	memory    *quota.Share
-	open      atomic.Int64
-	alarms    *alarm.Queue[*caller]
-	calls     map[call.ID]*caller
-	empty     chan<- struct{}
-	draining  bool
+	engine   *nbio.Engine
+	listener *listener
+	parsing  *nbhttp.Engine
+	inbox    *mail.Box[Message]
+	answers  *mail.Box[router.Answer]
+	router   *mail.Box[router.Message]
+	clock    clock.Clock
+	arrival  func(time.Time) (arrived time.Time, exact bool)
+	// set are the limits of the settings, and limits those in force, which connections read.
+	set      limits
+	limits   atomic.Pointer[limits]
+	dialect  *header.Dialect
+	linger   bool
+	quota    *quota.Quota
+	memory   *quota.Share
+	open     atomic.Int64
+	alarms   *alarm.Queue[*caller]
+	calls    map[call.ID]*caller
+	empty    chan<- struct{}
+	draining bool
 	// awaited is true when the last calls have been awaited and the router may stop at any time.
 	awaited bool
 	buffer  []byte
@@ -77,19 +80,21 @@
 type Option func(*Task)
 
 // WithMaxBody bounds the size of a request body in bytes.
-func WithMaxBody(n int) Option { return func(t *Task) { t.maxBody = n } }
+func WithMaxBody(n int) Option { return func(t *Task) { t.set.body = n } }
 
 // WithMaxHeader bounds the size of the header of a request in bytes.
-func WithMaxHeader(n int) Option { return func(t *Task) { t.maxHeader = n } }
+func WithMaxHeader(n int) Option { return func(t *Task) { t.set.header = n } }
 
 // WithQuota sets the bound of the memory of all bodies, which tasks share.
 func WithQuota(q *quota.Quota) Option { return func(t *Task) { t.quota = q } }
 
 // WithSendLimit bounds the time from the first byte of a request to its last.
-func WithSendLimit(d time.Duration) Option { return func(t *Task) { t.sendLimit = d } }
+func WithSendLimit(d time.Duration) Option {
+	return func(t *Task) { t.set.send, t.set.sendHeader = d, d }
+}
 
 // WithKeepalive sets how long a connection without a request is kept.
-func WithKeepalive(d time.Duration) Option { return func(t *Task) { t.keepalive = d } }
+func WithKeepalive(d time.Duration) Option { return func(t *Task) { t.set.idle = d } }
 
 // WithDialect sets the header fields that callers use.
 func WithDialect(d *header.Dialect) Option { return func(t *Task) { t.dialect = d } }
@@ -108,24 +113,22 @@
 // New starts the task that listens for callers at an address. It reads from inbox.
 func New(at netip.AddrPort, inbox *mail.Box[Message], box *mail.Box[router.Message], options ...Option) (*Task, error) {
 	t := &Task{
-		Loop:      tree.NewLoop(),
-		inbox:     inbox,
-		answers:   mail.NewBox[router.Answer](2 * maxCalls),
-		router:    box,
-		clock:     clock.System{},
-		arrival:   func(read time.Time) (time.Time, bool) { return read, true },
-		maxBody:   8 << 20,
-		maxHeader: 64 << 10,
-		sendLimit: sendLimit,
-		keepalive: 120 * time.Second,
-		dialect:   header.Own(),
-		quota:     quota.New(0),
-		alarms:    alarm.NewQueue[*caller](),
-		calls:     map[call.ID]*caller{},
+		Loop:    tree.NewLoop(),
+		inbox:   inbox,
+		answers: mail.NewBox[router.Answer](2 * maxCalls),
+		router:  box,
+		clock:   clock.System{},
+		arrival: func(read time.Time) (time.Time, bool) { return read, true },
+		set:     limits{body: 8 << 20, header: 64 << 10, send: sendLimit, sendHeader: sendLimit, idle: idleLimit},
+		dialect: header.Own(),
+		quota:   quota.New(0),
+		alarms:  alarm.NewQueue[*caller](),
+		calls:   map[call.ID]*caller{},
 	}
 	for _, o := range options {
 		o(t)
 	}
+	t.limits.Store(&t.set)
 	t.memory = t.quota.Open()
 	if err := t.listen(at); err != nil {
 		return nil, errors.Annotatef(err, "listen for callers at %s", at)
@@ -140,7 +143,7 @@
 func (t *Task) listen(at netip.AddrPort) error {
 	inline := func(f func()) { f() }
 	t.parsing = nbhttp.NewEngine(nbhttp.Config{
-		Name: "parser", ReadLimit: t.maxBody + t.maxHeader + readBuffer, ServerExecutor: inline, ClientExecutor: inline,
+		Name: "parser", ReadLimit: t.set.body + t.set.header + readBuffer, ServerExecutor: inline, ClientExecutor: inline,
 	})
 	t.engine = nbio.NewEngine(nbio.Config{
 		Name: "callers", Network: "tcp", Addrs: []string{at.String()},
@@ -186,10 +189,10 @@
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		caller.address = a.AddrPort().Addr().Unmap()
 	}
-	caller.intake = &intake{task: t, caller: caller, conn: c, limited: true}
+	caller.intake = &intake{task: t, caller: caller, conn: c, awaited: partFirst}
 	caller.intake.parser = nbhttp.NewParser(c, t.parsing, caller.intake, false, nil)
 	c.SetSession(caller)
-	_ = c.SetReadDeadline(time.Now().Add(t.sendLimit))
+	_ = c.SetReadDeadline(time.Now().Add(t.set.send))
 }
 
 // closed runs on whichever goroutine closed the connection, which may be that of the task.
@@ -245,6 +248,9 @@
 		t.leave(m.caller)
 	case issued:
 		t.answerKey(m)
+	case LimitsChanged:
+		l := t.set.within(m.Limits)
+		t.limits.Store(&l)
 	case Drain:
 		if !t.linger {
 			t.listener.stopAccepting()
--- a/internal/task/front/message.go
+++ b/internal/task/front/message.go
@@ -3,6 +3,7 @@
 import (
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/task/router"
 )
 
@@ -14,6 +15,9 @@
 // a Drain has an Empty: callers can go on sending until the daemon is gone, and their calls would never end.
 type Drain struct{ Empty chan<- struct{} }
 
+// A LimitsChanged carries the limits of the release in force.
+type LimitsChanged struct{ Limits note.Limits }
+
 // An arrived is a complete request of a caller.
 type arrived struct {
 	caller  *caller
@@ -40,9 +44,10 @@
 	key router.Issued
 }
 
-func (Drain) message()   {}
-func (arrived) message() {}
-func (refused) message() {}
-func (expects) message() {}
-func (left) message()    {}
-func (issued) message()  {}
+func (Drain) message()         {}
+func (LimitsChanged) message() {}
+func (arrived) message()       {}
+func (refused) message()       {}
+func (expects) message()       {}
+func (left) message()          {}
+func (issued) message()        {}
--- a/internal/task/front/parse.go
+++ b/internal/task/front/parse.go
@@ -59,7 +59,8 @@
 	// completed is true when the message that the parser works on has ended.
 	completed bool
 	ended     bool
-	limited   bool
+	// awaited is the part for which a bound of time is set.
+	awaited part
 }
 
 var headerEnd = []byte("\r\n\r\n")
@@ -78,19 +79,6 @@
 	}
 }
 
-// limitTime bounds the time until a request that has begun is complete.
-func (i *intake) limitTime() {
-	incomplete := i.current != nil || len(i.block) > 0
-	switch {
-	case incomplete && !i.limited:
-		i.limited = true
-		_ = i.conn.SetReadDeadline(time.Now().Add(i.task.sendLimit))
-	case !incomplete && i.limited:
-		i.limited = false
-		_ = i.conn.SetReadDeadline(time.Time{})
-	}
-}
-
 func (i *intake) readHeader(data []byte) []byte {
 	if len(i.block) == 0 {
 		// RFC 9112 asks a server to ignore an empty line before a request.
@@ -98,17 +86,17 @@
 	}
 	from := max(0, len(i.block)-len(headerEnd)+1)
 	i.block = append(i.block, data...)
-	end := bytes.Index(i.block[from:], headerEnd)
+	end, limit := bytes.Index(i.block[from:], headerEnd), i.task.limits.Load()
 	if end < 0 {
-		if len(i.block) > i.task.maxHeader {
-			i.refuse(errs.HeaderTooLarge, "at most "+strconv.Itoa(i.task.maxHeader)+" bytes")
+		if len(i.block) > limit.header {
+			i.refuse(errs.HeaderTooLarge, "at most "+strconv.Itoa(limit.header)+" bytes")
 		}
 		return nil
 	}
 	end += from + len(headerEnd)
 	block, rest := i.block[:end], data[len(data)-(len(i.block)-end):]
-	if end > i.task.maxHeader {
-		i.refuse(errs.HeaderTooLarge, "at most "+strconv.Itoa(i.task.maxHeader)+" bytes")
+	if end > limit.header {
+		i.refuse(errs.HeaderTooLarge, "at most "+strconv.Itoa(limit.header)+" bytes")
 		return nil
 	}
 	h, err := checkHeader(block)
@@ -123,8 +111,8 @@
 		i.current.settled = read.Add(pause.Settle)
 	}
 	i.bodyLeft, i.chunked, i.completed = h.length, h.chunked, false
-	if h.length > i.task.maxBody {
-		i.refuse(errs.BodyTooLarge, "at most "+strconv.Itoa(i.task.maxBody)+" bytes")
+	if h.length > limit.body {
+		i.refuse(errs.BodyTooLarge, "at most "+strconv.Itoa(limit.body)+" bytes")
 		return nil
 	}
 	if !i.reserve(h.length) {
@@ -239,8 +227,8 @@
 // OnBody implements nbhttp.Processor.
 func (i *intake) OnBody(_ *nbhttp.Parser, data []byte) error {
 	if i.chunked {
-		if len(i.current.body)+len(data) > i.task.maxBody {
-			return errs.New(errs.BodyTooLarge, "at most "+strconv.Itoa(i.task.maxBody)+" bytes")
+		if limit := i.task.limits.Load().body; len(i.current.body)+len(data) > limit {
+			return errs.New(errs.BodyTooLarge, "at most "+strconv.Itoa(limit)+" bytes")
 		}
 		if !i.reserve(len(data)) {
 			return errs.New(errs.Busy, "the bodies under way use all of the memory for bodies")
