--- a/internal/bench/soak/cost_test.go
+++ b/internal/bench/soak/cost_test.go
@@ -17,7 +17,7 @@
 )
 
 // programOf builds the daemon.
-func programOf(b *testing.B) string {
+func programOf(b testing.TB) string {
 	path := filepath.Join(b.TempDir(), "jacinthcross")
 	out, err := exec.Command("go", "build", "-o", path, "jacinthcross").CombinedOutput()
 	qt.Assert(b, err, qt.IsNil, qt.Commentf("%s", out))
@@ -25,7 +25,7 @@
 }
 
 // calm starts the daemons of VMs as processes, with a route to each VM's service, and waits until all are ready.
-func calm(b *testing.B, program string, vms int) []*node {
+func calm(b testing.TB, program string, vms int) []*node {
 	site, err := fake.NewSite()
 	qt.Assert(b, err, qt.IsNil)
 	b.Cleanup(site.Close)
@@ -58,7 +58,7 @@
 }
 
 // spent returns the processor time of a VM's daemon.
-func (n *node) spent(b *testing.B) time.Duration {
+func (n *node) spent(b testing.TB) time.Duration {
 	reply := mail.NewBox[int](1)
 	qt.Assert(b, n.daemon.TryPut(proc.AskPID{Reply: reply}), qt.IsTrue)
 	u, err := proc.ReadUsage(<-reply.C())
