Let calls leave a target that is slow for long while another one may be fast

Cause: a gate takes the lowest slowness of the last 1.2 s for the target's best. In a slow spell of 0.8 s or more the target counts as being at its best, and calls start there at a third of the speed though others are fast.

Ruled out: the wait for the end of a spell, which works for spells of 50 to 100 ms, and the daemon's own load.

Change: a target tells for how long it expects to be slow, and the choice keeps away from it for that time. A call carries the lowest slowness that another target may have; beside a target that is slow for long it is given back when another one may be 2.5 times faster.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -35,6 +35,8 @@
 	Aim time.Time
 	// Usual is how long calls of the route usually take, as the daemon knows it at which the call entered, or 0.
 	Usual time.Duration
+	// Elsewhere is the lowest slowness that another target of the service may have, or 0 when there is none.
+	Elsewhere float64
 	// Returned says that the caller was refused before and has come back.
 	Returned bool
 	// Final says that the caller has no time to come back after a refusal.
@@ -116,6 +118,8 @@
 	Down bool
 	// Slowness is how many times longer than usual work takes on the target's VM, or 0 when that is not known.
 	Slowness float32
+	// SlowFor is how long the target is expected to stay so slow.
+	SlowFor time.Duration
 }
 
 // A TargetLoad is what a target tells of its own load.
--- a/internal/policy/admit/decide.go
+++ b/internal/policy/admit/decide.go
@@ -56,6 +56,8 @@
 	Kind ident.Route
 	// Usual is how long calls of the kind take elsewhere, or 0. It counts until one has ended here.
 	Usual time.Duration
+	// Elsewhere is the lowest slowness that another target may have, or 0 when there is none.
+	Elsewhere float64
 	// Aim is until when an answer has its full value. Zero means that none is stated.
 	Aim time.Time
 	// Returned says that the caller was refused before and has come back.
--- a/internal/policy/admit/order.go
+++ b/internal/policy/admit/order.go
@@ -57,7 +57,10 @@
 		}
 	}
 	if w.held() {
-		w.until = earlier(w.until, a.HoldUntil)
+		if g.sensor.fasterElsewhere(w, now) {
+			w.HoldUntil = now
+		}
+		w.until = earlier(w.until, w.HoldUntil)
 	}
 	w.until = earlier(w.until, a.Deadline)
 	return w
--- a/internal/policy/admit/sense.go
+++ b/internal/policy/admit/sense.go
@@ -28,10 +28,18 @@
 	coldFloor = 3
 	// elsewhereCost is what it takes to start a call beside another target: the way back and there, on slow VMs.
 	elsewhereCost = 20 * time.Millisecond
+	// elsewhereFactor is how many times faster another target has to be for a call to leave one that is slow for long.
+	// Less is better used: a target at half its speed still has slots.
+	elsewhereFactor = 2.5
 	// unknownCost is how long calls of a kind are taken to run of which none has ended yet.
 	unknownCost = 100 * time.Millisecond
 	// usualSpell is how long a spell is expected to last before one was seen.
 	usualSpell = 100 * time.Millisecond
+	// longSpell is the length from which callers learn how long spells last. A call waits for the end of shorter ones
+	// beside the target, which keep others away for shortSpell only: told at their length they cost 0.01 of worth on
+	// days with spells of 50 to 100 ms, since calls went to farther and fuller targets.
+	longSpell  = 200 * time.Millisecond
+	shortSpell = 75 * time.Millisecond
 	// spellSmoothing weighs a new spell in the usual length of spells.
 	spellSmoothing = 0.2
 )
@@ -56,6 +64,8 @@
 	// after its start. readings are those of the last floorWindow.
 	floor     float64
 	readings  []reading
+	// slowSince is since when the floor is that of a slow target, and zero when it is not.
+	slowSince time.Time
 	coldUntil time.Time
 	// since is when the current spell began, and zero when there is none.
 	since time.Time
@@ -113,6 +123,35 @@
 		s.floor = min(lowest, coldFloor)
 	}
 	s.floor = max(1, s.floor)
+	switch slow := s.floor >= slowFrom; {
+	case slow && s.slowSince.IsZero():
+		s.slowSince = now
+	case !slow:
+		s.slowSince = time.Time{}
+	}
+}
+
+// SlowFor returns how long the target is expected to stay slow, from its last measurement on. One that is slow at
+// its best may be so for as long as it has been, which is floorSpan at least.
+func (g *Gate) SlowFor(now time.Time) time.Duration {
+	s := &g.sensor
+	switch {
+	case !s.works || s.slowness < slowFrom:
+		return 0
+	case s.slow() && s.spell < longSpell:
+		return shortSpell
+	case s.slow():
+		return s.spell
+	case now.Before(s.coldUntil):
+		return 0
+	}
+	return max(floorSpan, now.Sub(s.slowSince))
+}
+
+// fasterElsewhere reports whether this target is slow for long and another one may be much faster. It does not count
+// what all targets are that have just started: those that were started together need each other's slots.
+func (s *sensor) fasterElsewhere(w *waiting, now time.Time) bool {
+	return s.works && w.Elsewhere > 0 && s.floor >= elsewhereFactor*max(1, w.Elsewhere) && !now.Before(s.coldUntil)
 }
 
 // Slowness returns the slowness that was told last, and when.
@@ -182,6 +221,8 @@
 			return startMeasured
 		}
 		return startNow
+	case w.held() && s.fasterElsewhere(w, now):
+		return startLater
 	case !s.slow():
 		return startNow
 	}
--- a/internal/policy/place/beside_test.go
+++ b/internal/policy/place/beside_test.go
@@ -15,7 +15,7 @@
 func (w *world) arrive(t *target, y *try) {
 	q := y.request
 	decision := t.gate.Arrive(admit.Arrival{
-		Call: y.id, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Aim: q.Aim, HoldUntil: q.HoldUntil, Returned: q.Returned, Final: q.Final, Usual: q.Usual,
+		Call: y.id, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Aim: q.Aim, HoldUntil: q.HoldUntil, Returned: q.Returned, Final: q.Final, Usual: q.Usual, Elsewhere: q.Elsewhere,
 	}, w.now)
 	switch d := decision.(type) {
 	case admit.Start:
@@ -134,7 +134,7 @@
 	slowness, at := t.gate.Slowness()
 	l := call.Load{InFlight: t.gate.InFlight(), Queued: t.gate.Queued(), Limit: t.gate.Limit(), Incarnation: ident.Incarnation{1}}
 	if w.now.Sub(at) <= 20*time.Millisecond {
-		l.Slowness = float32(slowness)
+		l.Slowness, l.SlowFor = float32(slowness), t.gate.SlowFor(w.now)
 	}
 	return l
 }
--- a/internal/policy/place/load_test.go
+++ b/internal/policy/place/load_test.go
@@ -56,6 +56,10 @@
 		{"neighbours that slow targets down a third of the time", []kind{read.at(25), book.at(14), lookup}, nil, []wish{
 			{"read", .95, .99}, {"book", .95, .99}, {"lookup", .9, .99},
 		}},
+		{"neighbours that slow targets down for a second at a time", []kind{read.at(20), book.at(10), lookup}, func(s *scene) { s.spell, s.factor = time.Second, 4 }, []wish{
+			// All four targets of a service are slow in 1.5% of the time; a call whose lookups are late is late too.
+			{"read", .9, .99}, {"book", .95, .99}, {"lookup", .9, .99},
+		}},
 		{"targets that slow down when nearly full", []kind{read.at(45), book.at(14), lookup}, func(s *scene) { s.noise, s.knee = 0, 1.7 }, []wish{
 			{"read", .9, .98}, {"book", .9, .98},
 		}},
--- a/internal/policy/place/world_test.go
+++ b/internal/policy/place/world_test.go
@@ -258,6 +258,7 @@
 	}
 	t := w.byName[name]
 	y.request.Usual = y.entry.costs.Of(y.kind.name)
+	y.request.Elsewhere = table.Elsewhere(name, w.now)
 	y.request.HoldUntil = place.Hold(place.Call{
 		Aim: y.request.Aim, Cost: y.entry.costs.Of(y.kind.name), Near: t.near(y.entry), Pressed: y.pressed || !w.bounce,
 	}, w.now)
--- a/internal/policy/route/near.go
+++ b/internal/policy/route/near.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"jacinthcross/internal/base/ident"
 )
 
 const (
@@ -11,10 +13,8 @@
 	// remoteCost is what another data centre adds to the score. A call that waits this long for a target of the own
 	// data centre costs its caller little, and saves the bytes between data centres.
 	remoteCost = 60 * time.Millisecond
-	// slowFrom is the slowness from which a target counts as slow, and slowDecay the time constant with which a
-	// report of it loses its value: spells last about a tenth of a second.
-	slowFrom  = 1.5
-	slowDecay = 75 * time.Millisecond
+	// slowFrom is the slowness from which a target counts as slow.
+	slowFrom = 1.5
 	// paceSmoothing weighs a new answer in the pace of a target, and maxPace bounds the answer: one that waited for
 	// its caller says little of the target.
 	paceSmoothing = .05
@@ -29,9 +29,7 @@
 func (v view) near(s *state, busy float64) float64 {
 	unit := v.unit()
 	score := crowding*min(1, busy)*unit + unit*max(0, busy-1)
-	if s.load.Slowness >= slowFrom {
-		score += slowDecay.Seconds() * math.Exp(-v.now.Sub(s.reported).Seconds()/slowDecay.Seconds())
-	}
+	score += max(0, min(s.speed.slowRest(v.now).Seconds(), (s.speed.slowness-1)*unit))
 	if s.pace > 1 {
 		score += (s.pace - 1) * unit
 	}
@@ -44,6 +42,46 @@
 	return score
 }
 
+// A speed is how slow a target has last said to be, and for how long it expected to stay so.
+type speed struct {
+	slowness float64
+	slowFor  time.Duration
+	at       time.Time
+}
+
+// slowRest returns for how long the target is still expected to be slow. What it said loses its value with the time
+// that it named: spells last from a tenth of a second to many.
+func (s speed) slowRest(now time.Time) time.Duration {
+	if s.slowness < slowFrom || s.slowFor <= 0 {
+		return 0
+	}
+	rest := float64(s.slowFor)
+	return time.Duration(rest * math.Exp(-float64(now.Sub(s.at))/rest))
+}
+
+// restFrom is the rest of a slow spell from which a call is not sent to a target for its speed. A shorter one can be
+// waited out there.
+const restFrom = 100 * time.Millisecond
+
+// Elsewhere returns the lowest slowness that a target other than one may have for some time, or 0 when there is no
+// other. One that has not told its speed lately is taken to be fast: a call that it gives back tells.
+func (t *Table) Elsewhere(target ident.Target, now time.Time) float64 {
+	lowest := 0.
+	for _, s := range t.states {
+		if s.Target == target || s.draining || s.isDown() || s.ejected(now) {
+			continue
+		}
+		slowness := 1.
+		if s.speed.slowRest(now) >= restFrom {
+			slowness = s.speed.slowness
+		}
+		if lowest == 0 || slowness < lowest {
+			lowest = slowness
+		}
+	}
+	return lowest
+}
+
 // overdue reports whether a call in flight takes much longer than calls of its route usually do.
 func (s *state) overdue(now time.Time) bool {
 	for _, f := range s.inFlight {
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -267,7 +267,7 @@
 // Discard forgets loads and ejections. After a process pause they describe another time.
 func (t *Table) Discard() {
 	for _, s := range t.states {
-		s.others, s.reported = 0, time.Time{}
+		s.others, s.reported, s.speed = 0, time.Time{}, speed{}
 		s.load.Down = false
 		s.failures, s.ejections, s.until = 0, 0, time.Time{}
 	}
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -43,6 +43,7 @@
 	others   float64
 	heard    time.Time
 	reported time.Time
+	speed    speed
 	probed   time.Time
 	// probes counts the probes since the target was last known to take work.
 	probes int
@@ -260,6 +261,9 @@
 	s.draining = s.draining || load.Draining
 	s.down = false
 	s.load, s.heard, s.reported = load, now, now
+	if load.Slowness > 0 {
+		s.speed = speed{float64(load.Slowness), load.SlowFor, now}
+	}
 	if !s.draining && !load.Down {
 		s.probes = 0
 	}
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -281,7 +281,7 @@
 		l.QueueDelay, l.Latency = t.gate.QueueDelay(), t.gate.Latency()
 		l.Epoch = t.ledger.Epoch()
 		if slowness, at := t.gate.Slowness(); t.clock.Now().Sub(at) <= reportSlowness {
-			l.Slowness = float32(slowness)
+			l.Slowness, l.SlowFor = float32(slowness), t.gate.SlowFor(t.clock.Now())
 		}
 	}
 	return l
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -82,7 +82,7 @@
 func (t *Task) admit(r *run, now time.Time) {
 	q := &r.Request
 	switch d := r.gate.Arrive(admit.Arrival{
-		Call: r.ID, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Usual: q.Usual, Aim: q.Aim, HoldUntil: q.HoldUntil, Returned: q.Returned, Final: q.Final,
+		Call: r.ID, Rank: q.Rank, Deadline: q.Deadline, Kind: q.Route, Usual: q.Usual, Elsewhere: q.Elsewhere, Aim: q.Aim, HoldUntil: q.HoldUntil, Returned: q.Returned, Final: q.Final,
 	}, now).(type) {
 	case admit.Start:
 		t.dispatch(r, now)
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -31,6 +31,7 @@
 	}
 	target := t.release.Targets[name]
 	p.Request.Usual = t.costs.Of(p.Request.Route)
+	p.Request.Elsewhere = table.Elsewhere(name, now)
 	p.Request.HoldUntil = place.Hold(place.Call{
 		Aim: p.Request.Aim, Cost: p.Request.Usual, Near: target.DataCentre == t.dataCentre, Pressed: p.pressed,
 	}, now)
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -25,12 +25,12 @@
 	head := ident.Head{Serial: 7, Digest: ident.Digest{4, 5}}
 	fields := []call.Field{{Name: "Accept", Value: "text/plain"}, {Name: "X", Value: ""}}
 	load := call.Load{
-		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5,
+		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5, SlowFor: 6,
 	}
 	return []codec.Message{
 		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true, Daemon: netip.MustParseAddrPort("127.0.0.1:7000")},
 		codec.Call{Target: "target", Number: 9, Request: call.Request{
-			ID: "request", Route: "route", Origin: "origin", Aim: now.Add(-time.Second), HoldUntil: now.Add(time.Millisecond), Returned: true, Final: true, Usual: time.Millisecond,
+			ID: "request", Route: "route", Origin: "origin", Aim: now.Add(-time.Second), HoldUntil: now.Add(time.Millisecond), Returned: true, Final: true, Usual: time.Millisecond, Elsewhere: 2,
 			Service: "service", Method: "POST", URI: "/a?b", Header: fields, Body: []byte("body"),
 			Caller: netip.MustParseAddr("2001:db8::1"), Deadline: now.Add(time.Second), Rank: ident.Normal,
 			Depth: 2, Allowance: 1, Key: "key", Idempotent: true,
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -77,7 +77,7 @@
 	// A caller address that cannot be read counts as unknown: it only selects a retry budget.
 	caller, _ := netip.AddrFromSlice(p.GetCaller())
 	m := Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), Request: call.Request{
-		ID: p.GetRequestID(), Route: ident.Route(p.GetRoute()), Origin: ident.Service(p.GetOrigin()), Returned: p.GetReturned(), Final: p.GetFinal(), Usual: time.Duration(p.GetUsualNanoseconds()),
+		ID: p.GetRequestID(), Route: ident.Route(p.GetRoute()), Origin: ident.Service(p.GetOrigin()), Returned: p.GetReturned(), Final: p.GetFinal(), Usual: time.Duration(p.GetUsualNanoseconds()), Elsewhere: p.GetElsewhere(),
 		Service: ident.Service(p.GetService()), Method: p.GetMethod(), URI: p.GetURI(),
 		Header: decodeFields(p.GetHeader()), Body: p.GetBody(), Caller: caller,
 		Deadline: now.Add(time.Duration(p.GetRemainingNanoseconds())), Rank: rank,
@@ -158,7 +158,7 @@
 		InFlight: int(p.GetInFlight()), Queued: int(p.GetQueued()), Limit: int(p.GetLimit()),
 		QueueDelay: time.Duration(p.GetQueueDelayNanoseconds()), Latency: time.Duration(p.GetLatencyNanoseconds()),
 		Incarnation: i, Epoch: ident.Epoch(p.GetEpoch()), Head: h, Draining: p.GetDraining(),
-		Down: p.GetDown(), Slowness: p.GetSlowness(),
+		Down: p.GetDown(), Slowness: p.GetSlowness(), SlowFor: time.Duration(p.GetSlowForNanoseconds()),
 	}, err
 }
 
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -49,7 +49,7 @@
 func encodeCall(m Call, now time.Time) *peerpb.CallRequest {
 	r := m.Request
 	p := &peerpb.CallRequest{
-		RequestID: r.ID, Route: string(r.Route), Origin: string(r.Origin), Returned: r.Returned, Final: r.Final, UsualNanoseconds: int64(r.Usual),
+		RequestID: r.ID, Route: string(r.Route), Origin: string(r.Origin), Returned: r.Returned, Final: r.Final, UsualNanoseconds: int64(r.Usual), Elsewhere: r.Elsewhere,
 		Service: string(r.Service), Target: string(m.Target), Method: r.Method, URI: r.URI,
 		Header: encodeFields(r.Header), Body: r.Body, Caller: r.Caller.AsSlice(),
 		RemainingNanoseconds: int64(r.Deadline.Sub(now)), Rank: string(r.Rank),
@@ -100,7 +100,7 @@
 		InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		QueueDelayNanoseconds: int64(l.QueueDelay), LatencyNanoseconds: int64(l.Latency),
 		Incarnation: l.Incarnation[:], Epoch: uint32(l.Epoch), Head: encodeHead(l.Head), Draining: l.Draining,
-		Down: l.Down, Slowness: l.Slowness,
+		Down: l.Down, Slowness: l.Slowness, SlowForNanoseconds: int64(l.SlowFor),
 	}
 }
 
