Leave a slow target only for what the way to another one costs

A call of a few milliseconds gains nothing by leaving a target that is slow for long: the way back and there takes 20 ms on slow VMs. Two cases of TestSlowForLong; the first fails without the change.

--- a/internal/policy/admit/sense.go
+++ b/internal/policy/admit/sense.go
@@ -29,15 +29,15 @@
 	// elsewhereCost is what it takes to start a call beside another target: the way back and there, on slow VMs.
 	elsewhereCost = 20 * time.Millisecond
 	// elsewhereFactor is how many times faster another target has to be for a call to leave one that is slow for long.
-	// Less is better used: a target at half its speed still has slots.
+	// A target at half its speed is still used, since the others may not have the slots for its calls.
 	elsewhereFactor = 2.5
 	// unknownCost is how long calls of a kind are taken to run of which none has ended yet.
 	unknownCost = 100 * time.Millisecond
 	// usualSpell is how long a spell is expected to last before one was seen.
 	usualSpell = 100 * time.Millisecond
-	// longSpell is the length from which callers learn how long spells last. A call waits for the end of shorter ones
-	// beside the target, which keep others away for shortSpell only: told at their length they cost 0.01 of worth on
-	// days with spells of 50 to 100 ms, since calls went to farther and fuller targets.
+	// longSpell is the length from which spells are reported as long as they usually last. A call waits for the end of
+	// a shorter one beside the target, so that it is reported as shortSpell. Reported at their usual length, spells of
+	// 50 to 100 ms sent calls to farther and fuller targets, which cost 0.01 of the worth of a day.
 	longSpell  = 200 * time.Millisecond
 	shortSpell = 75 * time.Millisecond
 	// spellSmoothing weighs a new spell in the usual length of spells.
@@ -148,10 +148,19 @@
 	return max(floorSpan, now.Sub(s.slowSince))
 }
 
-// fasterElsewhere reports whether this target is slow for long and another one may be much faster. It does not count
-// what all targets are that have just started: those that were started together need each other's slots.
+// fasterElsewhere reports whether this target is slow for long and another one may be so much faster that a call
+// gains by the way there. A target that has just started does not count as slow: those that were started together
+// need each other's slots.
 func (s *sensor) fasterElsewhere(w *waiting, now time.Time) bool {
-	return s.works && w.Elsewhere > 0 && s.floor >= elsewhereFactor*max(1, w.Elsewhere) && !now.Before(s.coldUntil)
+	elsewhere := max(1, w.Elsewhere)
+	if !s.works || w.Elsewhere <= 0 || s.floor < elsewhereFactor*elsewhere || now.Before(s.coldUntil) {
+		return false
+	}
+	cost := w.cost
+	if cost == 0 {
+		cost = time.Duration(s.floor * float64(unknownCost))
+	}
+	return time.Duration(float64(cost)*(1-elsewhere/s.floor)) > elsewhereCost
 }
 
 // Slowness returns the slowness that was told last, and when.
--- a/internal/policy/admit/slow_test.go
+++ b/internal/policy/admit/slow_test.go
@@ -36,6 +36,8 @@
 		{"others are fast", long(5), timed(1, holdUntil(50*ms), elsewhere(1)), Refuse{errs.TargetSlow, shortestRetry}},
 		{"others are as slow", long(5), timed(1, holdUntil(50*ms), elsewhere(5)), Start{}},
 		{"others are little faster", long(2), timed(1, holdUntil(50*ms), elsewhere(1)), Start{}},
+		{"others are fast, short call", long(5), timed(1, holdUntil(50*ms), elsewhere(1), func(a *Arrival) { a.Kind, a.Usual = "short", 4*ms }), Start{}},
+		{"others are fast, call of unknown length", long(5), timed(1, holdUntil(50*ms), elsewhere(1), func(a *Arrival) { a.Kind = "new" }), Refuse{errs.TargetSlow, shortestRetry}},
 		{"no other target", long(5), timed(1, holdUntil(50*ms)), Start{}},
 		{"no other could start it", long(5), timed(1, elsewhere(1)), Start{}},
 		{"just started, as the others may have been", long(3, cold), timed(1, holdUntil(50*ms), elsewhere(1)), Start{}},
--- a/internal/policy/crash/table.go
+++ b/internal/policy/crash/table.go
@@ -10,10 +10,10 @@
 const (
 	// window is how long a crash counts, and how long a quarantine lasts that crashes of several targets prove.
 	window = 60 * time.Second
-	// firstHold is how long the first quarantine lasts for which only the own target speaks. A target may crash for
-	// reasons of its own, or lose its connections, while calls of one popular request are in flight. Each later
-	// crash within the window doubles the time, up to the window, so that a request that does crash the target runs
-	// a few times a minute at first and then once.
+	// firstHold is how long the first quarantine lasts that rests on crashes of the own target alone. A target may
+	// crash for reasons of its own, or lose its connections, while calls of one popular request are in flight. Each
+	// later crash within the window doubles the time, up to the window: a request that does crash the target runs a
+	// few times in the first minute and then once a minute.
 	firstHold = 5 * time.Second
 	// A digest is quarantined with this blame from this many crashes. One crash is never enough,
 	// since a target may crash for reasons of its own while a single call is in flight.
