--- a/internal/task/local/end.go
+++ b/internal/task/local/end.go
@@ -40,7 +40,7 @@
 	}
 	event.CallRefused.Log("request", r.Request.ID, "target", r.Target, "reason", o.Kind, "waited", now.Sub(r.arrived),
 		"left", r.Request.Deadline.Sub(now), "retryAfter", o.RetryAfter, "queued", queued, "running", running, "limit", limit,
-		"slowness", slowness, "measured", measured)
+		"slowness", slowness, "measured", measured, "elsewhere", r.Request.Elsewhere)
 	t.end(r, o)
 }
 
