Wait in all stand-ins for an address that a starting process still holds

Cause: a process that is being started holds copies of all listening sockets until it runs its program. A stand-in that starts again at its address in that time could not listen; a target of internal/bench/target that fails so some times in a row ends its stage, and with it the bookings of TestNoSecondRunsWhileDaemonsRestart. Only the targets of platform/fake waited.

Ruled out: another port for each start, since daemons know targets by their address.

--- a/internal/bench/config/config.go
+++ b/internal/bench/config/config.go
@@ -15,6 +15,7 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/bind"
 	"jacinthcross/internal/super/tree"
 )
 
@@ -114,9 +115,9 @@
 
 // New starts the service at an address. Port 0 takes a free port.
 func New(at netip.AddrPort) (*Task, error) {
-	l, err := net.Listen("tcp", at.String())
+	l, err := bind.Listen(at)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen at %s", at)
+		return nil, errors.Trace(err)
 	}
 	t := &Task{
 		Loop: tree.NewLoop(), inbox: mail.NewBox[Message](mailbox), address: l.Addr().(*net.TCPAddr).AddrPort(),
--- a/internal/bench/delay/delay.go
+++ b/internal/bench/delay/delay.go
@@ -12,6 +12,7 @@
 
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/bind"
 	"jacinthcross/internal/super/tree"
 )
 
@@ -115,9 +116,9 @@
 }
 
 func (t *Task) listen() error {
-	l, err := net.Listen("tcp", t.at.String())
+	l, err := bind.Listen(t.at)
 	if err != nil {
-		return errors.Annotatef(err, "listen at %s", t.at)
+		return errors.Trace(err)
 	}
 	t.listener = l
 	go func() {
--- a/internal/bench/target/target.go
+++ b/internal/bench/target/target.go
@@ -3,7 +3,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"net/netip"
 	"time"
@@ -12,6 +11,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/bench/bind"
 	"jacinthcross/internal/bench/tally"
 	"jacinthcross/internal/super/tree"
 )
@@ -117,9 +117,9 @@
 
 // New starts a target that listens at the address of the settings.
 func New(settings Settings, inbox *mail.Box[Message], counts *tally.Task) (*Task, error) {
-	l, err := net.Listen("tcp", settings.Address.String())
+	l, err := bind.Listen(settings.Address)
 	if err != nil {
-		return nil, errors.Annotatef(err, "listen at %s", settings.Address)
+		return nil, errors.Trace(err)
 	}
 	t := &Task{
 		Loop:     tree.NewLoop(),
