Weigh completions against crashes, and do not measure targets that tell no load

Requests for one popular path were blamed with up to 12 crashes, and the target of VM 4 crashed once with the path among four calls in flight. Two VMs then quarantined it for 60 s at both daemons, although it had completed tens of times in the seconds before.

Ruled out: the rule of two VMs alone, which one mark of any weight met; trials of the request during a quarantine, since each daemon would run what does crash targets again.

Change: a request that completed n times of late at a target gets one in n+1 parts of the blame of a crash there, and a peer's blame counts as much less beyond three completions here. The 60 s need a tenth of the weight from other targets than the one that blames most.

Tests that failed before: TestPopular (two rows), TestQuarantined (three rows).

Also: a target that answers its health path without a load was measured before each call, on a path that may wait for a slot. It is asked once now, until a response has a load.

--- a/internal/policy/crash/table.go
+++ b/internal/policy/crash/table.go
@@ -23,6 +23,9 @@
 	// other targets do not count against it until the window is over: a request that completes on one target and
 	// was in flight at crashes of another one is no proof that it brought them about.
 	cleanLimit = 3
+	// secondShare is the part of the weight that targets other than the one that blames most must bear out. Less is that
+	// of a popular request, of which one copy is in flight at most crashes.
+	secondShare = 0.1
 	// maxDigests bounds the table and maxReported the entries of one message.
 	maxDigests  = 1024
 	maxReported = 8
@@ -51,6 +54,8 @@
 // A Table holds the blame of requests for crashes of the targets of one service.
 type Table struct {
 	digests map[ident.Digest]*evidence
+	// recent are the completions at the own target.
+	recent recent
 	// expires is when nothing in the table counts any more.
 	expires time.Time
 }
@@ -58,13 +63,14 @@
 // NewTable returns an empty Table.
 func NewTable() *Table { return &Table{digests: map[ident.Digest]*evidence{}} }
 
-// Crashed blames the calls that were in flight when the own target crashed, given by their digests.
+// Crashed blames the calls that were in flight when the own target crashed, given by their digests. A request that has
+// completed here n times of late gets one in n+1 parts of its blame: popular requests are in flight at many crashes.
 // It returns the first-hand evidence to send to peers, strongest first. What peers reported is
 // not passed on, so that no crash counts twice.
 func (t *Table) Crashed(inFlight []ident.Digest, now time.Time) []Blame {
 	weights := map[ident.Digest]float64{}
 	for _, d := range inFlight {
-		weights[d] += 1 / float64(len(inFlight))
+		weights[d] += 1 / float64(len(inFlight)) / float64(1+t.recent.of(d, now))
 	}
 	var reports []Blame
 	for d, w := range weights {
@@ -88,7 +94,8 @@
 	return reports[:min(len(reports), maxReported)]
 }
 
-// Merge takes the evidence of a peer. It replaces what the same peer reported before.
+// Merge takes the evidence of a peer. It replaces what the same peer reported before. A request that goes on completing
+// here is no proof against itself: beyond cleanLimit, each completion takes a part of the peer's blame.
 func (t *Table) Merge(from ident.VM, blames []Blame, now time.Time) {
 	for _, b := range blames[:min(len(blames), maxReported)] {
 		m := mark{from: from, weight: min(b.Weight, float64(b.Crashes)), crashes: b.Crashes, expires: now.Add(min(b.Expires, window))}
@@ -96,6 +103,7 @@
 		if from == "" || !(m.weight > 0) || !m.expires.After(now) {
 			continue
 		}
+		m.weight /= float64(1 + max(0, t.recent.of(b.Digest, now)-cleanLimit))
 		if e := t.entry(b.Digest, m.weight, now); e != nil && !e.cleared.After(now) {
 			e.add(m, now)
 		}
@@ -104,6 +112,7 @@
 
 // Completed notes that a call with the digest ended without a crash.
 func (t *Table) Completed(d ident.Digest, now time.Time) {
+	t.recent.add(d, now)
 	e, ok := t.digests[d]
 	if !ok || !e.cleared.IsZero() {
 		return
@@ -114,7 +123,7 @@
 	}
 }
 
-// Active reports whether the table has to be asked. Without it each call would pay for its digest.
+// Active reports whether the table has to be asked. Without it each call that arrives would pay for its digest.
 func (t *Table) Active(now time.Time) bool {
 	if !t.expires.After(now) {
 		clear(t.digests)
@@ -172,15 +181,16 @@
 	e.marks = append(e.marks, m)
 	weight, crashes := e.sum(now, func(mark) bool { return true })
 	if weight >= blameLimit-rounding && crashes >= crashLimit && !e.until.After(now) {
-		e.until = now.Add(e.hold(crashes))
+		e.until = now.Add(e.hold(weight, crashes))
 	}
 }
 
-// hold returns how long a quarantine lasts. Crashes of one other target are no reason for one: that target may be at
-// fault, and the request may complete here.
-func (e *evidence) hold(crashes int) time.Duration {
-	switch from := e.marks[0].from; {
-	case slices.ContainsFunc(e.marks, func(m mark) bool { return m.from != from }):
+// hold returns how long a quarantine lasts that rests on a weight. Crashes of one other target are no reason for one:
+// that target may be at fault, and the request may complete here.
+func (e *evidence) hold(weight float64, crashes int) time.Duration {
+	from, most := e.strongest()
+	switch {
+	case weight-most >= secondShare*weight:
 		return window
 	case from != "":
 		return 0
@@ -188,6 +198,21 @@
 	return min(window, firstHold<<(crashes-crashLimit))
 }
 
+// strongest returns the source of most of the weight, and its part.
+func (e *evidence) strongest() (ident.VM, float64) {
+	weights := map[ident.VM]float64{}
+	for _, m := range e.marks {
+		weights[m.from] += m.weight
+	}
+	var from ident.VM
+	for v, w := range weights {
+		if w > weights[from] {
+			from = v
+		}
+	}
+	return from, weights[from]
+}
+
 // rounding allows for sums of fractions such as 15 x 1/10, which floating point makes less than 1.5.
 const rounding = 1e-9
 
--- a/internal/policy/crash/table_test.go
+++ b/internal/policy/crash/table_test.go
@@ -103,6 +103,25 @@
 			t.Crashed(alone, at(2))
 			t.Merge("p1", []Blame{{poison, 2, 2, window}}, at(3))
 		}, 4, true},
+		{"twelve crashes of a peer's target, of a request that was popular here until the target crashed", func(t *Table) {
+			for i := range 40 {
+				t.Completed(poison, at(0).Add(time.Duration(i)*25*time.Millisecond))
+			}
+			t.Crashed(crowd(4), at(1))
+			t.Merge("p1", []Blame{{poison, 12, 12, window}}, at(2))
+		}, 3, false},
+		{"crashes of the targets of two peers, of a request that is popular here", func(t *Table) {
+			for i := range 40 {
+				t.Completed(poison, at(0).Add(time.Duration(i)*25*time.Millisecond))
+			}
+			t.Merge("p1", []Blame{{poison, 2, 2, window}}, at(1))
+			t.Merge("p2", []Blame{{poison, 2, 2, window}}, at(1))
+		}, 2, false},
+		{"two crashes here, some time ago, and one of many calls at a peer where the request is popular", func(t *Table) {
+			t.Crashed(alone, at(0))
+			t.Crashed(alone, at(1))
+			t.Merge("p1", []Blame{{poison, .01, 1, window}}, at(2))
+		}, 7, false},
 		{"fifteen crashes among ten within the window", func(t *Table) {
 			for i := range 15 {
 				t.Crashed(crowd(10), at(i))
@@ -118,6 +137,62 @@
 	}
 }
 
+// TestPopular guards against a popular request that is refused everywhere after targets of several VMs crashed with it in
+// flight, and against a request that is let run because it used to complete.
+func TestPopular(t *testing.T) {
+	start := time.Unix(1000, 0)
+	for _, test := range []struct {
+		name string
+		// completed is how often the request completed at each target in the second before the first crash.
+		completed int
+		// quiet is the time from the last completion to the first crash.
+		quiet time.Duration
+		want  bool
+	}{
+		{"a popular request", 40, 0, false},
+		{"a request that completed now and then", 8, 0, false},
+		{"a request that completed once", 1, 0, true},
+		{"a request that never completed", 0, 0, true},
+		{"a request that completed long ago", 40, time.Minute, true},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			vms := []ident.VM{"v0", "v1", "v2"}
+			tables := map[ident.VM]*Table{}
+			for _, v := range vms {
+				tables[v] = NewTable()
+				for i := range test.completed {
+					tables[v].Completed(digest(0), start.Add(time.Duration(i)*10*time.Millisecond))
+				}
+			}
+			now := start.Add(time.Second + test.quiet)
+			for crash := range 2 {
+				for _, v := range vms {
+					reports := tables[v].Crashed([]ident.Digest{digest(0)}, now)
+					for _, peer := range vms {
+						if peer != v {
+							tables[peer].Merge(v, reports, now)
+						}
+					}
+				}
+				now = now.Add(time.Duration(crash+1) * time.Second)
+			}
+			for _, v := range vms {
+				qt.Check(t, tables[v].Quarantined(digest(0), now), qt.Equals, test.want, qt.Commentf("%s", v))
+			}
+		})
+	}
+}
+
+// TestRecent guards against a memory of completions that grows with the requests.
+func TestRecent(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := NewTable()
+	for i := range 10 * maxRecent {
+		table.Completed(digest(i), now)
+	}
+	qt.Assert(t, table.recent.len() <= 2*maxRecent, qt.IsTrue)
+}
+
 // TestReport guards against evidence that is counted twice because peers pass it on to each other.
 func TestReport(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -14,6 +14,10 @@
 	"jacinthcross/internal/policy/ledger"
 )
 
+// maxDigested is the longest body of a request whose completion is remembered although no target has crashed, in bytes.
+// The digest of a longer one takes more than some 50 us.
+const maxDigested = 64 << 10
+
 // A run is a call that is queued, or dispatched when it has a conn. It keeps the gate and the
 // ledger that admitted it, since a release can put another target in their place.
 type run struct {
@@ -191,7 +195,7 @@
 	if m.broken {
 		t.suspect(m.conn)
 	}
-	if _, answered := m.outcome.(call.Answered); answered && t.crashes.Active(now) {
+	if _, answered := m.outcome.(call.Answered); answered && (t.crashes.Active(now) || len(r.Request.Body) <= maxDigested) {
 		t.crashes.Completed(r.digest(), now)
 	}
 	r.gate.Done(endOf(m.outcome), r.ran(now), now)
--- a/internal/task/local/sense.go
+++ b/internal/task/local/sense.go
@@ -27,15 +27,30 @@
 	path   string
 }
 
-// A sensed is what the target told of its load, unless ok is false.
+// A sensed is what came of a measurement.
 type sensed struct {
 	target netip.AddrPort
-	load   call.TargetLoad
-	ok     bool
+	answer answer
 }
 
 func (sensed) message() {}
 
+// An answer is what a target said when it was asked for its load: told, untold or silent.
+type answer interface{ answer() }
+
+// told has the load that the target told.
+type told struct{ load call.TargetLoad }
+
+// untold is an answer without a load.
+type untold struct{}
+
+// silent is no answer in time.
+type silent struct{}
+
+func (told) answer()   {}
+func (untold) answer() {}
+func (silent) answer() {}
+
 // newSensor starts the goroutine that measures the load of the target over a connection of its own.
 func newSensor(asks *mail.Box[sense], d *header.Dialect, owner *mail.Box[Message], done <-chan struct{}) {
 	s := &sensor{dialect: d}
@@ -44,8 +59,7 @@
 		for {
 			select {
 			case a := <-asks.C():
-				load, ok := s.measure(a)
-				owner.Put(sensed{a.target, load, ok}, done)
+				owner.Put(sensed{a.target, s.measure(a)}, done)
 			case <-done:
 				return
 			}
@@ -62,16 +76,19 @@
 }
 
 // measure asks for the load, on a new connection when the target has closed the one that was kept.
-func (s *sensor) measure(a sense) (call.TargetLoad, bool) {
+func (s *sensor) measure(a sense) answer {
 	kept := s.stream != nil && s.target == a.target
 	h, err := s.ask(a)
 	if err != nil && kept {
 		h, err = s.ask(a)
 	}
 	if err != nil {
-		return call.TargetLoad{}, false
+		return silent{}
+	}
+	if load, ok := s.dialect.TargetLoad(h); ok {
+		return told{load}
 	}
-	return s.dialect.TargetLoad(h)
+	return untold{}
 }
 
 func (s *sensor) ask(a sense) (http.Header, error) {
@@ -137,17 +154,21 @@
 	t.measured()
 }
 
-// sense takes the load that the target told.
+// sense takes the answer of the target. One that tells no load is not asked again until a response to a call has one:
+// its health path may wait for a slot, and each call would wait for it.
 func (t *Task) sense(m sensed) {
 	if !t.present || m.target != t.target.Address {
 		return
 	}
 	now := t.clock.Now()
-	slowness := m.load.Slowness
-	if !m.ok {
+	switch a := m.answer.(type) {
+	case told:
+		t.gate.Sense(a.load.Slowness, now)
+	case untold:
+		t.gate.Sense(0, now)
+	case silent:
 		// The calls do not wait for a target that does not answer its health path.
-		slowness = 1
+		t.gate.Sense(1, now)
 	}
-	t.gate.Sense(slowness, now)
 	t.advanceGate(now)
 }
