Seal the limiters of a gate, and state when a call that was given back is refused

Cause: the two limiters were told apart by an interface with methods, while behaviour that varies is told apart by type switches everywhere else.

Change: a sealed interface and switches in limiter.go; limit.go becomes gradient.go. The tests call the same functions on the gate. No change of behaviour.

--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -48,7 +48,7 @@
 // WithFixedSlots makes the gate trust the number of slots, up to the point above which the target was found to
 // slow down. Without it, the limit follows the latency of the target, whose slots may be stated too high.
 func WithFixedSlots() Option {
-	return func(g *Gate) { g.limiter, g.timed = newKnee(g.limiter.max()), true }
+	return func(g *Gate) { g.limiter, g.timed = newKnee(g.slots()), true }
 }
 
 // NewGate returns a Gate to a target with the number of slots.
@@ -60,9 +60,6 @@
 	return g
 }
 
-// SetSlots changes the number of slots.
-func (g *Gate) SetSlots(slots int) { g.limiter.setSlots(slots) }
-
 // Arrive decides on a call. Steps must follow a Wait.
 func (g *Gate) Arrive(a Arrival, now time.Time) Decision {
 	w := g.newWaiting(a, now)
@@ -83,7 +80,7 @@
 	if !w.until.After(now) || g.inFlight >= g.Limit() && g.hopeless(w, now) {
 		return g.refuse(errs.Overloaded, now)
 	}
-	if len(g.queue) >= queuePerSlot*g.limiter.max() && !g.makeRoom(w, now) {
+	if len(g.queue) >= queuePerSlot*g.slots() && !g.makeRoom(w, now) {
 		return g.refuse(errs.Overloaded, now)
 	}
 	if len(g.queue) == 0 {
@@ -194,9 +191,9 @@
 			work = time.Duration(float64(work) / ran.Slowness)
 		}
 		stretch := g.costs.add(ran.Kind, work, now)
-		g.limiter.sample(work, stretch, max(ran.InFlight, g.inFlight))
+		g.sample(work, stretch, max(ran.InFlight, g.inFlight))
 	case Shed:
-		g.limiter.shed(now)
+		g.shed(now)
 	case Failed:
 	}
 	g.inFlight--
@@ -353,11 +350,5 @@
 // Queued returns the number of waiting calls.
 func (g *Gate) Queued() int { return len(g.queue) }
 
-// Limit returns how many calls may be in flight.
-func (g *Gate) Limit() int { return g.limiter.current() }
-
-// Latency returns the smoothed latency of the target.
-func (g *Gate) Latency() time.Duration { return g.limiter.latency() }
-
 // QueueDelay returns how long recently dispatched calls waited.
 func (g *Gate) QueueDelay() time.Duration { return g.delay }
--- a/internal/policy/admit/admit_test.go
+++ b/internal/policy/admit/admit_test.go
@@ -20,7 +20,7 @@
 		return g.Arrive(Arrival{Call: id, Rank: r, Deadline: at(deadline)}, at(now))
 	}
 	busy := func(g *Gate) { // one slot in use by a call that takes 10 ms
-		g.limiter.sample(10*ms, 1, 0)
+		g.sample(10*ms, 1, 0)
 		arrive(g, 100, ident.Normal, time.Second, 0)
 	}
 	tests := []struct {
@@ -124,7 +124,7 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewGate(1)
-			g.limiter.sample(test.latency, 1, 0)
+			g.sample(test.latency, 1, 0)
 			g.Arrive(Arrival{Call: 100, Rank: ident.Urgent, Deadline: start.Add(time.Second)}, start)
 			for i := range test.queued {
 				g.Arrive(Arrival{Call: call.ID(i), Rank: ident.Urgent, Deadline: start.Add(time.Second)}, start)
@@ -139,7 +139,7 @@
 func TestIdleTargetIsTried(t *testing.T) {
 	start := time.Unix(1000, 0)
 	g := NewGate(1)
-	g.limiter.sample(time.Second, 1, 0)
+	g.sample(time.Second, 1, 0)
 	qt.Assert(t, g.Arrive(Arrival{Call: 1, Deadline: start.Add(time.Millisecond)}, start), qt.Equals, Start{})
 }
 
@@ -185,6 +185,6 @@
 
 func feed(l *gradient, n int, took time.Duration) {
 	for range n {
-		l.sample(took, 1, l.current())
+		l.sample(took, l.current())
 	}
 }
--- a/internal/policy/admit/limit.go
+++ b/internal/policy/admit/gradient.go
@@ -20,20 +20,6 @@
 	latencyFloor = 0.5
 )
 
-// A limiter decides how many calls may be in flight: a gradient or a knee.
-type limiter interface {
-	setSlots(slots int)
-	// sample takes a run: its work, its stretch against others of its kind, and the most calls that were in flight with it.
-	sample(work time.Duration, stretch float64, inFlight int)
-	// shed takes the refusal of a call by the target.
-	shed(now time.Time)
-	// current returns how many calls may be in flight, and max how many at the most.
-	current() int
-	max() int
-	// latency returns the smoothed work of a run.
-	latency() time.Duration
-}
-
 // A gradient moves the number of calls that may be in flight between 1 and the number of slots, by the
 // ratio of the usual to the recent latency.
 type gradient struct {
@@ -58,7 +44,7 @@
 }
 
 // sample takes the latency of a completed call. The limit grows only while it is in use.
-func (l *gradient) sample(took time.Duration, _ float64, inFlight int) {
+func (l *gradient) sample(took time.Duration, inFlight int) {
 	v := float64(took)
 	if l.long == 0 {
 		l.long, l.recent = v, v
@@ -92,8 +78,5 @@
 // current returns the whole number of calls that may be in flight.
 func (l *gradient) current() int { return int(math.Floor(l.limit + 1e-9)) }
 
-// max returns the number of slots.
-func (l *gradient) max() int { return int(l.slots) }
-
 // latency returns the smoothed latency.
 func (l *gradient) latency() time.Duration { return time.Duration(l.recent) }
--- a/internal/policy/admit/knee.go
+++ b/internal/policy/admit/knee.go
@@ -31,11 +31,7 @@
 	m.value += max(kneeSmoothing, 1/float64(m.n)) * (v - m.value)
 }
 
-func newKnee(slots int) limiter { return &knee{slots: max(slots, 1)} }
-
-func (k *knee) setSlots(slots int) { k.slots = max(slots, 1) }
-
-func (k *knee) max() int { return k.slots }
+func newKnee(slots int) *knee { return &knee{slots: max(slots, 1)} }
 
 func (k *knee) lower() int { return max(1, int(kneeShare*float64(k.slots))) }
 
@@ -52,14 +48,9 @@
 	}
 }
 
-// shed has nothing to say of the number of slots: the target may have refused for another reason.
-func (k *knee) shed(time.Time) {}
-
 func (k *knee) current() int {
 	if k.below.n >= kneeSamples && k.above.n >= kneeSamples && k.above.value > kneeRatio*k.below.value {
 		return k.lower()
 	}
 	return k.slots
 }
-
-func (k *knee) latency() time.Duration { return time.Duration(k.work) }
--- a/internal/policy/admit/sense_test.go
+++ b/internal/policy/admit/sense_test.go
@@ -78,7 +78,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			test.gate.limiter.sample(100*ms, 1, 1)
+			test.gate.sample(100*ms, 1, 1)
 			qt.Assert(t, test.gate.Arrive(test.call, start), qt.DeepEquals, test.want)
 		})
 	}
@@ -221,7 +221,7 @@
 // Guards against a Retry-After that brings callers back into the overload that they were refused for.
 func TestRetryAfterGrowsWithTheOverload(t *testing.T) {
 	g := full(sensed(1))
-	g.limiter.sample(100*ms, 1, 1)
+	g.sample(100*ms, 1, 1)
 	g.Arrive(timed(1), start)
 	for _, test := range []struct {
 		after time.Duration
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -11,7 +11,8 @@
 	// holdShare is the part of the time to spare until its aim for which a call is held beside a target of the own
 	// data centre. The rest is left for another target, which may be slow as well.
 	holdShare = 0.35
-	// MaxBounces bounds the targets that are asked before a call waits at one of them.
+	// MaxBounces bounds the targets that give a call back before it is refused. In a larger service that many have seen
+	// the same overload, and a refusal then is early enough for the caller to come back.
 	MaxBounces = 6
 )
 
