Read an empty store again instead of watching it, and let unlisted daemons not read for others

Ruled out: longer pauses between watches, which delay the changes that the reader passes on; no read at all until the own target is listed, since a daemon has to know the config to be ready.

Change: a read that finds no target is repeated after 0.5 s, six times at the most; it is stale and costs a tenth of a watch. A daemon without an entry comes last in the order of its region.

Tests that failed before: TestEmptyStoreIsReadAgain, TestPlaceOfUnlisted.

--- a/internal/fleet/follow/follow.go
+++ b/internal/fleet/follow/follow.go
@@ -52,12 +52,13 @@
 // that one, and the others of a data centre form a tree below its first.
 func PlaceOf(own Peer, peers []Peer) Place {
 	region := slices.DeleteFunc(slices.Clone(peers), func(p Peer) bool { return p.Region != own.Region })
-	if !slices.ContainsFunc(region, func(p Peer) bool { return p.VM == own.VM }) {
-		region = append(region, own)
-	}
 	slices.SortFunc(region, func(a, b Peer) int {
 		return cmp.Or(cmp.Compare(weight(a.VM), weight(b.VM)), cmp.Compare(a.VM, b.VM))
 	})
+	if !slices.ContainsFunc(region, func(p Peer) bool { return p.VM == own.VM }) {
+		// The others do not know of a daemon without an entry, so that none of them asks it.
+		region = append(region, own)
+	}
 	heads := headsOf(region)
 	near := slices.DeleteFunc(slices.Clone(region), func(p Peer) bool { return p.DataCentre != own.DataCentre })
 	i := slices.IndexFunc(near, func(p Peer) bool { return p.VM == own.VM })
--- a/internal/fleet/follow/follow_test.go
+++ b/internal/fleet/follow/follow_test.go
@@ -67,7 +67,8 @@
 	}
 }
 
-// Guards against a daemon that is not in the store yet, or alone in its region, and then has no source.
+// Guards against a daemon that is not in the store yet, or alone in its region, and then has no source, and against
+// daemons that read the store beside the reader of their region since they have no entry yet.
 func TestPlaceOfUnlisted(t *testing.T) {
 	own := follow.Peer{VM: "10.9.9.9", DataCentre: "d0", Region: "r"}
 	for _, test := range []struct {
@@ -83,8 +84,12 @@
 			qt.Assert(t, follow.PlaceOf(test.own, test.peers).Reads, qt.Equals, test.reads)
 		})
 	}
-	place := follow.PlaceOf(own, fleet(5, 2))
-	qt.Assert(t, place.Reads || len(place.Peers) > 0, qt.IsTrue)
+	for n := range 200 {
+		// Whatever its place in the order of the hash would be, the others do not know that it reads.
+		own.VM = ident.VM(fmt.Sprintf("10.%d.9.%d", n, 7*n))
+		place := follow.PlaceOf(own, fleet(5, 2))
+		qt.Assert(t, !place.Reads && len(place.Peers) > 0, qt.IsTrue, qt.Commentf("%s", own.VM))
+	}
 }
 
 // Guards against a daemon that keeps asking a source that has failed, or that does not come back to the first one,
--- a/internal/task/feed/call.go
+++ b/internal/task/feed/call.go
@@ -139,7 +139,9 @@
 	case snapshot:
 		t.logUnusable(r.Changes)
 		t.unannounced = t.roster.Replace(r.Snapshot, t.interrupted(now), now) || t.unannounced
-		t.whole = false
+		if t.whole = t.startsEmpty(); t.whole {
+			t.nextAt = now.Add(emptyGap)
+		}
 		t.worked(m.source, m.sent, now)
 	case changes:
 		t.logUnusable(r.Changes.Changes)
@@ -170,6 +172,16 @@
 	}
 }
 
+// startsEmpty reports whether the store has to be read again, since it has no targets yet. It counts the reads.
+func (t *Task) startsEmpty() bool {
+	if len(t.roster.Release().Targets) > 0 {
+		t.emptyReads = maxEmptyReads
+		return false
+	}
+	t.emptyReads++
+	return t.emptyReads < maxEmptyReads
+}
+
 // stale says why what a peer knows is of no use.
 func stale(r published) error {
 	if r.Revision == 0 {
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -27,6 +27,13 @@
 	// settleTime is the pause between two watches, in which changes gather. It is a small part of the
 	// 2 s within which a change has to be in force.
 	settleTime = 150 * time.Millisecond
+	// emptyGap is the pause between two reads of a store that has no targets. Daemons that start together know no peers
+	// until the first target has its entry, and a watch of each of them would return with each of the first entries. A
+	// stale read costs a tenth of a watch.
+	emptyGap = 500 * time.Millisecond
+	// maxEmptyReads bounds these reads. Targets have their entries within 2 s of their start; a store that stays without
+	// is watched, so that a config is in force in time.
+	maxEmptyReads = 6
 	// maxAge is how old the knowledge of a peer may be before another source is asked. Changes are passed on at once,
 	// and a daemon that loses its source says so; the age shows only a chain of peers that has no end in the store.
 	// Three steps of peerWait after a watch make it about 2.3 s.
@@ -64,6 +71,8 @@
 	all bool
 	// whole says that the store has to be asked for all, and exact that the answer may not be old.
 	whole, exact bool
+	// emptyReads counts the reads that found no target.
+	emptyReads int
 	// hinting is true while a peer is asked that was seen to be ahead.
 	hinting bool
 	// confirmedAt is when the store confirmed what is known.
--- a/internal/task/feed/feed_test.go
+++ b/internal/task/feed/feed_test.go
@@ -187,6 +187,37 @@
 	qt.Assert(t, b.question().after, qt.Equals, roster.Revision(5))
 }
 
+// Guards against watches of all daemons that start together, which return with the entry of each target, and against a
+// daemon that goes on without a watch where there are no targets.
+func TestEmptyStoreIsReadAgain(t *testing.T) {
+	reads, _ := reader()
+	for _, test := range []struct {
+		name string
+		// empty is how many reads find no target.
+		empty int
+	}{
+		{"targets register soon", 2},
+		{"no targets", maxEmptyReads},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t, reads)
+			var last time.Time
+			for i := range test.empty {
+				q := b.question()
+				qt.Assert(t, q.whole && q.stale, qt.IsTrue, qt.Commentf("read %d", i))
+				qt.Assert(t, i == 0 || time.Since(last) >= emptyGap, qt.IsTrue, qt.Commentf("read %d after %s", i, time.Since(last)))
+				last = time.Now()
+				q.answer <- roster.Snapshot{Revision: roster.Revision(i + 1)}
+			}
+			if test.empty < maxEmptyReads {
+				b.question().answer <- roster.Snapshot{Changes: on(9, 1, 2), Revision: 9}
+			}
+			qt.Assert(t, b.question().whole, qt.IsFalse)
+		})
+	}
+}
+
 // Guards against a history that was dropped and leaves the daemon with an old release.
 func TestDroppedHistoryIsReadAgain(t *testing.T) {
 	reads, _ := reader()
