Let an inner call wait that seven targets gave back

In a burst 664 of 3,343 lookups of one service and 271 of 690 of another were refused as Overloaded, and 876 summaries and 314 bookings failed for it after half of their work. A call is refused after the seventh target that gives it back; a service of 22 targets has more, so that a lookup never came to wait at one, while in a service of up to six targets it does.

Change: a call whose caller cannot come back waits at the best target after that.

Test that failed before: TestBounces.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -12,7 +12,8 @@
 	// data centre. The rest is left for another target, which may be slow as well.
 	holdShare = 0.35
 	// MaxBounces bounds the targets that give a call back before it is refused. In a larger service that many have seen
-	// the same overload, and a refusal then is early enough for the caller to come back.
+	// the same overload, and a refusal then is early enough for the caller to come back. A call whose caller cannot come
+	// back waits at the best target instead.
 	MaxBounces = 6
 )
 
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -53,11 +53,15 @@
 	if p.refused == nil || r.RetryAfter < p.refused.RetryAfter {
 		p.refused = &r
 	}
-	if p.pressed || !place.Bounces(r.Kind) || len(p.bounced) >= place.MaxBounces {
+	enough := len(p.bounced) >= place.MaxBounces
+	if p.pressed || !place.Bounces(r.Kind) || enough && !p.Request.Final {
 		t.conclude(p, *p.refused)
 		return
 	}
 	p.tried = slices.DeleteFunc(p.tried, func(n ident.Target) bool { return n == a.target.Name })
 	p.bounced = append(p.bounced, a.target.Name)
+	if enough {
+		p.pressed, p.bounced = true, nil
+	}
 	t.place(p)
 }
