Test the wait for an address in one place

Change: the test of platform/fake moves to internal/bench/bind, unchanged but for the address, which is a free one instead of one of the site's. Both tests fail without the wait.

--- a/internal/bench/bind/bind_test.go
+++ b/internal/bench/bind/bind_test.go
@@ -12,6 +12,7 @@
 
 	"jacinthcross/internal/bench/bind"
 	"jacinthcross/internal/bench/stage"
+	"jacinthcross/platform/fake"
 )
 
 // startProcesses starts processes one after the other until the test ends.
@@ -50,6 +51,21 @@
 	}
 }
 
+// Guards against a target that cannot start again at its address while processes are started.
+func TestTargetStartsAgainWhileProcessesStart(t *testing.T) {
+	site, err := fake.NewSite()
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(site.Close)
+	startProcesses(t)
+	at, err := stage.FreeAddress()
+	qt.Assert(t, err, qt.IsNil)
+	target := &fake.Target{ID: "i-0", Service: "a", DataCentre: "d0", At: at, Slots: 1}
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); {
+		qt.Assert(t, target.Start(site.Store), qt.IsNil)
+		target.Stop()
+	}
+}
+
 // Guards against a wait for an address that another program keeps, and for errors of another kind.
 func TestListenFails(t *testing.T) {
 	kept, err := net.Listen("tcp", "127.0.0.1:0")
