Count the steps of a planned stop from its signal

A daemon got SIGTERM at 45.88 s and was frozen from 47.8 to 50.65 s. The steps of a stop waited one after the other, so that the second one, from which callers' calls are refused, came 1 s after the process ran again instead of at once. It took new calls until 51.65 s, when the time for the stop was over, cut off the last of them and ended with code 1 (DrainTimedOut, StopTimedOut).

Ruled out: a call that hangs (those in flight ended within 60 ms), a task that does not stop. The one run in which TestPlannedStopUnderLoad took 6.3 s had no freeze; beside load timers that fire late add up in the same way, but that this was its cause is not shown.

Change: both steps are due at times from the signal.

--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -80,6 +80,7 @@
 		{3003, 8, 12 * time.Second, secondTerm},
 		{2007, 8, 12 * time.Second, "a session that was greeted while the daemon stopped kept it from ending"},
 		{9003, 8, 12 * time.Second, "a path that all callers read was quarantined everywhere after crashes of one target"},
+		{73009, 8, 12 * time.Second, "a daemon that was frozen during its stop took new calls until the time for the stop was over"},
 	} {
 		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
 			t.Parallel()
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -181,16 +181,18 @@
 // learn of the stop from the platform, the calls that they still send meanwhile are served, and at first
 // the peers' calls for the target here too: a fleet that is restarted one by one keeps its targets in use.
 func (d *Daemon) awaitCalls(timeout <-chan time.Time) {
+	// The steps count from the signal: a process that is frozen meanwhile is late for the second one too.
+	began := time.Now()
 	callers, target := make(chan struct{}), make(chan struct{})
 	if d.platform.Linger > 0 {
 		d.boxes.front.Put(front.Drain{}, d.Done())
-		if !d.sleep(d.platform.Linger - targetLead) {
+		if !d.sleepUntil(began.Add(d.platform.Linger - targetLead)) {
 			return
 		}
 	}
 	d.announceDrain()
 	d.boxes.local.Put(local.Drain{Empty: target}, d.Done())
-	if d.platform.Linger > 0 && !d.sleep(targetLead) {
+	if d.platform.Linger > 0 && !d.sleepUntil(began.Add(d.platform.Linger)) {
 		return
 	}
 	d.boxes.front.Put(front.Drain{Empty: callers}, d.Done())
@@ -209,10 +211,10 @@
 	}
 }
 
-// sleep waits for a time, and reports whether the daemon still runs.
-func (d *Daemon) sleep(t time.Duration) bool {
+// sleepUntil waits until a time, and reports whether the daemon still runs.
+func (d *Daemon) sleepUntil(t time.Time) bool {
 	select {
-	case <-time.After(t):
+	case <-time.After(time.Until(t)):
 		return true
 	case <-d.Done():
 		return false
