Use shorter answers in the case of the planned stop

Answers of 4 MiB at 12 Mbit/s, near the lowest rate of the links, show the fault as well as 6 MiB at 20 Mbit/s.

--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -13,18 +13,18 @@
 // Parameters of the case planned-stop. The work, the timeout and the budget are those of delivery-history, the grace period
 // and the polls of the platform those of the pages.
 const (
-	historyBytes    = 6 << 20
+	historyBytes    = 4 << 20
 	historyWork     = 400 * time.Millisecond
 	historyTimeout  = 4 * time.Second
 	historyBudget   = 8 * time.Second
 	historyLatency  = time.Second
-	bytesPerSecond  = 20_000_000 / 8
+	bytesPerSecond  = 12_000_000 / 8
 	grace           = 6 * time.Second
 	sendInterval    = 300 * time.Millisecond
 	undisturbedTime = 5 * time.Second
 )
 
-// runPlannedStop stops one daemon with SIGTERM while requesters read long answers over a link of 20 Mbit/s.
+// runPlannedStop stops one daemon with SIGTERM while requesters read long answers over a link of 12 Mbit/s.
 func runPlannedStop(f *fleet, trouble bool) (bool, error) {
 	body := bytes.Repeat([]byte("delivery"), historyBytes/8)
 	for _, zone := range []string{"d0", "d1", "d2"} {
