Show a service put out of use by entries of another writer

An entry whose service no config names is kept as a target. On a machine that has a server, the entry whose name sorts last is taken for the daemon's own target, so that the real server gets no more work.

Add the case as a script.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -77,7 +77,7 @@
 	}
 	defer c.Close()
 	_ = c.SetDeadline(r.sent.Add(budget))
-	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Jacinthcross-Request-Id: %s\r\nX-Jacinthcross-Deadline-Ms: %d\r\n\r\n",
+	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Jacinthcross-Request-Id: %s\r\nX-Jacinthcross-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
 		method, path, host, r.id, budget.Milliseconds()); err != nil {
 		r.err, r.ended = err, time.Now()
 		return r
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,7 +22,8 @@
 type caseFunc func(f *fleet, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
-	"planned-stop": runPlannedStop,
+	"foreign-entry": runForeignEntry,
+	"planned-stop":  runPlannedStop,
 }
 
 func main() { os.Exit(runCase(os.Args[1:])) }
