Show a leaving server put back into use by an old report

A report that the store applies late, from a process of the server that has ended, replaces the state of the process that runs now under the same ID. A server that has reported that it leaves is used again.

Add the case as a script.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -23,6 +23,7 @@
 
 var cases = map[string]caseFunc{
 	"foreign-entry": runForeignEntry,
+	"late-report":   runLateReport,
 	"planned-stop":  runPlannedStop,
 }
 
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"strconv"
@@ -43,30 +42,37 @@
 	behave            behaviour
 	store             *fake.Store
 	record            *record
-	listener          net.Listener
-	http              *http.Server
-	stopped           chan struct{}
-	born              int64
-
-	mutex   sync.Mutex
-	running int
-	runs    []run
+
+	mutex    sync.Mutex
+	http     *http.Server
+	stopped  chan struct{}
+	born     int64
+	sequence int
+	state    string
+	running  int
+	runs     []run
 }
 
+// start starts a process of the server. It may be called again after crash.
 func (s *server) start() error {
 	l, err := bind.Listen(s.address)
 	if err != nil {
 		return err
 	}
-	s.listener, s.stopped, s.born = l, make(chan struct{}), time.Now().UnixMilli()
-	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), IdleTimeout: 10 * time.Second}
-	go func() { _ = s.http.Serve(l) }()
+	h := &http.Server{Handler: http.HandlerFunc(s.serve), IdleTimeout: 10 * time.Second}
+	stopped := make(chan struct{})
+	s.mutex.Lock()
+	s.http, s.stopped, s.born, s.sequence, s.state = h, stopped, time.Now().UnixMilli(), 0, "ready"
+	s.mutex.Unlock()
+	go func() { _ = h.Serve(l) }()
+	s.register()
 	go func() {
-		for n := 1; ; n++ {
-			s.register(n)
+		for beat := time.NewTicker(heartbeat); ; {
 			select {
-			case <-time.After(heartbeat):
-			case <-s.stopped:
+			case <-beat.C:
+				s.register()
+			case <-stopped:
+				beat.Stop()
 				return
 			}
 		}
@@ -74,22 +80,39 @@
 	return nil
 }
 
+// stop ends the process of the server. Its entry stays.
 func (s *server) stop() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
 	close(s.stopped)
 	_ = s.http.Close()
 }
 
-func (s *server) register(sequence int) {
+// drain makes the server report that it leaves. It goes on serving.
+func (s *server) drain() {
+	s.mutex.Lock()
+	s.state = "draining"
+	s.mutex.Unlock()
+	s.register()
+}
+
+func (s *server) register() { s.store.Put("servers/"+s.id, s.report()) }
+
+// report returns the next report of the server to the store.
+func (s *server) report() []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sequence++
 	b, err := json.Marshal(map[string]any{
 		"Address": s.address.String(),
 		"Info":    map[string]any{"Service": s.service, "Version": "v1", "Zone": s.zone, "Slots": s.slots},
-		"Status":  map[string]any{"State": "ready", "Sequence": sequence, "ColdRemaining": "0ms"},
+		"Status":  map[string]any{"State": s.state, "Sequence": s.sequence, "ColdRemaining": "0ms"},
 		"born":    s.born,
 	})
 	if err != nil {
 		panic(err)
 	}
-	s.store.Put("servers/"+s.id, b)
+	return b
 }
 
 func (s *server) load() string { return fmt.Sprintf("%d,0,%d,100", s.running, s.slots) }
