Show a config that slow links hold up far beyond its bound

On machines with links of 10 Mbit/s a follower gives up on a peer 0.5 s after its wait, before the changes of many routes have come through; it asks again and again, and each reply that comes too late takes the link from the others.

--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -30,21 +30,26 @@
 	windowBytes  = 64 << 10
 )
 
-func dialRequester(to netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error {
-		var err error
-		if controlErr := c.Control(func(fd uintptr) {
-			if err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes); err == nil {
-				err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, windowBytes)
-			}
-		}); controlErr != nil {
-			return controlErr
-		}
-		return err
-	}}
+func dialRequester(to netip.AddrPort) (net.Conn, error) { return dialSmall(to, windowBytes) }
+
+// dialSmall opens a connection with the segments of an Ethernet link and a small receive buffer.
+func dialSmall(to netip.AddrPort, window int) (net.Conn, error) {
+	d := net.Dialer{Timeout: time.Second, Control: func(_, _ string, c syscall.RawConn) error { return setWindow(c, window) }}
 	return d.Dial("tcp", to.String())
 }
 
+func setWindow(c syscall.RawConn, window int) error {
+	var err error
+	if controlErr := c.Control(func(fd uintptr) {
+		if err = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_MAXSEG, segmentBytes); err == nil {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, window)
+		}
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
 // A slowReader reads at a constant rate, like a requester behind a link of that bandwidth.
 type slowReader struct {
 	io.Reader
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -89,7 +89,7 @@
 	err := settings.Execute(&text, struct {
 		*conf.Settings
 		Store string
-	}{n.vm.Settings, f.site.Store.URL()})
+	}{n.vm.Settings, n.vm.Settings.Source.(conf.StoreSource).URL})
 	if err != nil {
 		return err
 	}
--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -22,6 +22,7 @@
 type caseFunc func(f *fleet, trouble bool) (broken bool, err error)
 
 var cases = map[string]caseFunc{
+	"big-config":    runBigConfig,
 	"foreign-entry": runForeignEntry,
 	"late-report":   runLateReport,
 	"planned-stop":  runPlannedStop,
--- a/review/stand/server.go
+++ b/review/stand/server.go
@@ -39,9 +39,11 @@
 	id, service, zone string
 	slots             int
 	address           netip.AddrPort
-	behave            behaviour
-	store             *fake.Store
-	record            *record
+	// entry is the address in the entry of the server, if that is another one.
+	entry  netip.AddrPort
+	behave behaviour
+	store  *fake.Store
+	record *record
 
 	mutex    sync.Mutex
 	http     *http.Server
@@ -98,13 +100,25 @@
 
 func (s *server) register() { s.store.Put("servers/"+s.id, s.report()) }
 
+// setEntry sets the address in the entry of the server.
+func (s *server) setEntry(address netip.AddrPort) {
+	s.mutex.Lock()
+	s.entry = address
+	s.mutex.Unlock()
+	s.register()
+}
+
 // report returns the next report of the server to the store.
 func (s *server) report() []byte {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.sequence++
+	address := s.address
+	if s.entry.IsValid() {
+		address = s.entry
+	}
 	b, err := json.Marshal(map[string]any{
-		"Address": s.address.String(),
+		"Address": address.String(),
 		"Info":    map[string]any{"Service": s.service, "Version": "v1", "Zone": s.zone, "Slots": s.slots},
 		"Status":  map[string]any{"State": s.state, "Sequence": s.sequence, "ColdRemaining": "0ms"},
 		"born":    s.born,
