--- a/review/stand/bigconfig.go
+++ b/review/stand/bigconfig.go
@@ -43,7 +43,7 @@
 	}
 	services := []string{"catalogue", "bookings"}
 	route := func(i int) fake.Route {
-		return fake.Route{Name: fmt.Sprintf("r-%07d", i), Host: "shop.example", Prefix: fmt.Sprintf("/p%d/", i), Timeout: 1500 * time.Millisecond, TargetLatency: 500 * time.Millisecond, Priority: 2, Attempts: 2, Weights: map[string]int{services[i%2]: 1}}
+		return fake.Route{Name: fmt.Sprintf("r-%07d", i), Host: shopHost, Prefix: fmt.Sprintf("/p%d/", i), Timeout: 1500 * time.Millisecond, TargetLatency: 500 * time.Millisecond, Priority: 2, Attempts: 2, Weights: map[string]int{services[i%2]: 1}}
 	}
 	f.site.PublishConfig(services, route(0))
 	if err := f.startAll(); err != nil {
@@ -67,7 +67,7 @@
 	for _, n := range f.nodes {
 		group.Go(func() {
 			for time.Since(confirmed) < probedFor {
-				r := send(n.vm.Settings.Callers, http.MethodGet, "shop.example", "/p1/x", browseBudget, fullRate)
+				r := send(n.vm.Settings.Callers, http.MethodGet, "/p1/x", browseBudget, fullRate)
 				at := r.sent.Sub(confirmed)
 				if r.status == http.StatusNotFound {
 					f.record.add("request %s at %s sent %.3f s after the confirmation: 404", r.id, n.name, at.Seconds())
@@ -88,7 +88,7 @@
 
 // addBehindLink adds a machine whose daemon reaches the store, and is reached by peers, through a slow link.
 func (f *fleet) addBehindLink(service, zone string, bitsPerSecond float64) (*node, error) {
-	n, err := f.add(service, zone, 6, nil)
+	n, err := f.add(service, zone, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/review/stand/client.go
+++ b/review/stand/client.go
@@ -73,7 +73,7 @@
 }
 
 // send sends one request on a new connection and reads the answer.
-func send(to netip.AddrPort, method, host, path string, budget time.Duration, bytesPerSecond int) result {
+func send(to netip.AddrPort, method, path string, budget time.Duration, bytesPerSecond int) result {
 	r := result{id: fmt.Sprintf("q%06d", lastID.Add(1)), method: method, path: path, sent: time.Now()}
 	c, err := dialRequester(to)
 	if err != nil {
@@ -83,7 +83,7 @@
 	defer c.Close()
 	_ = c.SetDeadline(r.sent.Add(budget))
 	if _, err := fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Jacinthcross-Request-Id: %s\r\nX-Jacinthcross-Deadline-Ms: %d\r\nContent-Length: 0\r\n\r\n",
-		method, path, host, r.id, budget.Milliseconds()); err != nil {
+		method, path, shopHost, r.id, budget.Milliseconds()); err != nil {
 		r.err, r.ended = err, time.Now()
 		return r
 	}
--- a/review/stand/fleet.go
+++ b/review/stand/fleet.go
@@ -17,6 +17,12 @@
 	"jacinthcross/platform/fake"
 )
 
+// slotsPerServer is the number of slots of a server, as in Clachan.
+const slotsPerServer = 6
+
+// shopHost is the host of all routes.
+const shopHost = "shop.example"
+
 // readyTimeout limits the start of all daemons.
 const readyTimeout = 20 * time.Second
 
@@ -51,11 +57,11 @@
 }
 
 // add adds a machine with a server of a service, and starts the server.
-func (f *fleet) add(service, zone string, slots int, behave behaviour) (*node, error) {
-	vm := f.site.AddVM(service, zone, slots, 0)
+func (f *fleet) add(service, zone string, behave behaviour) (*node, error) {
+	vm := f.site.AddVM(service, zone, slotsPerServer, 0)
 	n := &node{name: fmt.Sprintf("m%d", len(f.nodes)), vm: vm}
 	n.server = &server{
-		id: fmt.Sprintf("i-%d", len(f.nodes)), service: service, zone: zone, slots: slots, address: vm.Target.Address,
+		id: fmt.Sprintf("i-%d", len(f.nodes)), service: service, zone: zone, slots: slotsPerServer, address: vm.Target.Address,
 		behave: behave, store: f.site.Store, record: f.record,
 	}
 	f.nodes = append(f.nodes, n)
--- a/review/stand/foreign.go
+++ b/review/stand/foreign.go
@@ -33,13 +33,13 @@
 		if service == "bookings" {
 			work = bookWork
 		}
-		if _, err := f.add(service, fmt.Sprintf("d%d", i/2), 6, func(*http.Request) answer { return answer{work, []byte("ok")} }); err != nil {
+		if _, err := f.add(service, fmt.Sprintf("d%d", i/2), func(*http.Request) answer { return answer{work, []byte("ok")} }); err != nil {
 			return false, err
 		}
 	}
 	services := []string{"catalogue", "bookings"}
-	browse := fake.Route{Name: "catalogue-browse", Host: "shop.example", Prefix: "/browse/", Timeout: browseTimeout, TargetLatency: 500 * time.Millisecond, Priority: 2, Attempts: 2, Weights: map[string]int{"catalogue": 1}}
-	book := fake.Route{Name: "hire-booking", Host: "shop.example", Prefix: "/book/", Unsafe: true, Timeout: bookTimeout, TargetLatency: 600 * time.Millisecond, Priority: 1, Attempts: 2, Weights: map[string]int{"bookings": 1}}
+	browse := fake.Route{Name: "catalogue-browse", Host: shopHost, Prefix: "/browse/", Timeout: browseTimeout, TargetLatency: 500 * time.Millisecond, Priority: 2, Attempts: 2, Weights: map[string]int{"catalogue": 1}}
+	book := fake.Route{Name: "hire-booking", Host: shopHost, Prefix: "/book/", Unsafe: true, Timeout: bookTimeout, TargetLatency: 600 * time.Millisecond, Priority: 1, Attempts: 2, Weights: map[string]int{"bookings": 1}}
 	f.site.PublishConfig(services, browse)
 	if err := f.startAll(); err != nil {
 		return false, err
@@ -91,7 +91,7 @@
 			if k.method == http.MethodPost {
 				budget = bookBudget
 			}
-			go func() { results <- send(to, k.method, "shop.example", k.path, budget, fullRate) }()
+			go func() { results <- send(to, k.method, k.path, budget, fullRate) }()
 		}
 		time.Sleep(requestGap)
 	}
--- a/review/stand/late.go
+++ b/review/stand/late.go
@@ -23,11 +23,11 @@
 // ID and has reported that it leaves.
 func runLateReport(f *fleet, trouble bool) (bool, error) {
 	for _, zone := range []string{"d0", "d1", "d2"} {
-		if _, err := f.add("bookings", zone, 6, func(*http.Request) answer { return answer{bookWork, []byte("ok")} }); err != nil {
+		if _, err := f.add("bookings", zone, func(*http.Request) answer { return answer{bookWork, []byte("ok")} }); err != nil {
 			return false, err
 		}
 	}
-	f.site.PublishConfig([]string{"bookings"}, fake.Route{Name: "hire-booking", Host: "shop.example", Prefix: "/book/", Unsafe: true, Timeout: bookTimeout, TargetLatency: 600 * time.Millisecond, Priority: 1, Attempts: 2, Weights: map[string]int{"bookings": 1}})
+	f.site.PublishConfig([]string{"bookings"}, fake.Route{Name: "hire-booking", Host: shopHost, Prefix: "/book/", Unsafe: true, Timeout: bookTimeout, TargetLatency: 600 * time.Millisecond, Priority: 1, Attempts: 2, Weights: map[string]int{"bookings": 1}})
 	if err := f.startAll(); err != nil {
 		return false, err
 	}
@@ -74,7 +74,7 @@
 		}
 		to := f.nodes[i%len(f.nodes)].vm.Settings.Callers
 		group.Go(func() {
-			r := send(to, http.MethodPost, "shop.example", "/book/7", bookBudget, fullRate)
+			r := send(to, http.MethodPost, "/book/7", bookBudget, fullRate)
 			f.record.add("request %s %s %s: status %d, error %v", r.id, r.method, r.path, r.status, r.err)
 		})
 	}
--- a/review/stand/stop.go
+++ b/review/stand/stop.go
@@ -28,12 +28,12 @@
 func runPlannedStop(f *fleet, trouble bool) (bool, error) {
 	body := bytes.Repeat([]byte("delivery"), historyBytes/8)
 	for _, zone := range []string{"d0", "d1", "d2"} {
-		if _, err := f.add("deliveries", zone, 6, func(*http.Request) answer { return answer{historyWork, body} }); err != nil {
+		if _, err := f.add("deliveries", zone, func(*http.Request) answer { return answer{historyWork, body} }); err != nil {
 			return false, err
 		}
 	}
 	f.site.PublishConfig([]string{"deliveries"}, fake.Route{
-		Name: "delivery-history", Host: "shop.example", Prefix: "/history/", Timeout: historyTimeout, TargetLatency: historyLatency,
+		Name: "delivery-history", Host: shopHost, Prefix: "/history/", Timeout: historyTimeout, TargetLatency: historyLatency,
 		Priority: 2, Attempts: 2, Weights: map[string]int{"deliveries": 1},
 	})
 	if err := f.startAll(); err != nil {
@@ -55,7 +55,7 @@
 			case <-time.After(sendInterval):
 			}
 			group.Go(func() {
-				results <- send(n.vm.Settings.Callers, http.MethodGet, "shop.example", "/history/7", historyBudget, bytesPerSecond)
+				results <- send(n.vm.Settings.Callers, http.MethodGet, "/history/7", historyBudget, bytesPerSecond)
 			})
 		}
 	})
