Keep entries of another writer from taking targets out of use

Cause: only the fields of an entry decided whether it names a target; whether a config names its service was never asked. The daemon found its own target by the VM alone and took the entry whose name comes last. The release kept the entry that started last of those with one address, and an entry written over that of a target was merged with it.

Evidence: in the run of the new test on the code before, the log of the daemon beside the target has TargetWithdrawn for the target and TargetAdded for the other process as soon as the entry is written.

Change: a release has no target of a service that the config does not name. The entry is kept for a config that names it later. The daemon finds its target by the service and the address of its settings (Service, Target). ReleaseInForce tells how many entries are not used for their service.

--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -31,7 +31,9 @@
 	// Service is the service of the target on the VM. The daemon sends it as the origin of calls, on platforms that
 	// have a field for it.
 	Service ident.Service
-	Source  Source
+	// Target is the address of the target on the VM. It is the zero AddrPort if only the release tells it.
+	Target netip.AddrPort
+	Source Source
 	// MaxBody limits the size of a request or response body, and MaxHeader the size of a message header, in bytes.
 	MaxBody   int
 	MaxHeader int
@@ -122,6 +124,7 @@
 		Admin:         listen.RequiredAddress("Admin"),
 		Ready:         optionalAddress(listen, "Ready"),
 		Service:       ident.Service(readName(t, "Service", false)),
+		Target:        optionalAddress(t, "Target"),
 		Source:        readSource(platform),
 		MaxBody:       int(limits.Int("MaxBody", minMaxBody, maxMaxBody, defaultMaxBody)),
 		MaxHeader:     int(limits.Int("MaxHeader", minMaxHeader, maxMaxHeader, defaultMaxHeader)),
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -83,7 +83,7 @@
 
 // An index speeds up lookups, which would otherwise scan all targets. It is built on the first lookup.
 type index struct {
-	targetByVM       map[ident.VM]ident.Target
+	targetsByVM      map[ident.VM][]Target
 	targetsByService map[ident.Service][]Target
 	serviceByHost    map[string]ident.Service
 	routes           routeIndex
@@ -110,10 +110,24 @@
 	}
 }
 
-// TargetByVM returns the target on a VM.
+// TargetByVM returns the target on a VM. Of several it returns the one whose name comes last.
 func (r *Release) TargetByVM(vm ident.VM) (Target, bool) {
-	name, ok := r.lookupIndex().targetByVM[vm]
-	return r.Targets[name], ok
+	return r.TargetBeside(vm, "", netip.AddrPort{})
+}
+
+// TargetBeside returns the target beside the daemon of a VM, whose service and address the daemon knows from its settings
+// unless they are empty. Another process on the VM may be registered as a target too, so the address decides if a target
+// has it. The address in a release may differ, for example behind a proxy.
+func (r *Release) TargetBeside(vm ident.VM, service ident.Service, address netip.AddrPort) (beside Target, ok bool) {
+	for _, t := range r.lookupIndex().targetsByVM[vm] {
+		switch {
+		case service != "" && t.Service != service:
+		case ok && beside.Address == address && t.Address != address:
+		default:
+			beside, ok = t, true
+		}
+	}
+	return beside, ok
 }
 
 // TargetsByService returns the targets of a service, ordered by name.
@@ -134,7 +148,7 @@
 func (r *Release) lookupIndex() *index {
 	r.indexOnce.Do(func() {
 		r.index = index{
-			targetByVM:       make(map[ident.VM]ident.Target, len(r.Targets)),
+			targetsByVM:      make(map[ident.VM][]Target, len(r.Targets)),
 			targetsByService: make(map[ident.Service][]Target, len(r.Services)),
 			serviceByHost:    map[string]ident.Service{},
 			routes:           r.reusedRouteIndex,
@@ -144,7 +158,7 @@
 		}
 		for _, name := range slices.Sorted(maps.Keys(r.Targets)) {
 			t := r.Targets[name]
-			r.index.targetByVM[t.VM] = name
+			r.index.targetsByVM[t.VM] = append(r.index.targetsByVM[t.VM], t)
 			r.index.targetsByService[t.Service] = append(r.index.targetsByService[t.Service], t)
 		}
 		for _, s := range r.Services {
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -33,6 +33,8 @@
 	// a route was removed.
 	routeRevisions map[ident.Route]Revision
 	removedRoutes  map[ident.Route]Revision
+	// routedServices holds the services to which the routes of the config lead.
+	routedServices map[ident.Service]bool
 	// lastRelease is the last release that was built. The next release reuses its route index, as long as the config
 	// stays the same.
 	lastRelease *note.Release
@@ -155,6 +157,12 @@
 		}
 	}
 	r.config, r.configRevision, r.lastRelease = c.Config, c.Revision, nil
+	r.routedServices = map[ident.Service]bool{}
+	for _, route := range c.Routes {
+		for _, share := range route.Split {
+			r.routedServices[share.Service] = true
+		}
+	}
 	r.configRevisions = append(r.configRevisions, c.Revision)
 	if len(r.configRevisions) > maxConfigRevisions {
 		r.configRevisions = r.configRevisions[1:]
@@ -190,6 +198,16 @@
 	if c.Revision < e.Revision || c.Revision == e.Revision && e.dropAt.IsZero() {
 		return false
 	}
+	if c.Target.Service != e.Target.Service {
+		switch {
+		case !r.isNamed(c.Target.Service):
+			return r.markUnusable(TargetUnusable{Name: c.Target.Name, Revision: c.Revision})
+		case !r.isNamed(e.Target.Service):
+			// The entry is that of another writer and says nothing about the target.
+			r.entries[c.Target.Name] = &entry{TargetRegistered: c}
+			return true
+		}
+	}
 	if c.Target.StartedAt.Equal(e.Target.StartedAt) {
 		// A delayed report may be written to the store after a later report of the same process.
 		if c.Sequence < e.Sequence {
@@ -203,6 +221,26 @@
 	return changed
 }
 
+// isNamed reports whether the config names a service. Without a config, each service may be named later.
+func (r *Roster) isNamed(s ident.Service) bool {
+	if r.config.Version == 0 {
+		return true
+	}
+	_, ok := r.config.Services[s]
+	return ok || r.routedServices[s]
+}
+
+// UnnamedServices returns the number of entries that are not used because the config does not name their service.
+func (r *Roster) UnnamedServices() int {
+	n := 0
+	for _, e := range r.entries {
+		if !e.unusable && !r.isNamed(e.Target.Service) {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *Roster) markUnusable(c TargetUnusable) bool {
 	e, ok := r.entries[c.Name]
 	if !ok || c.Revision <= e.Revision || e.unusable {
@@ -272,8 +310,9 @@
 	return next, !next.IsZero()
 }
 
-// Release builds the release in force. Of several entries with the same address it uses only the newest, since the
-// platform reuses the address of a target that has ended.
+// Release builds the release in force. It has no target of a service that no config names, since such an entry comes
+// from another writer. Of several entries with the same address it uses only the newest, since the platform reuses the
+// address of a target that has ended.
 func (r *Roster) Release() *note.Release {
 	release := note.NewRelease()
 	release.Head = ident.Head{Serial: ident.Serial(r.revision)}
@@ -287,7 +326,7 @@
 	r.lastRelease = release
 	byAddress := map[netip.AddrPort]*entry{}
 	for _, e := range r.entries {
-		if e.unusable {
+		if e.unusable || !r.isNamed(e.Target.Service) {
 			continue
 		}
 		if other, ok := byAddress[e.Target.Address]; !ok || e.newerThan(other) {
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -273,6 +273,7 @@
 	options := []local.Option{
 		local.WithDialect(p.Dialect),
 		local.WithMaxBody(s.MaxBody),
+		local.WithTarget(s.Service, s.Target),
 		local.WithLedgerLimits(ledger.Limits{EpochLength: s.KeyEpoch, MaxEntries: ledgerEntries, MaxBytes: ledgerBytes}),
 		local.WithContextFunc(func(c local.CallContext) { st.router.TryPut(router.ContextChanged{Context: c}) }),
 		local.WithPauseFunc(st.onPause),
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -178,7 +178,7 @@
 func (t *Task) announce() {
 	r := t.roster.Release()
 	t.unannounced = !t.config.Announce(r)
-	event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets))
+	event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets), "unnamedServices", t.roster.UnnamedServices())
 	position := follow.PositionOf(t.config.Self, follow.PeersOf(r))
 	if position.ReadsStore != t.position.ReadsStore {
 		event.StoreDuty.Log("reads", position.ReadsStore)
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"net/netip"
 	"sync"
 	"time"
 
@@ -23,6 +24,8 @@
 type Task struct {
 	*tree.Loop
 	vm               ident.VM
+	service          ident.Service
+	targetAddress    netip.AddrPort
 	inbox            *mail.Box[Message]
 	clock            clock.Clock
 	onContext        func(CallContext)
@@ -116,6 +119,12 @@
 // started may have an old release, in which its target has not been withdrawn yet.
 func WithUnconfirmedRelease() Option { return func(t *Task) { t.releaseConfirmed = false } }
 
+// WithTarget sets the service and the address of the target beside the daemon. Without it, each target on the VM may be
+// the one beside the daemon.
+func WithTarget(s ident.Service, address netip.AddrPort) Option {
+	return func(t *Task) { t.service, t.targetAddress = s, address }
+}
+
 // WithDialect sets the header fields used with the target.
 func WithDialect(d *header.Dialect) Option { return func(t *Task) { t.dialect = d } }
 
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -14,7 +14,7 @@
 
 func (t *Task) setRelease(r *note.Release) {
 	t.head, t.release = r.Head, r
-	target, ok := r.TargetByVM(t.vm)
+	target, ok := r.TargetBeside(t.vm, t.service, t.targetAddress)
 	if !ok {
 		t.withdrawTarget()
 		return
