Keep reports that the store applies late from replacing later states

Cause: start times were compared for equality only, so a report of another process always replaced the state of the target. Of a removed target only the revision was kept, which a late report exceeds.

Change: an entry records the processes that were replaced or removed. Their reports are not used while they may be late. A report of an unknown process with an earlier start time is pending until it is confirmed or contradicted, since the clocks of targets step.

--- a/internal/fleet/roster/entry_test.go
+++ b/internal/fleet/roster/entry_test.go
@@ -12,6 +12,9 @@
 	"jacinthcross/internal/fleet/roster"
 )
 
+// lateLimit is above the time by which the platform may apply a write late, 6 s.
+const lateLimit = 7 * time.Second
+
 // reports returns one update for each report, 100 ms apart and with increasing revisions.
 func reports(changes ...roster.Change) []update {
 	var updates []update
@@ -37,6 +40,83 @@
 	}
 }
 
+// Guards against a report that the store applies late over a later state of its target: one of an ended process that
+// takes the place of the process that runs, or one that brings back a draining or removed target. The clocks of targets
+// step, so that the process that started last may have the earliest start time.
+func TestReportsAppliedLate(t *testing.T) {
+	removed := roster.TargetRemoved{Name: "a"}
+	for _, clock := range []struct {
+		name    string
+		restart time.Duration
+	}{{"steady clock", time.Minute}, {"clock stepped back", -2 * time.Second}, {"clock stepped ahead", time.Hour}} {
+		first, second := process(0), process(clock.restart)
+		tests := []struct {
+			name    string
+			updates []update
+			want    []string
+		}{
+			{"of an ended process, over draining", reports(first(1), second(1), second(2, draining), first(2)), []string{"(a)"}},
+			{"of an ended process, over draining of which nothing else was read", reports(first(1), second(1, draining), first(2)), []string{"(a)"}},
+			{"of an ended process, twice", reports(first(1), second(1), second(2, draining), first(2), first(3)), []string{"(a)"}},
+			{"of an ended process that was draining, over ready", reports(first(1), first(2, draining), second(1), second(2), first(3, draining), second(3)), []string{"a"}},
+			{"of an ended process, over the removal of the next one", reports(first(1), second(1), second(2, draining), removed, first(2)), nil},
+			{"of the process that drains", reports(first(1), first(3, draining), first(2)), []string{"(a)"}},
+			{"of a process that drained, over its removal", reports(first(1), first(3, draining), removed, first(2)), nil},
+			{"of a process that left without draining, over its removal", reports(first(1), removed, first(2)), nil},
+			{"of a process that left, over the next one", reports(first(1), removed, second(1), second(2), second(3, draining), first(2)), []string{"(a)"}},
+		}
+		for _, test := range tests {
+			t.Run(clock.name+", "+test.name, func(t *testing.T) {
+				qt.Assert(t, targets(play(test.updates).Release()), qt.DeepEquals, test.want)
+				// A daemon that follows this one hears of each change, or of the last state only.
+				qt.Assert(t, targets(playFollowing(test.updates).Release()), qt.DeepEquals, test.want)
+			})
+		}
+	}
+}
+
+// Guards against the rules on late reports that keep a running target out of use: each process that goes on reporting is
+// used, whatever its clock says, at the latest when no late report can arrive any more.
+func TestRunningProcessesAreUsed(t *testing.T) {
+	first, next, earlier := process(0), process(time.Minute), process(-2*time.Second)
+	removed := roster.TargetRemoved{Name: "a"}
+	then := func(updates []update, more ...update) []update { return append(updates, more...) }
+	wait := update{after: lateLimit}
+	tests := []struct {
+		name    string
+		updates []update
+		want    []string
+	}{
+		{"a restart after draining", reports(first(1, draining), next(1)), []string{"a"}},
+		{"a restart after draining, by a clock that stepped back, second report", reports(first(1, draining), earlier(1), earlier(2)), []string{"a"}},
+		{"a restart after draining, by a clock that stepped back, one report", then(reports(first(1, draining), earlier(1)), wait), []string{"a"}},
+		{"a restart after a removal", reports(first(1), removed, next(1)), []string{"a"}},
+		{"a restart after a removal, by a clock that stepped back", reports(first(1), removed, earlier(1), earlier(2)), []string{"a"}},
+		{"a silent process whose entry was removed, second report", reports(first(1), removed, first(5), first(6)), []string{"a"}},
+		{"a silent process whose entry was removed, one report", then(reports(first(1), removed, first(5)), wait), []string{"a"}},
+		{"a silent process whose entry was removed long ago", then(then(reports(first(1), removed), wait), update{changes: []roster.Change{registered("a", 1, 20)}, revision: 20}), []string{"a"}},
+		{"a process beside a late report of one that drained", reports(next(1), first(9, draining), next(2), next(3)), []string{"a"}},
+		{"a process taken for an ended one", then(reports(first(1), next(1), first(2)), wait), []string{"a"}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			qt.Assert(t, targets(play(test.updates).Release()), qt.DeepEquals, test.want)
+			qt.Assert(t, targets(playFollowing(test.updates).Release()), qt.DeepEquals, test.want)
+		})
+	}
+}
+
+// Guards against a report that stays undecided, since nothing wakes the task that owns the roster.
+func TestPendingReportsAreSettled(t *testing.T) {
+	r := play(reports(process(0)(1, draining), process(-time.Second)(1)))
+	at, ok := r.NextChange()
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, r.SettlePending(at.Add(-time.Millisecond)), qt.IsFalse)
+	qt.Assert(t, r.SettlePending(at), qt.IsTrue)
+	_, ok = r.NextChange()
+	qt.Assert(t, ok, qt.IsFalse)
+}
+
 // play applies updates to a new roster.
 func play(updates []update) *roster.Roster {
 	r, now := roster.New(), start
@@ -67,6 +147,7 @@
 		r.Apply(c, u.interrupted, now)
 	}
 	r.DropLapsed(now)
+	r.SettlePending(now)
 }
 
 // Guards against an entry of another writer that takes a target out of use. Its service is one that no config names; its
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -39,21 +39,20 @@
 	// stays the same.
 	lastRelease *note.Release
 	entries     map[ident.Target]*entry
-	removals    map[ident.Target]Revision
+	removals    map[ident.Target]removal
 }
 
-type entry struct {
-	TargetRegistered
-	// unusable is set while the newest report does not describe a usable target.
-	unusable bool
-	// dropAt is the time at which a lapsed entry is dropped, or zero if the entry has not lapsed.
-	dropAt time.Time
+// A removal is the removal of the entry of a target.
+type removal struct {
+	revision Revision
+	// ended holds the processes of the target, as in an entry.
+	ended []process
 }
 
 // New returns an empty Roster.
 func New() *Roster {
 	return &Roster{
-		entries: map[ident.Target]*entry{}, removals: map[ident.Target]Revision{},
+		entries: map[ident.Target]*entry{}, removals: map[ident.Target]removal{},
 		routeRevisions: map[ident.Route]Revision{}, removedRoutes: map[ident.Route]Revision{},
 	}
 }
@@ -86,7 +85,7 @@
 	}
 	changed := r.Apply(Changes(s), interrupted, now)
 	for name, e := range r.entries {
-		if !present[name] && e.Revision <= s.Revision {
+		if !present[name] && e.revision <= s.Revision {
 			changed = r.remove(TargetRemoved{Name: name, Revision: s.Revision}, interrupted, now) || changed
 		}
 	}
@@ -118,7 +117,7 @@
 		case ConfigDelta:
 			changed = r.setConfig(r.applyDelta(ch)) || changed
 		case TargetRegistered:
-			changed = r.register(ch) || changed
+			changed = r.register(ch, now) || changed
 		case TargetRemoved:
 			changed = r.remove(ch, interrupted, now) || changed
 		case TargetUnusable:
@@ -184,41 +183,39 @@
 	return ConfigUpdated{Config: c.Config, Revision: c.Revision}
 }
 
-func (r *Roster) register(c TargetRegistered) bool {
-	e, ok := r.entries[c.Target.Name]
+// register applies a report of a target and reports whether the release changes.
+func (r *Roster) register(c TargetRegistered, now time.Time) bool {
+	name := c.Target.Name
+	e, ok := r.entries[name]
 	if !ok {
-		if removed, ok := r.removals[c.Target.Name]; ok && c.Revision <= removed {
+		removed := r.removals[name]
+		if c.Revision <= removed.revision {
 			return false
 		}
-		delete(r.removals, c.Target.Name)
-		r.entries[c.Target.Name] = &entry{TargetRegistered: c}
-		return true
+		e := newEntry(c, removed.ended, now)
+		if e == nil {
+			return false
+		}
+		delete(r.removals, name)
+		r.entries[name] = e
+		return e.inUse()
 	}
 	// A report of the same revision has an effect only on a lapsed entry, which it restores.
-	if c.Revision < e.Revision || c.Revision == e.Revision && e.dropAt.IsZero() {
+	if c.Revision < e.revision || c.Revision == e.revision && e.dropAt.IsZero() {
 		return false
 	}
-	if c.Target.Service != e.Target.Service {
+	if e.registered && c.Target.Service != e.Target.Service {
 		switch {
 		case !r.isNamed(c.Target.Service):
-			return r.markUnusable(TargetUnusable{Name: c.Target.Name, Revision: c.Revision})
+			return r.markUnusable(TargetUnusable{Name: name, Revision: c.Revision})
 		case !r.isNamed(e.Target.Service):
-			// The entry is that of another writer and says nothing about the target.
-			r.entries[c.Target.Name] = &entry{TargetRegistered: c}
+			// The report in use is that of another writer and says nothing about the processes of the target.
+			e.revision = c.Revision
+			e.use(c)
 			return true
 		}
 	}
-	if c.Target.StartedAt.Equal(e.Target.StartedAt) {
-		// A delayed report may be written to the store after a later report of the same process.
-		if c.Sequence < e.Sequence {
-			c.Target, c.Sequence = e.Target, e.Sequence
-		}
-		// A process that is draining never accepts calls again.
-		c.Target.Draining = c.Target.Draining || e.Target.Draining
-	}
-	changed := c.Target != e.Target || e.unusable || !e.dropAt.IsZero()
-	e.TargetRegistered, e.unusable, e.dropAt = c, false, time.Time{}
-	return changed
+	return e.report(c, now)
 }
 
 // isNamed reports whether the config names a service. Without a config, each service may be named later.
@@ -234,7 +231,18 @@
 func (r *Roster) UnnamedServices() int {
 	n := 0
 	for _, e := range r.entries {
-		if !e.unusable && !r.isNamed(e.Target.Service) {
+		if e.inUse() && !r.isNamed(e.Target.Service) {
+			n++
+		}
+	}
+	return n
+}
+
+// PendingReports returns the number of entries whose newest report may have been applied late.
+func (r *Roster) PendingReports() int {
+	n := 0
+	for _, e := range r.entries {
+		if e.pending != nil {
 			n++
 		}
 	}
@@ -243,10 +251,14 @@
 
 func (r *Roster) markUnusable(c TargetUnusable) bool {
 	e, ok := r.entries[c.Name]
-	if !ok || c.Revision <= e.Revision || e.unusable {
+	if !ok || c.Revision <= e.revision || e.unusable {
 		return false
 	}
-	e.Revision, e.unusable = c.Revision, true
+	e.revision, e.unusable, e.pending = c.Revision, true, nil
+	if !e.registered {
+		delete(r.entries, c.Name)
+		r.recordRemoval(c.Name, removal{c.Revision, e.ended})
+	}
 	return true
 }
 
@@ -255,35 +267,43 @@
 func (r *Roster) remove(c TargetRemoved, interrupted bool, now time.Time) bool {
 	e, ok := r.entries[c.Name]
 	if !ok {
-		r.recordRemoval(c)
+		r.recordRemoval(c.Name, removal{revision: c.Revision})
 		return false
 	}
-	if c.Revision < e.Revision {
+	if c.Revision < e.revision {
 		return false
 	}
-	if interrupted && !e.Target.Draining && !e.unusable {
-		e.Revision = c.Revision
+	if interrupted && e.inUse() && !e.target().Draining {
+		e.revision = c.Revision
 		if e.dropAt.IsZero() {
 			e.dropAt = now.Add(LapseGrace)
 		}
 		return false
 	}
 	delete(r.entries, c.Name)
-	r.recordRemoval(c)
+	if e.registered {
+		e.recordEnd(e.TargetRegistered, now)
+	}
+	r.recordRemoval(c.Name, removal{c.Revision, e.ended})
 	return true
 }
 
-func (r *Roster) recordRemoval(c TargetRemoved) {
-	if len(r.removals) >= maxRemovals {
+func (r *Roster) recordRemoval(name ident.Target, m removal) {
+	old, known := r.removals[name]
+	if !known && len(r.removals) >= maxRemovals {
 		// An arbitrary removal is dropped. Peers that have not seen that removal get the full state instead of the
 		// changes.
-		for name, at := range r.removals {
-			delete(r.removals, name)
-			r.historyStart = max(r.historyStart, at)
+		for other, o := range r.removals {
+			delete(r.removals, other)
+			r.historyStart = max(r.historyStart, o.revision)
 			break
 		}
 	}
-	r.removals[c.Name] = max(r.removals[c.Name], c.Revision)
+	m.revision = max(m.revision, old.revision)
+	if len(m.ended) == 0 {
+		m.ended = old.ended
+	}
+	r.removals[name] = m
 }
 
 // DropLapsed drops the lapsed entries whose grace period is over and reports whether there were any.
@@ -292,20 +312,34 @@
 	for name, e := range r.entries {
 		if !e.dropAt.IsZero() && !e.dropAt.After(now) {
 			delete(r.entries, name)
-			r.recordRemoval(TargetRemoved{Name: name, Revision: e.Revision})
+			// The process in use may be running: if it reports again, it is used at once.
+			r.recordRemoval(name, removal{e.revision, e.ended})
 			changed = true
 		}
 	}
 	return changed
 }
 
-// NextDrop returns the earliest time at which a lapsed entry is dropped, and whether any entry has lapsed.
-func (r *Roster) NextDrop() (time.Time, bool) {
+// SettlePending decides on the reports that may have been written late, once that is known, and reports whether the
+// release changes.
+func (r *Roster) SettlePending(now time.Time) bool {
+	changed := false
+	for _, e := range r.entries {
+		changed = e.settle(now) || changed
+	}
+	return changed
+}
+
+// NextChange returns the earliest time at which DropLapsed or SettlePending may have an effect, and whether there is any.
+func (r *Roster) NextChange() (time.Time, bool) {
 	var next time.Time
 	for _, e := range r.entries {
 		if !e.dropAt.IsZero() && (next.IsZero() || e.dropAt.Before(next)) {
 			next = e.dropAt
 		}
+		if p := e.pending; p != nil && (next.IsZero() || p.settleAt.Before(next)) {
+			next = p.settleAt
+		}
 	}
 	return next, !next.IsZero()
 }
@@ -326,7 +360,7 @@
 	r.lastRelease = release
 	byAddress := map[netip.AddrPort]*entry{}
 	for _, e := range r.entries {
-		if e.unusable || !r.isNamed(e.Target.Service) {
+		if !e.inUse() || !r.isNamed(e.Target.Service) {
 			continue
 		}
 		if other, ok := byAddress[e.Target.Address]; !ok || e.newerThan(other) {
@@ -334,16 +368,9 @@
 		}
 	}
 	for _, e := range byAddress {
-		t := e.Target
+		t := e.target()
 		t.HealthPath = release.Services[t.Service].HealthPath
 		release.Targets[t.Name] = t
 	}
 	return release
 }
-
-func (e *entry) newerThan(other *entry) bool {
-	if !e.Target.StartedAt.Equal(other.Target.StartedAt) {
-		return e.Target.StartedAt.After(other.Target.StartedAt)
-	}
-	return e.Revision > other.Revision
-}
--- a/internal/fleet/roster/since.go
+++ b/internal/fleet/roster/since.go
@@ -36,27 +36,40 @@
 		c.Changes = append(c.Changes, r.configDelta(r.configRevisionAt(revision)))
 	}
 	for name, e := range r.entries {
-		switch {
-		case e.Revision <= revision:
-		case e.unusable:
-			c.Changes = append(c.Changes, TargetUnusable{Name: name, Revision: e.Revision})
-		case !e.dropAt.IsZero():
-			c.Changes = append(c.Changes, TargetLapsed{Target: e.Target, DropAt: e.dropAt, Revision: e.Revision})
-		default:
-			c.Changes = append(c.Changes, e.TargetRegistered)
+		if e.revision > revision {
+			c.Changes = append(c.Changes, e.changes(name)...)
 		}
 	}
 	if full {
 		return c, true
 	}
-	for name, at := range r.removals {
-		if at > revision {
-			c.Changes = append(c.Changes, TargetRemoved{Name: name, Revision: at})
+	for name, m := range r.removals {
+		if m.revision > revision {
+			c.Changes = append(c.Changes, TargetRemoved{Name: name, Revision: m.revision})
 		}
 	}
 	return c, false
 }
 
+// changes returns the changes that give a peer the entry. A peer decides on a pending report itself, since its decision
+// has no revision that the peer could ask for.
+func (e *entry) changes(name ident.Target) []Change {
+	switch {
+	case e.unusable:
+		return []Change{TargetUnusable{Name: name, Revision: e.revision}}
+	case !e.dropAt.IsZero():
+		return []Change{TargetLapsed{Target: e.Target, DropAt: e.dropAt, Revision: e.revision}}
+	}
+	var c []Change
+	if e.registered {
+		c = append(c, e.TargetRegistered)
+	}
+	if e.pending != nil && e.pending.Revision == e.revision {
+		c = append(c, e.pending.TargetRegistered)
+	}
+	return c
+}
+
 // configRevisionAt returns the last recorded config revision that is not later than the given revision, or 0 if there
 // is none.
 func (r *Roster) configRevisionAt(revision Revision) Revision {
@@ -91,15 +104,19 @@
 func (r *Roster) markLapsed(c TargetLapsed) bool {
 	e, ok := r.entries[c.Target.Name]
 	if !ok {
-		r.register(TargetRegistered{Target: c.Target, Revision: c.Revision})
-		if e, ok = r.entries[c.Target.Name]; !ok {
+		removed := r.removals[c.Target.Name]
+		if c.Revision <= removed.revision {
 			return false
 		}
+		delete(r.removals, c.Target.Name)
+		e = &entry{revision: c.Revision, ended: removed.ended}
+		e.use(TargetRegistered{Target: c.Target, Revision: c.Revision})
 		e.dropAt = c.DropAt
+		r.entries[c.Target.Name] = e
 		return true
 	}
-	if c.Revision >= e.Revision && e.dropAt.IsZero() {
-		e.Revision, e.dropAt = c.Revision, c.DropAt
+	if c.Revision >= e.revision && e.dropAt.IsZero() && e.inUse() {
+		e.revision, e.dropAt = c.Revision, c.DropAt
 	}
 	return false
 }
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -165,6 +165,7 @@
 func (t *Task) advance() {
 	now := t.clock.Now()
 	t.unannounced = t.roster.DropLapsed(now) || t.unannounced
+	t.unannounced = t.roster.SettlePending(now) || t.unannounced
 	if t.unannounced {
 		t.announce()
 	}
@@ -178,7 +179,7 @@
 func (t *Task) announce() {
 	r := t.roster.Release()
 	t.unannounced = !t.config.Announce(r)
-	event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets), "unnamedServices", t.roster.UnnamedServices())
+	event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets), "unnamedServices", t.roster.UnnamedServices(), "pendingReports", t.roster.PendingReports())
 	position := follow.PositionOf(t.config.Self, follow.PeersOf(r))
 	if position.ReadsStore != t.position.ReadsStore {
 		event.StoreDuty.Log("reads", position.ReadsStore)
@@ -198,7 +199,7 @@
 	if t.cancel == nil {
 		wakeBy(t.nextAt)
 	}
-	if at, ok := t.roster.NextDrop(); ok {
+	if at, ok := t.roster.NextChange(); ok {
 		wakeBy(at)
 	}
 	if t.unannounced {
