Find the own target by its address before its service

A daemon refused all calls for its target after the address had passed to a target of another service, while its settings named the former one.

The address in the settings decides now, and the service only where no entry has it.

--- a/internal/fleet/note/note_test.go
+++ b/internal/fleet/note/note_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"net/netip"
 	"strings"
 	"testing"
 
@@ -211,3 +212,37 @@
 		}
 	})
 }
+
+// Guards against a daemon that takes another process on its VM for its target, or does not recognise its target.
+func TestTargetBeside(t *testing.T) {
+	target := func(name string, service ident.Service, port uint16) note.Target {
+		return note.Target{Name: ident.Target(name), Service: service, VM: "vm", Address: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), port)}
+	}
+	own := netip.MustParseAddrPort("10.0.0.1:80")
+	tests := []struct {
+		name    string
+		targets []note.Target
+		service ident.Service
+		address netip.AddrPort
+		want    ident.Target
+	}{
+		{"nothing known, the only one", []note.Target{target("a", "s", 80)}, "", netip.AddrPort{}, "a"},
+		{"the address decides", []note.Target{target("a", "s", 80), target("b", "s", 81)}, "s", own, "a"},
+		{"the address decides against the service", []note.Target{target("a", "t", 80), target("b", "s", 81)}, "s", own, "a"},
+		{"the address has passed to another service", []note.Target{target("a", "t", 80)}, "s", own, "a"},
+		{"the service decides if none has the address", []note.Target{target("a", "s", 81), target("b", "t", 82)}, "s", own, "a"},
+		{"neither the address nor the service", []note.Target{target("b", "t", 82)}, "s", own, ""},
+		{"without an address, the service decides", []note.Target{target("a", "s", 81), target("b", "t", 82)}, "s", netip.AddrPort{}, "a"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			r := note.NewRelease()
+			for _, target := range test.targets {
+				r.Targets[target.Name] = target
+			}
+			got, ok := r.TargetBeside("vm", test.service, test.address)
+			quicktest.Assert(t, ok, quicktest.Equals, test.want != "")
+			quicktest.Assert(t, got.Name, quicktest.Equals, test.want)
+		})
+	}
+}
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -115,16 +115,25 @@
 	return r.TargetBeside(vm, "", netip.AddrPort{})
 }
 
-// TargetBeside returns the target beside the daemon of a VM, whose service and address the daemon knows from its settings
-// unless they are empty. Another process on the VM may be registered as a target too, so the address decides if a target
-// has it. The address in a release may differ, for example behind a proxy.
+// TargetBeside returns the target beside the daemon of a VM. Other processes on the VM may be registered as targets too:
+// the one with the address that the settings of the daemon name is the target beside it, whatever its service, since the
+// address may have passed to a target of another service. The address in the release may differ, for example behind a
+// proxy; then the service decides. The settings may have neither.
 func (r *Release) TargetBeside(vm ident.VM, service ident.Service, address netip.AddrPort) (beside Target, ok bool) {
+	best := 0
+	if address.IsValid() {
+		best = 1
+	}
 	for _, t := range r.lookupIndex().targetsByVM[vm] {
+		match := 0
 		switch {
-		case service != "" && t.Service != service:
-		case ok && beside.Address == address && t.Address != address:
-		default:
-			beside, ok = t, true
+		case t.Address == address:
+			match = 2
+		case t.Service == service:
+			match = 1
+		}
+		if match >= best {
+			beside, ok, best = t, true, match
 		}
 	}
 	return beside, ok
