Bound the age of a daemon's own state where its sources are in trouble

What callers saw: where the store turns a third of the VMs away, a daemon that reaches the store sent requests to the service that a route had left, up to 2.7 s after the change was confirmed (bound 2 s).

Cause: the age of a state was the sum of waits of other daemons: the watch of the reader (1.5 s), the answer of each peer that is asked in turn, and 1 s before a follower reads the store. Nothing bounded the sum.

Change: a daemon whose state the store has not confirmed for 1.1 s (followers up to 250 ms more) reads the store itself, beside reads from peers that may hang. Peers answer when their own state is confirmed, so that the confirmation reaches all daemons within some 0.8 s while sources work. An answer tells how long it waited, so that its time on the way counts as age.

--- a/internal/fleet/follow/source.go
+++ b/internal/fleet/follow/source.go
@@ -109,6 +109,14 @@
 	}
 }
 
+// StoreRetryAt returns the time before which the store is not read after a failure, or zero if it has not failed.
+func (s *SourceChooser) StoreRetryAt() time.Time {
+	if s.store.failures == 0 {
+		return time.Time{}
+	}
+	return s.store.retryAt
+}
+
 // Retain drops the retry states of peers that the daemon no longer asks.
 func (s *SourceChooser) Retain(p Position) {
 	kept := map[netip.AddrPort]retryState{}
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -16,11 +16,12 @@
 
 const (
 	// watchWait is how long a watch waits for a change. If the store drops its history during a watch, it reports that
-	// only at the next change. Short watches detect the loss sooner, so that a change is in force within 2 s after it
-	// was accepted.
-	watchWait = time.Second
-	// peerWait is how long a request to a peer waits for a change.
-	peerWait = 500 * time.Millisecond
+	// only at the next change. Short watches detect the loss sooner, and confirm the state before other daemons check it
+	// (see maxUnconfirmed).
+	watchWait = 600 * time.Millisecond
+	// peerWait is how long a request to a peer waits for a change or a confirmation. Peers usually have one sooner, since
+	// their source is read in a cycle of watchWait and watchDelay.
+	peerWait = time.Second
 	// answerTimeout is how long a read may take beyond its wait for a change. A slow store takes up to 0.3 s.
 	answerTimeout = 500 * time.Millisecond
 	// snapshotTimeout limits the read of a snapshot, which may take several requests. The store client limits each of them
@@ -36,12 +37,9 @@
 	// maxEmptyReads limits the number of these reads. Targets have their entries within 2 s of their start. A store
 	// that stays empty is watched, so that a new config is in force in time.
 	maxEmptyReads = 6
-	// maxPeerAge is the age of a peer's data above which another source is read. Changes are forwarded at once, and a
-	// daemon reports the loss of its source, so data become older than this only if peers read from one another and
-	// none of them reads the store. In a chain that ends at the store, a watch waits for up to watchWait and each of
-	// three reads from peers for up to peerWait. The waits add up to 2.5 s (1 s + 3 * 0.5 s) only if each lasts to its
-	// end. Usually the data are at most about 2.3 s old.
-	maxPeerAge = 2500 * time.Millisecond
+	// maxPeerAge is the age of a peer's data above which another source is read. A daemon checks younger data itself (see
+	// maxUnconfirmed), so data become older than this only if it cannot read the store either.
+	maxPeerAge = 2 * time.Second
 	// minLapseOutage is the length of the shortest store outage in which the entries of live targets may lapse: a
 	// target that cannot write loses its entry after three missed heartbeats, which takes at least this long.
 	minLapseOutage = 1500 * time.Millisecond
@@ -82,6 +80,14 @@
 	// emptyReads counts the snapshots without targets. The first snapshot with targets sets it to maxEmptyReads, which
 	// ends the repeated reads of snapshots.
 	emptyReads int
+	// source is the source of the read in progress.
+	source follow.Source
+	// lastSource is the source that answered last.
+	lastSource follow.Source
+	// checking is true while a read by checkStore is in progress.
+	checking bool
+	// checkOffset delays the checks of this daemon.
+	checkOffset time.Duration
 	// readingFromNewerPeer is true while a read by readFromNewerPeer is in progress.
 	readingFromNewerPeer bool
 	// confirmedAt is when the store last confirmed the roster, directly or through peers.
@@ -99,7 +105,9 @@
 // A pendingRequest is the request of a peer that waits for a change.
 type pendingRequest struct {
 	PeerRequest
-	deadline time.Time
+	arrivedAt, deadline time.Time
+	// confirmedAt is when the roster had been confirmed when the request arrived.
+	confirmedAt time.Time
 }
 
 // An Option sets a property of a Task.
@@ -120,7 +128,7 @@
 func newTask(config Config, options ...Option) *Task {
 	t := &Task{
 		Loop: tree.NewLoop(), config: config, clock: clock.System{}, roster: roster.New(), sources: follow.NewSourceChooser(),
-		position: follow.Position{ReadsStore: true}, timer: time.NewTimer(0), needSnapshot: true,
+		position: follow.Position{ReadsStore: true}, timer: time.NewTimer(0), needSnapshot: true, checkOffset: checkOffsetOf(config.Self),
 	}
 	for _, o := range options {
 		o(t)
@@ -153,7 +161,7 @@
 		t.cancelRead()
 		t.nextAt = now
 	case PeerRequest:
-		t.pendingRequests = append(t.pendingRequests, pendingRequest{m, now.Add(min(m.Wait, peerWait))})
+		t.pendingRequests = append(t.pendingRequests, pendingRequest{m, now, now.Add(min(m.Wait, peerWait)), t.confirmedAt})
 	case RevisionReported:
 		t.readFromNewerPeer(m)
 	case StatusRequest:
@@ -173,6 +181,7 @@
 	if t.cancel == nil && !t.nextAt.After(now) {
 		t.startRead(now)
 	}
+	t.checkStore(now)
 	t.timer.Reset(t.nextWakeup(now).Sub(now))
 }
 
@@ -199,6 +208,9 @@
 	if t.cancel == nil {
 		wakeBy(t.nextAt)
 	}
+	if at, ok := t.nextCheck(); ok {
+		wakeBy(at)
+	}
 	if at, ok := t.roster.NextChange(); ok {
 		wakeBy(at)
 	}
@@ -211,16 +223,16 @@
 	return next
 }
 
-// answerPeers answers the peers for which there are changes or whose wait is over, and all of them when this daemon
-// cannot read from its source.
+// answerPeers answers the peers for which there are changes or a confirmation, or whose wait is over, and all of them when
+// this daemon cannot read from its source. A confirmation reaches the last daemon so without further waits on its way.
 func (t *Task) answerPeers(now time.Time) {
 	var waiting []pendingRequest
 	for _, a := range t.pendingRequests {
-		if t.roster.Revision() <= a.After && a.deadline.After(now) && !t.storeUnreachable(now) {
+		if t.roster.Revision() <= a.After && !t.confirmedAt.After(a.confirmedAt) && a.deadline.After(now) && !t.storeUnreachable(now) {
 			waiting = append(waiting, a)
 			continue
 		}
-		a.Reply.TryPut(t.changesReplyAfter(a.After, now))
+		a.Reply.TryPut(t.changesReplyTo(a, now))
 	}
 	t.pendingRequests = waiting
 }
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -22,7 +22,9 @@
 		t.nextAt = at
 		return
 	}
-	waitForChange := len(t.confirmReplies) == 0
+	// Another source than before answers at once when the roster is no longer fresh, so that one with old data is found out.
+	sourceChanged := source != t.lastSource && t.age(now) > watchWait
+	waitForChange := len(t.confirmReplies) == 0 && !sourceChanged
 	var timeout time.Duration
 	var read func(ctx context.Context) result
 	switch source := source.(type) {
@@ -32,6 +34,7 @@
 		timeout, read = t.peerRead(source, waitForChange)
 	}
 	t.readNumber++
+	t.source = source
 	t.cancel = t.runRead(t.readNumber, source, timeout, read)
 }
 
@@ -112,8 +115,13 @@
 	}
 }
 
-// readFromNewerPeer reads from a peer that reported a newer revision, concurrently with the regular read. Its read
-// number is -1, by which finishRead tells it from regular reads.
+// The numbers of reads that run concurrently with the regular ones, whose numbers are positive.
+const (
+	newerPeerRead  = -1
+	storeCheckRead = -2
+)
+
+// readFromNewerPeer reads from a peer that reported a newer revision, concurrently with the regular read.
 func (t *Task) readFromNewerPeer(m RevisionReported) {
 	if m.Revision <= t.roster.Revision() || t.readingFromNewerPeer {
 		return
@@ -121,23 +129,29 @@
 	t.readingFromNewerPeer = true
 	source := follow.PeerSource{Peer: follow.Peer{Daemon: m.Peer}}
 	timeout, read := t.peerRead(source, false)
-	t.runRead(-1, source, timeout, read)
+	t.runRead(newerPeerRead, source, timeout, read)
 }
 
 // finishRead applies the result of a read. Results of cancelled reads are ignored.
 func (t *Task) finishRead(m readFinished, now time.Time) {
-	if m.number < 0 {
+	switch m.number {
+	case newerPeerRead:
 		t.readingFromNewerPeer = false
 		if p, ok := m.result.(peerReply); ok {
 			t.applyPeerReply(p, now)
 		}
-		return
-	}
-	if m.number != t.readNumber {
-		return
+	case storeCheckRead:
+		t.checking = false
+		t.applyResult(m, now)
+	case t.readNumber:
+		t.cancel = nil
+		t.nextAt = now
+		t.applyResult(m, now)
 	}
-	t.cancel = nil
-	t.nextAt = now
+}
+
+// applyResult applies the result of a read and records what it tells about its source.
+func (t *Task) applyResult(m readFinished, now time.Time) {
 	switch r := m.result.(type) {
 	case snapshot:
 		t.logUnusable(r.Changes)
@@ -161,7 +175,8 @@
 		t.needPeerSnapshot = false
 		if t.applyPeerReply(r, now) {
 			t.needSnapshot = t.roster.Revision() == 0
-			t.sourceAnswered(m.source, now.Add(-r.Age), now)
+			// The reply is at least as old as the time that it did not spend waiting at the peer.
+			t.sourceAnswered(m.source, earlier(now, m.sent.Add(r.Waited)).Add(-r.Age), now)
 		} else {
 			t.sources.MarkStale(m.source, t.position, now)
 			t.recordFailure(m.source, staleError(r), now)
@@ -211,15 +226,18 @@
 	return !p.StoreUnreachable && p.Age <= maxPeerAge && p.Revision >= t.roster.Revision()
 }
 
-// changesReplyAfter returns the answer to a peer that has the changes up to a revision.
-func (t *Task) changesReplyAfter(after roster.Revision, now time.Time) codec.ChangesReply {
-	c, complete := t.roster.ChangesAfter(after)
-	return codec.ChangesReply{Changes: c, Complete: complete, Age: t.age(now), StoreUnreachable: t.storeUnreachable(now)}
+// changesReplyTo returns the answer to a peer that has the changes up to a revision.
+func (t *Task) changesReplyTo(a pendingRequest, now time.Time) codec.ChangesReply {
+	c, complete := t.roster.ChangesAfter(a.After)
+	return codec.ChangesReply{
+		Changes: c, Complete: complete, Age: t.age(now), Waited: now.Sub(a.arrivedAt), StoreUnreachable: t.storeUnreachable(now),
+	}
 }
 
 // sourceAnswered records that a source answered, which confirms the roster as of the given time.
 func (t *Task) sourceAnswered(source follow.Source, confirmed, now time.Time) {
 	t.sources.MarkWorked(source)
+	t.lastSource = source
 	if confirmed.After(t.confirmedAt) {
 		t.confirmedAt = confirmed
 	}
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -86,6 +86,9 @@
 	Complete bool
 	// Age is the time since the store last confirmed the sender's state.
 	Age time.Duration
+	// Waited is how long the sender waited for a change before it answered. The rest of the time between the request and
+	// the arrival of the reply was spent on the way.
+	Waited time.Duration
 	// StoreUnreachable is true if the sender currently reaches neither the store nor a peer that does.
 	StoreUnreachable bool
 }
--- a/internal/wire/codec/published.go
+++ b/internal/wire/codec/published.go
@@ -14,7 +14,7 @@
 )
 
 func encodeChangesReply(m ChangesReply, now time.Time) *peerpb.Published {
-	p := &peerpb.Published{Revision: uint64(m.Revision), Whole: m.Complete, AgeNanoseconds: int64(m.Age), Lost: m.StoreUnreachable}
+	p := &peerpb.Published{Revision: uint64(m.Revision), Whole: m.Complete, AgeNanoseconds: int64(m.Age), Lost: m.StoreUnreachable, WaitedNanoseconds: int64(m.Waited)}
 	for _, c := range m.Changes.Changes {
 		switch c := c.(type) {
 		case roster.ConfigUpdated:
@@ -97,7 +97,7 @@
 func decodeChangesReply(p *peerpb.Published, now time.Time) (Message, error) {
 	m := ChangesReply{
 		Changes: roster.Changes{Revision: roster.Revision(p.GetRevision())}, Complete: p.GetWhole(),
-		Age: time.Duration(p.GetAgeNanoseconds()), StoreUnreachable: p.GetLost(),
+		Age: time.Duration(p.GetAgeNanoseconds()), Waited: time.Duration(p.GetWaitedNanoseconds()), StoreUnreachable: p.GetLost(),
 	}
 	if p.Config != nil {
 		c, err := decodeConfig(p.Config)
