Let reads go on while bytes arrive and compress large configs

Cause: each wait on the way of a change had a fixed length, whatever its size: 0.5 s for the answer of a peer or of the store, 1 s for the rest of a message, for an exchange and for one write. Reads that timed out were repeated, while the answers that nobody waited for still took the link.

Evidence: on the code before, StoreLost with "context deadline exceeded" on the same daemons again and again while their state aged from 3 to 8 s.

Change: a read of the store or of a message between daemons goes on while bytes arrive, and ends after 0.5 to 1 s without any, or after 10 s. Messages are written in parts of 16 KB, so that calls and pings pass between them. The protocol between daemons has version 4, since an older daemon would ignore a compressed config.

--- a/internal/task/feed/check.go
+++ b/internal/task/feed/check.go
@@ -46,8 +46,7 @@
 		return
 	}
 	t.checking = true
-	timeout, read := t.storeRead(false)
-	t.runRead(storeCheckRead, follow.StoreSource{}, timeout, read)
+	t.runRead(storeCheckRead, follow.StoreSource{}, t.storeRead(false))
 }
 
 // checkOffsetOf returns the part of checkSpread after which a daemon checks the store.
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -12,6 +12,8 @@
 	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/dialer"
+	"jacinthcross/internal/task/link"
+	"jacinthcross/internal/wire/codec"
 )
 
 const (
@@ -22,11 +24,12 @@
 	// peerWait is how long a request to a peer waits for a change or a confirmation. Peers usually have one sooner, since
 	// their source is read in a cycle of watchWait and watchDelay.
 	peerWait = time.Second
-	// answerTimeout is how long a read may take beyond its wait for a change. A slow store takes up to 0.3 s.
+	// answerTimeout is how long a peer may take beyond its wait for a change until its answer begins.
 	answerTimeout = 500 * time.Millisecond
-	// snapshotTimeout limits the read of a snapshot, which may take several requests. The store client limits each of them
-	// to about 2 s. A read that is given up starts again from the first page, so a large state needs more time than that.
-	snapshotTimeout = 10 * time.Second
+	// readTimeout limits a read as a whole. How long it takes depends on the size of the answer, on the link and on what
+	// else is sent over it; a read that is given up starts again from the beginning. The store client and the link end a
+	// read in which nothing arrives.
+	readTimeout = link.MaxTransferTime
 	// watchDelay is the delay between two watches, so that one watch returns several changes. It is a small part of
 	// the 2 s within which a change has to be in force.
 	watchDelay = 150 * time.Millisecond
@@ -96,12 +99,19 @@
 	// succeeded.
 	failingSince time.Time
 	lastError    string
+	// lastEncoded is the encoding of the config change with lastEncodedKey, or nil.
+	lastEncoded    *codec.EncodedConfig
+	lastEncodedKey encodedConfigKey
 	// unannounced is true when the release has changed and Announce has not accepted it yet.
 	unannounced     bool
 	confirmReplies  []*mail.Box[bool]
 	pendingRequests []pendingRequest
 }
 
+// An encodedConfigKey identifies a change of the config: the revisions of the new config and of the one that it builds on,
+// which is 0 for a whole config.
+type encodedConfigKey struct{ revision, base roster.Revision }
+
 // A pendingRequest is the request of a peer that waits for a change.
 type pendingRequest struct {
 	PeerRequest
@@ -199,7 +209,7 @@
 
 // nextWakeup returns when advance has to be called again.
 func (t *Task) nextWakeup(now time.Time) time.Time {
-	next := now.Add(watchWait + answerTimeout)
+	next := now.Add(watchWait)
 	wakeBy := func(at time.Time) {
 		if at.Before(next) {
 			next = at
--- a/internal/task/feed/message.go
+++ b/internal/task/feed/message.go
@@ -16,7 +16,8 @@
 	"jacinthcross/internal/wire/codec"
 )
 
-// A StoreReader reads from the store, the service of the platform that holds the targets and the config.
+// A StoreReader reads from the store, the service of the platform that holds the targets and the config. It ends a read
+// soon when nothing arrives. A read of which parts keep arriving is limited by its context only.
 type StoreReader interface {
 	// Snapshot reads all entries. A stale read costs the platform less, but its result may be some seconds old.
 	Snapshot(ctx context.Context, stale bool) (roster.Snapshot, error)
--- a/internal/task/feed/outage_test.go
+++ b/internal/task/feed/outage_test.go
@@ -102,6 +102,7 @@
 			to := m.Peer.Addr().As4()[3]
 			e := m.Message.(link.Exchange)
 			if s.isolated(from) || s.isolated(to) {
+				time.AfterFunc(e.Timeout, func() { e.Reply.TryPut(link.Answer{Err: errors.New("no answer")}) })
 				continue
 			}
 			reply := mail.NewBox[codec.ChangesReply](1)
@@ -109,6 +110,8 @@
 			go func() {
 				select {
 				case <-s.stop:
+				case <-time.After(e.Timeout):
+					e.Reply.TryPut(link.Answer{Err: errors.New("no answer")})
 				case answer := <-reply.C():
 					if s.troubleOf(to) == holdsUpItsAnswer {
 						time.Sleep(900 * time.Millisecond)
@@ -150,13 +153,17 @@
 	vm    byte
 }
 
+// check returns the error of a read in the trouble of the daemon. A read in which nothing arrives ends soon.
 func (s *simulatedStore) check(ctx context.Context) error {
 	switch s.fleet.troubleOf(s.vm) {
 	case turnedAway:
 		return errors.New("status 503")
 	case unanswered, frozen, cutOff:
-		<-ctx.Done()
-		return ctx.Err()
+		select {
+		case <-ctx.Done():
+		case <-time.After(500 * time.Millisecond):
+		}
+		return errors.New("nothing arrived")
 	case cutOffFromPeers, holdsUpItsAnswer:
 	}
 	return nil
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -25,22 +25,21 @@
 	// Another source than before answers at once when the roster is no longer fresh, so that one with old data is found out.
 	sourceChanged := source != t.lastSource && t.age(now) > watchWait
 	waitForChange := len(t.confirmReplies) == 0 && !sourceChanged
-	var timeout time.Duration
 	var read func(ctx context.Context) result
 	switch source := source.(type) {
 	case follow.StoreSource:
-		timeout, read = t.storeRead(waitForChange)
+		read = t.storeRead(waitForChange)
 	case follow.PeerSource:
-		timeout, read = t.peerRead(source, waitForChange)
+		read = t.peerRead(source, waitForChange)
 	}
 	t.readNumber++
 	t.source = source
-	t.cancel = t.runRead(t.readNumber, source, timeout, read)
+	t.cancel = t.runRead(t.readNumber, source, read)
 }
 
 // runRead runs a read on its own goroutine, which sends the result to the inbox of the task.
-func (t *Task) runRead(number int, source follow.Source, timeout time.Duration, read func(ctx context.Context) result) context.CancelFunc {
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+func (t *Task) runRead(number int, source follow.Source, read func(ctx context.Context) result) context.CancelFunc {
+	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	sent := t.clock.Now()
 	go func() {
 		defer cancel()
@@ -59,12 +58,12 @@
 	}
 }
 
-// storeRead returns a read of the store and its timeout. Unless waitForChange is set, the read returns at once.
-func (t *Task) storeRead(waitForChange bool) (time.Duration, func(ctx context.Context) result) {
+// storeRead returns a read of the store. Unless waitForChange is set, the read returns at once.
+func (t *Task) storeRead(waitForChange bool) func(ctx context.Context) result {
 	source, after := t.config.StoreReader, t.roster.Revision()
 	if t.needSnapshot {
 		stale := !t.needFreshSnapshot
-		return snapshotTimeout, func(ctx context.Context) result {
+		return func(ctx context.Context) result {
 			s, err := source.Snapshot(ctx, stale)
 			if err != nil {
 				return failed{err}
@@ -76,7 +75,7 @@
 	if waitForChange {
 		wait = watchWait
 	}
-	return wait + answerTimeout, func(ctx context.Context) result {
+	return func(ctx context.Context) result {
 		c, err := source.Changes(ctx, after, wait)
 		if err != nil {
 			return failed{err}
@@ -85,8 +84,8 @@
 	}
 }
 
-// peerRead returns a read from a peer and its timeout.
-func (t *Task) peerRead(source follow.PeerSource, waitForChange bool) (time.Duration, func(ctx context.Context) result) {
+// peerRead returns a read from a peer.
+func (t *Task) peerRead(source follow.PeerSource, waitForChange bool) func(ctx context.Context) result {
 	dialerInbox, request := t.config.Dialer, codec.ChangesRequest{After: t.roster.Revision()}
 	switch {
 	case t.needPeerSnapshot:
@@ -94,9 +93,10 @@
 	case waitForChange:
 		request.Wait = peerWait
 	}
-	return request.Wait + answerTimeout, func(ctx context.Context) result {
+	return func(ctx context.Context) result {
 		reply := mail.NewBox[link.Answer](1)
-		if !dialerInbox.TryPut(dialer.Message{Peer: source.Daemon, Message: link.Exchange{Message: request, Reply: reply}}) {
+		exchange := link.Exchange{Message: request, Reply: reply, Timeout: request.Wait + answerTimeout}
+		if !dialerInbox.TryPut(dialer.Message{Peer: source.Daemon, Message: exchange}) {
 			return failed{errors.New("the queue of messages to peers is full")}
 		}
 		select {
@@ -128,8 +128,7 @@
 	}
 	t.readingFromNewerPeer = true
 	source := follow.PeerSource{Peer: follow.Peer{Daemon: m.Peer}}
-	timeout, read := t.peerRead(source, false)
-	t.runRead(newerPeerRead, source, timeout, read)
+	t.runRead(newerPeerRead, source, t.peerRead(source, false))
 }
 
 // finishRead applies the result of a read. Results of cancelled reads are ignored.
@@ -230,10 +229,30 @@
 func (t *Task) changesReplyTo(a pendingRequest, now time.Time) codec.ChangesReply {
 	c, complete := t.roster.ChangesAfter(a.After)
 	return codec.ChangesReply{
-		Changes: c, Complete: complete, Age: t.age(now), Waited: now.Sub(a.arrivedAt), StoreUnreachable: t.storeUnreachable(now),
+		Changes: c, Config: t.encodedConfig(c), Complete: complete, Age: t.age(now), Waited: now.Sub(a.arrivedAt), StoreUnreachable: t.storeUnreachable(now),
 	}
 }
 
+// encodedConfig returns the encoding of the change of the config among changes, or nil if there is none. Peers that ask at
+// the same time mostly hold the same config, so the last encoding is kept for them.
+func (t *Task) encodedConfig(c roster.Changes) *codec.EncodedConfig {
+	for _, ch := range c.Changes {
+		key := encodedConfigKey{revision: ch.ChangeRevision()}
+		switch ch := ch.(type) {
+		case roster.ConfigDelta:
+			key.base = ch.Base
+		case roster.ConfigUpdated:
+		default:
+			continue
+		}
+		if t.lastEncoded == nil || t.lastEncodedKey != key {
+			t.lastEncoded, t.lastEncodedKey = codec.NewEncodedConfig(ch), key
+		}
+		return t.lastEncoded
+	}
+	return nil
+}
+
 // sourceAnswered records that a source answered, which confirms the roster as of the given time.
 func (t *Task) sourceAnswered(source follow.Source, confirmed, now time.Time) {
 	t.sources.MarkWorked(source)
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -29,6 +29,8 @@
 type Exchange struct {
 	Message codec.Message
 	Reply   *mail.Box[Answer]
+	// Timeout is how long the peer may take until its answer begins, or 0 for the usual time.
+	Timeout time.Duration
 }
 
 // A Notify sends one message and ignores its answer. No connection is opened for it.
--- a/internal/task/link/stream.go
+++ b/internal/task/link/stream.go
@@ -14,8 +14,12 @@
 // replyGrace is how long after the deadline of a call its reply may arrive from the target's daemon.
 const replyGrace = 50 * time.Millisecond
 
-// exchangeTimeout limits an exchange of control messages.
-const exchangeTimeout = time.Second
+const (
+	// exchangeTimeout limits an exchange of control messages, for an answer with much data until the answer begins.
+	exchangeTimeout = time.Second
+	// MaxTransferTime limits the transfer of a message of which parts keep arriving.
+	MaxTransferTime = 10 * time.Second
+)
 
 // startCallStream starts the goroutine that sends the calls of one stream. It ends when a call fails, which leaves the
 // stream in an unknown state, when the stream cannot be reused, when the task closes the channel of its calls, or when
@@ -77,7 +81,7 @@
 func startExchange(t *Task, m Exchange, s *yamux.Stream) {
 	go func() {
 		defer s.Close()
-		answer, err := exchange(t, m.Message, s)
+		answer, err := exchange(t, m, s)
 		m.Reply.TryPut(Answer{Message: answer, Err: err})
 	}()
 }
@@ -86,7 +90,7 @@
 func startNotify(t *Task, m Notify, s *yamux.Stream) {
 	go func() {
 		defer s.Close()
-		_, _ = exchange(t, m.Message, s)
+		_, _ = exchange(t, Exchange{Message: m.Message}, s)
 	}()
 }
 
@@ -99,13 +103,53 @@
 	}()
 }
 
-func exchange(t *Task, m codec.Message, s *yamux.Stream) (codec.Message, error) {
-	if err := s.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
+func exchange(t *Task, m Exchange, s *yamux.Stream) (codec.Message, error) {
+	timeout := exchangeTimeout
+	if m.Timeout > 0 {
+		timeout = m.Timeout
+	}
+	now := time.Now()
+	if err := s.SetDeadline(now.Add(timeout)); err != nil {
 		return nil, errors.Annotate(err, "set deadline")
 	}
-	if _, err := codec.Write(s, m, time.Now()); err != nil {
+	if _, err := codec.Write(s, m.Message, now); err != nil {
 		return nil, errors.Trace(err)
 	}
-	answer, _, err := codec.Read(s, t.maxSize, time.Now)
+	answer, _, err := codec.Read(NewProgressReader(s, exchangeTimeout), t.maxSize, time.Now)
 	return answer, errors.Trace(err)
 }
+
+// A ProgressReader reads from a stream. Each read that returns bytes moves the read deadline of the stream, so that the
+// time allowed for a message grows with its size and with what else is sent over the link.
+type ProgressReader struct {
+	stream  *yamux.Stream
+	timeout time.Duration
+	// limit is the latest deadline, or zero before the first bytes.
+	limit time.Time
+}
+
+// NewProgressReader returns a ProgressReader for one message. timeout is the longest time without bytes after the first
+// ones.
+func NewProgressReader(s *yamux.Stream, timeout time.Duration) *ProgressReader {
+	return &ProgressReader{stream: s, timeout: timeout}
+}
+
+// Read implements io.Reader.
+func (r *ProgressReader) Read(b []byte) (int, error) {
+	n, err := r.stream.Read(b)
+	if n == 0 {
+		return n, err
+	}
+	now := time.Now()
+	if r.limit.IsZero() {
+		r.limit = now.Add(MaxTransferTime)
+	}
+	deadline := now.Add(r.timeout)
+	if deadline.After(r.limit) {
+		deadline = r.limit
+	}
+	if deadlineErr := r.stream.SetReadDeadline(deadline); deadlineErr != nil && err == nil {
+		err = errors.Trace(deadlineErr)
+	}
+	return n, err
+}
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -68,7 +68,7 @@
 }
 
 const (
-	// readTimeout limits the wait for the first byte of a new stream, for the rest of a message and for an answer.
+	// readTimeout limits the wait for the first byte of a new stream, for more bytes of a message and for an answer.
 	readTimeout = time.Second
 	// maxStreams limits the concurrent streams of a session. It is higher than the limit of the dialling end, so only
 	// peers that ignore that limit are affected.
@@ -124,7 +124,7 @@
 		return nil, false, errors.Trace(err)
 	}
 	exact = true
-	m, n, err := codec.Read(&messageReader{stream: stream}, s.maxMessageSize, func() (arrived time.Time) {
+	m, n, err := codec.Read(link.NewProgressReader(stream, readTimeout), s.maxMessageSize, func() (arrived time.Time) {
 		arrived, exact = s.arrivalTime(time.Now())
 		return arrived
 	})
@@ -134,24 +134,6 @@
 	return m, exact, err
 }
 
-// A messageReader sets a read deadline for the rest of a message once its first bytes have arrived.
-type messageReader struct {
-	stream      *yamux.Stream
-	deadlineSet bool
-}
-
-// Read implements io.Reader.
-func (r *messageReader) Read(b []byte) (int, error) {
-	n, err := r.stream.Read(b)
-	if n > 0 && !r.deadlineSet {
-		r.deadlineSet = true
-		if err := r.stream.SetReadDeadline(time.Now().Add(readTimeout)); err != nil {
-			return n, err
-		}
-	}
-	return n, err
-}
-
 func writeMessage(stream *yamux.Stream, m codec.Message) bool {
 	_, err := codec.Write(stream, m, time.Now())
 	if err != nil {
@@ -208,7 +190,7 @@
 	select {
 	case p := <-reply.C():
 		return p
-	case <-time.After(readTimeout):
+	case <-time.After(m.Wait + readTimeout):
 		return nil
 	}
 }
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -14,15 +14,26 @@
 // prefixBytes is the size of the length prefix of a message.
 const prefixBytes = 4
 
-// Write writes one message with a single call of w.Write. Deadlines are encoded as the time that remains at now.
+// maxWriteBytes is the largest part of a message that is written at once. A larger message is written in parts, so that
+// messages of other streams of a connection pass between them.
+const maxWriteBytes = 16 << 10
+
+// Write writes one message, with a single call of w.Write unless it is large. Deadlines are encoded as the time that
+// remains at now.
 func Write(w io.Writer, m Message, now time.Time) (int, error) {
 	b, err := proto.MarshalOptions{}.MarshalAppend(make([]byte, prefixBytes), encode(m, now))
 	if err != nil {
 		return 0, errors.Annotate(err, "encode message")
 	}
 	binary.BigEndian.PutUint32(b, uint32(len(b)-prefixBytes))
-	n, err := w.Write(b)
-	return n, errors.Annotate(err, "write message")
+	written := 0
+	for {
+		n, err := w.Write(b[written:min(written+maxWriteBytes, len(b))])
+		written += n
+		if err != nil || written == len(b) {
+			return written, errors.Annotate(err, "write message")
+		}
+	}
 }
 
 // Read reads one message of at most limit bytes. Deadlines are relative to the result of now, which Read calls after
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -14,8 +14,8 @@
 
 // Protocol is the version of the protocol between daemons. Since version 2, a stream carries several calls one after
 // another, and a reply carries the number of its call. Since version 3, a call carries its request ID and its soft
-// deadline (ToAimNanoseconds).
-const Protocol = 3
+// deadline (ToAimNanoseconds). Since version 4, a large config is compressed.
+const Protocol = 4
 
 // A Message is a message between daemons.
 type Message interface{ message() }
@@ -89,6 +89,9 @@
 	// Waited is how long the sender waited for a change before it answered. The rest of the time between the request and
 	// the arrival of the reply was spent on the way.
 	Waited time.Duration
+	// Config is the change of the config in Changes, if there is one. It is shared by the replies to several peers, so that
+	// it is encoded once. Without it, the change is encoded for this reply.
+	Config *EncodedConfig
 	// StoreUnreachable is true if the sender currently reaches neither the store nor a peer that does.
 	StoreUnreachable bool
 }
--- a/internal/wire/codec/published.go
+++ b/internal/wire/codec/published.go
@@ -17,14 +17,13 @@
 	p := &peerpb.Published{Revision: uint64(m.Revision), Whole: m.Complete, AgeNanoseconds: int64(m.Age), Lost: m.StoreUnreachable, WaitedNanoseconds: int64(m.Waited)}
 	for _, c := range m.Changes.Changes {
 		switch c := c.(type) {
-		case roster.ConfigUpdated:
-			p.Config, p.ConfigRevision = encodeConfig(c.Config), uint64(c.Revision)
-		case roster.ConfigDelta:
-			p.Config, p.ConfigRevision = encodeConfig(c.Config), uint64(c.Revision)
-			p.Config.Changes, p.Config.BaseRevision = true, uint64(c.Base)
-			for _, name := range c.RemovedRoutes {
-				p.Config.Dropped = append(p.Config.Dropped, string(name))
+		case roster.ConfigUpdated, roster.ConfigDelta:
+			e := m.Config
+			if e == nil {
+				e = NewEncodedConfig(c)
 			}
+			p.ConfigRevision = uint64(c.ChangeRevision())
+			p.Config, p.DeflatedConfig = e.encoding()
 		case roster.TargetRegistered:
 			p.Entries = append(p.Entries, &peerpb.Entry{
 				Name: string(c.Target.Name), Revision: uint64(c.Revision), Sequence: c.Sequence,
@@ -99,12 +98,16 @@
 		Changes: roster.Changes{Revision: roster.Revision(p.GetRevision())}, Complete: p.GetWhole(),
 		Age: time.Duration(p.GetAgeNanoseconds()), Waited: time.Duration(p.GetWaitedNanoseconds()), StoreUnreachable: p.GetLost(),
 	}
-	if p.Config != nil {
-		c, err := decodeConfig(p.Config)
+	config, err := inflateConfig(p)
+	if err != nil {
+		return nil, err
+	}
+	if config != nil {
+		c, err := decodeConfig(config)
 		if err != nil {
 			return nil, err
 		}
-		m.Changes.Changes = append(m.Changes.Changes, configChange(p, c))
+		m.Changes.Changes = append(m.Changes.Changes, configChange(p.GetConfigRevision(), config, c))
 	}
 	for _, e := range p.GetEntries() {
 		c, err := decodeEntry(e, now)
@@ -116,13 +119,12 @@
 	return m, nil
 }
 
-func configChange(p *peerpb.Published, c roster.Config) roster.Change {
-	revision := roster.Revision(p.GetConfigRevision())
-	if !p.Config.GetChanges() {
-		return roster.ConfigUpdated{Config: c, Revision: revision}
+func configChange(revision uint64, p *peerpb.Config, c roster.Config) roster.Change {
+	if !p.GetChanges() {
+		return roster.ConfigUpdated{Config: c, Revision: roster.Revision(revision)}
 	}
-	change := roster.ConfigDelta{Config: c, Base: roster.Revision(p.Config.GetBaseRevision()), Revision: revision}
-	for _, name := range p.Config.GetDropped() {
+	change := roster.ConfigDelta{Config: c, Base: roster.Revision(p.GetBaseRevision()), Revision: roster.Revision(revision)}
+	for _, name := range p.GetDropped() {
 		change.RemovedRoutes = append(change.RemovedRoutes, ident.Route(name))
 	}
 	return change
