Answer all calls before the end of a planned stop

Cause: a call kept the deadline of its caller although the process would end before it. The daemon beside the target queued calls that could not start in time, and nothing answered those that were left.

Change: the planned stop caps the deadlines of all calls at 0.8 s before the process is killed. What cannot end by then is refused at once beside the target, and what is left is answered at that time.

--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"jacinthcross/internal/task/listen"
 	"jacinthcross/internal/task/local"
 	"jacinthcross/internal/task/reload"
+	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/wire/codec"
 	"jacinthcross/internal/wire/header"
 )
@@ -28,6 +29,8 @@
 	defaultStopTimeout = 20 * time.Second
 	// The drain ends at least stopMargin before StopTimeout. This leaves time to close connections and end the tasks.
 	stopMargin = 500 * time.Millisecond
+	// Calls of callers are answered answerMargin before the end of the drain, which leaves time to send the answers.
+	answerMargin = 300 * time.Millisecond
 	// Shutdown returns at least exitMargin before StopTimeout, even if a task has not ended. This leaves time for the
 	// process to exit, also on a busy CPU.
 	exitMargin = 250 * time.Millisecond
@@ -192,6 +195,7 @@
 	// Both waits are measured from the start of the stop, so that a process that is suspended during the first wait
 	// does not lengthen the second.
 	began := time.Now()
+	d.shared.router.Put(router.Drain{Until: began.Add(d.platform.StopTimeout - stopMargin - answerMargin)}, d.Done())
 	callers, target := make(chan struct{}), make(chan struct{})
 	if d.platform.AcceptWhileDraining > 0 {
 		d.shared.front.Put(front.Drain{}, d.Done())
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -120,6 +120,7 @@
 		p.firstSent, p.Request.RetriedByCaller = first, true
 	}
 	p.setDeadline(from)
+	p.capDeadline(t.drainUntil)
 	p.Request.CallerCannotRetry = !p.Request.RetriedByCaller && place.CallerCannotRetry(p.callerTimeout, r.Timeout)
 	if p.Request.Rank == "" {
 		p.Request.Rank = r.Rank
@@ -157,6 +158,25 @@
 	}
 }
 
+// capDeadline moves the deadline to a time before it, if that is not zero, and reports whether it did.
+func (p *pendingCall) capDeadline(until time.Time) bool {
+	if until.IsZero() || !until.Before(p.Request.Deadline) {
+		return false
+	}
+	p.Request.Deadline = until
+	return true
+}
+
+// drain caps the deadlines of all calls at the time by which they have to be answered. Attempts in flight keep theirs.
+func (t *Task) drain(m Drain) {
+	t.drainUntil = m.Until
+	for id, p := range t.calls {
+		if p.capDeadline(m.Until) {
+			t.timers.Set(deadlineTimer{id}, p.Request.Deadline)
+		}
+	}
+}
+
 // routeOf returns the route of a call: the default route of the service that the call names, else the route that
 // matches its host and path, else the default route of the service that lists its host.
 func (t *Task) routeOf(p *pendingCall) (note.Route, errs.Kind, string) {
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -100,6 +100,10 @@
 // most maxHoldTime.
 type ProcessResumed struct{}
 
+// A Drain reports a planned stop. Each call, in flight or still to come, has to be answered by Until: a call that waits to
+// be dispatched is then refused while that is still true, instead of being cut off with the process.
+type Drain struct{ Until time.Time }
+
 // A ReleaseConfirmed reports that the release has been compared with the releases of peers after a process pause.
 type ReleaseConfirmed struct{}
 
@@ -125,5 +129,6 @@
 func (CrashesCounted) message()   {}
 func (ProcessResumed) message()   {}
 func (ReleaseConfirmed) message() {}
+func (Drain) message()            {}
 func (loadReport) message()       {}
 func (loadFailure) message()      {}
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -63,6 +63,8 @@
 	// heldCalls are the new calls that wait after a process pause, until holdUntil at the latest.
 	heldCalls []Submit
 	holdUntil time.Time
+	// drainUntil is when all calls have to be answered in a planned stop, or zero before it.
+	drainUntil time.Time
 	// pauseEnded is when the last process pause ended.
 	pauseEnded time.Time
 }
@@ -217,6 +219,8 @@
 		t.handleResumed()
 	case ReleaseConfirmed:
 		t.submitHeld()
+	case Drain:
+		t.drain(m)
 	case loadReport:
 		t.handleLoadReport(m)
 	case loadFailure:
