Bound the memory that endless responses of a target take together

Cause: the limits of a head (1 MiB) and a body (8 MiB) were those of one response. Bodies were read into buffers that grow by copies, and up to the limit even where the declared length was above it.

Change: two bodies above 256 KiB are read at once and others wait for their turn; a declared length above the limit is refused without a read; bodies are read in parts that are joined once; a head has 256 KiB at the most.

--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"math"
@@ -21,7 +20,7 @@
 )
 
 // maxResponseHeader is the maximum size of a response header in bytes. http.ReadResponse has no limit.
-const maxResponseHeader = 1 << 20
+const maxResponseHeader = 256 << 10
 
 // dialTimeout limits the time to connect to the target, which normally takes about 1 ms.
 const dialTimeout = time.Second
@@ -35,7 +34,7 @@
 	dialect   *header.Dialect
 	jobs      *mail.Box[job]
 	taskInbox *mail.Box[Message]
-	maxBody   int
+	bodies    *bodyReader
 	idleSince time.Time
 	// refusedIDs are the request IDs of the calls that the target has refused on the connection. A faulty target may send
 	// such a refusal again, so the connection carries no further call with the same ID. It is owned by the task.
@@ -60,10 +59,10 @@
 
 // newConn starts the goroutine of a connection and adds it to goroutines. The goroutine dials when it gets its first
 // job, since dialling blocks.
-func newConn(goroutines *sync.WaitGroup, target netip.AddrPort, d *header.Dialect, taskInbox *mail.Box[Message], maxBody int) *conn {
+func newConn(goroutines *sync.WaitGroup, target netip.AddrPort, d *header.Dialect, taskInbox *mail.Box[Message], bodies *bodyReader) *conn {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &conn{
-		ctx: ctx, cancel: cancel, target: target, dialect: d, taskInbox: taskInbox, maxBody: maxBody,
+		ctx: ctx, cancel: cancel, target: target, dialect: d, taskInbox: taskInbox, bodies: bodies,
 		jobs: mail.NewBox[job](1),
 	}
 	goroutines.Go(func() {
@@ -202,9 +201,13 @@
 		if c.isFramed(http.MethodGet, r) {
 			limited.N = math.MaxInt64
 			var body []byte
-			body, err = io.ReadAll(io.LimitReader(r.Body, int64(c.maxBody)+1))
+			body, err = c.bodies.read(c.ctx, r.Body, r.ContentLength)
 			// Closing the original body would read the rest of a body that exceeds the limit.
-			r.Body = io.NopCloser(bytes.NewReader(body))
+			if err == errBodyTooLarge {
+				r.Body, err = newReadBody(nil, err), nil
+			} else {
+				r.Body = newReadBody(body, nil)
+			}
 		}
 		if err == nil && skipped < maxSkippedResponses && c.isForOtherCall(j, r) {
 			limited.N = maxResponseHeader
--- a/internal/task/local/conn_test.go
+++ b/internal/task/local/conn_test.go
@@ -107,7 +107,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			c := &conn{maxBody: 100, dialect: header.DefaultDialect()}
+			c := &conn{bodies: newBodyReader(100), dialect: header.DefaultDialect()}
 			limited := &io.LimitedReader{R: strings.NewReader(test.text), N: maxResponseHeader}
 			m := c.receive(job{request: call.Request{Method: http.MethodGet}}, bufio.NewReader(limited), limited)
 			qt.Assert(t, summary(m.outcome), qt.Equals, `Answered 200 "first"`)
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -34,7 +34,7 @@
 	onCrashEvidence  func(CrashEvidence)
 	onTargetReport   func(ident.Target, call.Load)
 	ledgerLimits     ledger.Limits
-	maxBody          int
+	bodies           *bodyReader
 	dialect          *header.Dialect
 	allowKeyless     bool
 	fixedSlots       bool
@@ -143,7 +143,7 @@
 func WithLedgerLimits(l ledger.Limits) Option { return func(t *Task) { t.ledgerLimits = l } }
 
 // WithMaxBody limits the size of a response body in bytes.
-func WithMaxBody(n int) Option { return func(t *Task) { t.maxBody = n } }
+func WithMaxBody(n int) Option { return func(t *Task) { t.bodies = newBodyReader(n) } }
 
 // New starts a task for the target on a VM. It receives messages from inbox.
 func New(vm ident.VM, inbox *mail.Box[Message], options ...Option) (*Task, error) {
@@ -158,7 +158,7 @@
 		onCrashEvidence:  func(CrashEvidence) {},
 		onTargetReport:   func(ident.Target, call.Load) {},
 		ledgerLimits:     ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
-		maxBody:          8 << 20,
+		bodies:           newBodyReader(8 << 20),
 		dialect:          header.DefaultDialect(),
 		measureRequests:  mail.NewBox[measureRequest](1),
 		onMeasure:        func() {},
--- a/internal/task/local/pool.go
+++ b/internal/task/local/pool.go
@@ -34,7 +34,7 @@
 }
 
 func (t *Task) newConn() *conn {
-	return newConn(&t.connGoroutines, t.target.Address, t.dialect, t.inbox, t.maxBody)
+	return newConn(&t.connGoroutines, t.target.Address, t.dialect, t.inbox, t.bodies)
 }
 
 // putConn returns a connection to the pool. It closes the connection if its address is out of date, if the target is
--- a/internal/task/local/response.go
+++ b/internal/task/local/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"slices"
@@ -44,15 +43,12 @@
 	if c.isForOtherCall(j, r) {
 		return call.Unknown{Kind: errs.AnswerForeign, Detail: fmt.Sprintf("target %s: the response belongs to request %q", c.target, r.Header.Get(c.dialect.RequestID))}
 	}
-	var body []byte
-	if r.Body != nil {
-		var err error
-		if body, err = io.ReadAll(io.LimitReader(r.Body, int64(c.maxBody)+1)); err != nil {
-			return call.Unknown{Kind: errs.AnswerCut, Detail: err.Error()}
-		}
-	}
-	if len(body) > c.maxBody {
-		return call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("the response body of the target exceeds %d bytes", c.maxBody)}
+	body, err := c.bodyOf(j.request.Method, r)
+	switch {
+	case err == errBodyTooLarge:
+		return call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("the response body of the target exceeds %d bytes", c.bodies.maxBody)}
+	case err != nil:
+		return call.Unknown{Kind: errs.AnswerCut, Detail: err.Error()}
 	}
 	if !hasNoBody(j.request.Method, r) && r.ContentLength >= 0 && int64(len(body)) != r.ContentLength {
 		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("response body of the target truncated: got %d of %d bytes", len(body), r.ContentLength)}
@@ -69,6 +65,17 @@
 	return call.Answered{Status: r.StatusCode, Header: c.dialect.ResponseFields(r.Header), Body: body}
 }
 
+// bodyOf returns the body of a response, which it reads unless that was done before.
+func (c *conn) bodyOf(method string, r *http.Response) ([]byte, error) {
+	if hasNoBody(method, r) || r.Body == nil {
+		return nil, nil
+	}
+	if b, ok := r.Body.(*readBody); ok {
+		return b.body, b.err
+	}
+	return c.bodies.read(c.ctx, r.Body, r.ContentLength)
+}
+
 // invalidReason returns why a response does not come from the target itself, or "" if it is valid.
 func (c *conn) invalidReason(r *http.Response) string {
 	switch {
