--- /dev/null
+++ b/spec/broken/roster-late.pml
@@ -0,0 +1,2 @@
+#define BROKEN_LATE
+#include "../roster.pml"
