Stop the front without waiting for connections that it accepts meanwhile

The engine of the front waits until all connections are closed, but does not close those that it accepts while it stops. The stop then took the whole 5 s of its bound, or until the caller closed the connection.

The front now stops accepting first and waits until the engine has taken over the last connection. Closing connections as they open was tried and is not enough: the engine then enters a closed descriptor in its table.

--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -239,13 +239,25 @@
 				t.handleTimer(c)
 			}
 		case <-t.Stopping():
-			ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
-			defer cancel()
-			return errors.Annotate(t.engine.Shutdown(ctx), "stop listening for callers")
+			return errors.Annotate(t.stopEngine(), "stop listening for callers")
 		}
 	}
 }
 
+// stopEngine closes all connections and stops the engine. The engine waits until all connections are closed, but does
+// not close those that it accepts while it stops, so it accepts none by then.
+func (t *Task) stopEngine() error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	t.listener.stopAccepting()
+	select {
+	case <-t.listener.idle:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return t.engine.Shutdown(ctx)
+}
+
 func (t *Task) receive(m Message) {
 	switch m := m.(type) {
 	case requestReceived:
--- a/internal/task/front/listener.go
+++ b/internal/task/front/listener.go
@@ -15,19 +15,24 @@
 // A listener can stop accepting connections while the engine keeps the existing ones.
 type listener struct {
 	net.Listener
-	stopped chan struct{}
-	once    sync.Once
+	// idle is closed when no connection will be accepted any more and the engine has taken over all that were.
+	idle     chan struct{}
+	idleOnce sync.Once
+	stopped  chan struct{}
+	once     sync.Once
 }
 
 func newListener(l net.Listener) *listener {
-	return &listener{Listener: l, stopped: make(chan struct{})}
+	return &listener{Listener: l, idle: make(chan struct{}), stopped: make(chan struct{})}
 }
 
-// Accept implements net.Listener. After stopAccepting it blocks until Close.
+// Accept implements net.Listener. The engine calls it again once it has taken over the last connection. After
+// stopAccepting it blocks until Close.
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	switch {
 	case errors.Is(err, net.ErrClosed):
+		l.idleOnce.Do(func() { close(l.idle) })
 		<-l.stopped
 	case err != nil:
 		time.Sleep(acceptRetryDelay)
