Run the idempotent requests of a connection at the same time and drain their bytes

Cause 1: the front ran the requests of a connection one after the other, so that pipelined requests waited for those before them.

A connection now has exchanges: requests that have been started, in their order. Idempotent ones run side by side; others run alone, since a connection that breaks does not tell its caller which requests have run. The router refuses a non-idempotent call that was submitted beside others, in case its release is newer than that of the front. Waiting responses count against the memory for bodies. A connection with an exchange, or with bytes that the kernel has not accepted, holds up the drain.

--- a/internal/fleet/note/route.go
+++ b/internal/fleet/note/route.go
@@ -83,3 +83,20 @@
 	}
 	return Route{}, false
 }
+
+// RouteOf returns the route of a call: the default route of the service that the call names, else the route that matches
+// its host and path, else the default route of the service that lists its host. The query of uri is ignored.
+func (r *Release) RouteOf(service ident.Service, host, method, uri string) (Route, bool) {
+	if service == "" {
+		path, _, _ := strings.Cut(uri, "?")
+		if route, ok := r.MatchRoute(host, path); ok {
+			return route, true
+		}
+		service, _ = r.ServiceByHost(host)
+	}
+	s, ok := r.Services[service]
+	if !ok {
+		return Route{}, false
+	}
+	return s.DefaultRoute(method), true
+}
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -197,7 +197,7 @@
 	if p.AcceptWhileDraining > 0 {
 		options = append(options, front.WithAcceptWhileDraining())
 	}
-	st.withRelease(func(r *note.Release) { st.front.TryPut(front.LimitsChanged{Limits: r.Limits}) })
+	st.withRelease(func(r *note.Release) { st.front.TryPut(front.ReleaseChanged{Release: r}) })
 	st.listening.Store(false)
 	f, err := front.New(s.Callers, st.front, st.router, options...)
 	if err != nil {
@@ -308,7 +308,7 @@
 		return true
 	}
 	st.release.Store(r)
-	toFront := st.front.TryPut(front.LimitsChanged{Limits: r.Limits})
+	toFront := st.front.TryPut(front.ReleaseChanged{Release: r})
 	toRouter := st.router.TryPut(router.ReleaseChanged{Release: r})
 	toLocal := st.local.TryPut(local.ReleaseChanged{Release: r})
 	return st.member.TryPut(member.ReleaseChanged{Release: r}) && toFront && toRouter && toLocal
--- a/internal/task/front/connection.go
+++ b/internal/task/front/connection.go
@@ -8,10 +8,8 @@
 
 	"github.com/lesismal/nbio"
 
-	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
-	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/task/router"
 )
 
@@ -31,10 +29,9 @@
 	reservedBytes atomic.Int64
 	// responseBytes is the memory reserved for the last response body until the kernel has accepted all of it.
 	responseBytes int
-	// queue holds the pipelined requests behind the current one.
+	// queue holds the requests that have not been started, and exchanges those that have, in the order of the requests.
 	queue           []*request
-	current         *request
-	callID          call.ID
+	exchanges       []*exchange
 	pendingRefusal  *requestRefused
 	expectsContinue bool
 	// hasWriteDeadline is true while a write deadline is set on the socket.
@@ -48,7 +45,7 @@
 
 // idle reports whether a connection has no request and will be closed at closeAt.
 func (c *connection) idle() bool {
-	return !c.closing && c.current == nil && len(c.queue) == 0 && c.pendingRefusal == nil && !c.closeAt.IsZero()
+	return !c.closing && len(c.exchanges) == 0 && len(c.queue) == 0 && c.pendingRefusal == nil && !c.closeAt.IsZero()
 }
 
 // releaseReserved releases the memory reserved by an incomplete request.
@@ -72,12 +69,13 @@
 	default:
 		c.queue = append(c.queue, m.request)
 	}
-	t.startNext(c)
+	t.advance(c)
 }
 
-// startNext starts the next request of a connection once the previous response has been sent.
-func (t *Task) startNext(c *connection) {
-	for c.current == nil && !c.closing && !c.closed {
+// advance writes the responses that are due and starts the requests that may run. A connection without a request is
+// prepared for the next one.
+func (t *Task) advance(c *connection) {
+	for !c.closing && !c.closed {
 		if c.unsentBytes.Load() > 0 {
 			t.timers.Set(c, t.clock.Now().Add(unsentPollInterval))
 			return
@@ -89,84 +87,85 @@
 			_ = c.socket.SetWriteDeadline(time.Time{})
 		}
 		switch {
-		case len(c.queue) > 0 && c.queue[0].startAfter.After(t.clock.Now()):
-			// The poller may not have seen yet that the caller closed the connection during a process pause.
-			t.timers.Set(c, c.queue[0].startAfter)
-			return
-		case len(c.queue) > 0:
-			c.current = c.queue[0]
-			c.queue = c.queue[1:]
-			t.timers.Remove(c)
-			t.submit(c)
-		case c.pendingRefusal != nil:
-			// The refused request was not read completely, so a placeholder takes its place.
-			c.current = &request{method: c.pendingRefusal.method, minorVersion: 1}
-			c.closing = true
-			t.writeResponse(c, refusal(c.pendingRefusal.kind, c.pendingRefusal.detail))
-			return
-		case c.expectsContinue:
-			c.expectsContinue = false
-			t.writeBytes(c, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
+		case len(c.exchanges) > 0 && c.exchanges[0].outcome != nil:
+			t.writeResponse(c)
+		case t.mayStartNext(c):
+			if startAfter := c.queue[0].startAfter; startAfter.After(t.clock.Now()) {
+				// The poller may not have seen yet that the caller closed the connection during a process pause.
+				t.timers.Set(c, startAfter)
+				return
+			}
+			t.startNext(c)
+		case len(c.exchanges) > 0:
 			return
 		default:
-			c.closeAt = t.clock.Now().Add(t.limits.Load().idleTimeout)
-			t.timers.Set(c, c.closeAt)
+			t.awaitNext(c)
 			return
 		}
 	}
 }
 
-// submit passes the current request of a connection to the router.
-func (t *Task) submit(c *connection) {
-	r := c.current
-	switch {
-	case len(t.calls) >= maxCalls:
-		t.refuse(c, errs.Busy, strconv.Itoa(maxCalls)+" calls are already in flight")
-		return
-	case t.drainComplete, t.acceptWhileDraining && t.drained != nil:
-		t.refuse(c, errs.Draining, "the daemon is stopping")
-		return
+// mayStartNext reports whether the first request of the queue may start. Requests of a connection run at the same time
+// if all of them are idempotent: a connection that breaks does not tell its caller which of them have run.
+func (t *Task) mayStartNext(c *connection) bool {
+	if len(c.queue) == 0 || len(c.exchanges) == 0 {
+		return len(c.queue) > 0
 	}
-	id := call.NextID()
-	if t.dialect.KeyPath != "" && r.url.Path == t.dialect.KeyPath {
-		t.issueKey(c, id)
-		return
+	if t.draining || len(c.exchanges) >= maxConcurrent || !t.isIdempotent(c.queue[0]) {
+		return false
 	}
-	q, err := t.callRequest(c, r, id)
-	if err != nil {
-		t.writeResponse(c, refusal(errs.KindOf(err), err.Error()))
-		return
-	}
-	if !t.router.TryPut(router.Submit{
-		ID: id, Request: *q, Arrived: r.arrivedAt, Host: r.header.Get("Host"), Context: r.field(t.dialect.Context), Reply: t.answers,
-	}) {
-		t.refuse(c, errs.Busy, "too many calls are waiting in this daemon")
-		return
+	held := 0
+	for _, e := range c.exchanges {
+		if e.request.wantsClose() || !t.isIdempotent(e.request) {
+			return false
+		}
+		held += e.heldBytes
 	}
-	c.callID = id
-	t.calls[id] = c
+	return held < maxHeldBytes
 }
 
-// refuse answers a request that does not reach the router. If it has a key, the kind is OwnerUnreachable, since an
-// earlier send with that key may have run.
-func (t *Task) refuse(c *connection, kind errs.Kind, detail string) {
-	if c.current.field(t.dialect.Key) != "" {
-		kind, detail = errs.OwnerUnreachable, string(kind)+": "+detail
-	}
-	t.writeResponse(c, refusal(kind, detail))
+// isIdempotent reports whether a request may run more than once in the release in force.
+func (t *Task) isIdempotent(r *request) bool {
+	service := ident.Service(r.field(t.dialect.Service))
+	route, ok := t.release.RouteOf(service, r.header.Get("Host"), r.method, r.uri)
+	return ok && route.Idempotent
 }
 
-// deliver sends the outcome of a call to its caller. The outcome is discarded if the connection is closed.
-func (t *Task) deliver(id call.ID, o call.Outcome) {
-	c, ok := t.calls[id]
-	if !ok {
-		return
-	}
-	delete(t.calls, id)
-	if !c.closed {
-		t.writeResponse(c, o)
-		t.startNext(c)
+// startNext starts the first request of the queue.
+func (t *Task) startNext(c *connection) {
+	e := &exchange{connection: c, request: c.queue[0]}
+	c.queue = c.queue[1:]
+	c.exchanges = append(c.exchanges, e)
+	t.answering[c] = struct{}{}
+	t.timers.Remove(c)
+	t.submit(e)
+}
+
+// awaitNext prepares a connection on which all requests have been answered.
+func (t *Task) awaitNext(c *connection) {
+	t.settle(c)
+	switch {
+	case c.pendingRefusal != nil:
+		// The refused request was not read completely, so a placeholder takes its place.
+		placeholder := &request{method: c.pendingRefusal.method, minorVersion: 1}
+		c.exchanges = []*exchange{{
+			connection: c, request: placeholder, outcome: refusal(c.pendingRefusal.kind, c.pendingRefusal.detail),
+		}}
+		c.closing = true
+		t.answering[c] = struct{}{}
+		t.writeResponse(c)
+	case c.expectsContinue:
+		c.expectsContinue = false
+		t.writeBytes(c, []byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	default:
+		c.closeAt = t.clock.Now().Add(t.limits.Load().idleTimeout)
+		t.timers.Set(c, c.closeAt)
 	}
+}
+
+// settle records that a connection has no response that is still to come or to be sent.
+func (t *Task) settle(c *connection) {
+	delete(t.answering, c)
 	t.checkDrained()
 }
 
@@ -181,17 +180,23 @@
 		t.memory.Release(r.reservedBytes)
 	}
 	c.queue = nil
-	if c.current != nil {
-		t.memory.Release(c.current.reservedBytes)
-		// The router never waits for another task, so this does not block for long.
-		t.router.Put(router.Cancel{ID: c.callID}, t.Stopping())
+	for _, e := range c.exchanges {
+		t.memory.Release(e.request.reservedBytes + e.heldBytes)
+		if e.outcome == nil {
+			// The router never waits for another task, so this does not block for long.
+			t.router.Put(router.Cancel{ID: e.callID}, t.Stopping())
+		}
 	}
-	t.checkDrained()
+	c.exchanges = nil
+	t.settle(c)
 }
 
 // handleTimer handles the timer of a connection: it continues after a response that is not yet sent, or closes the
 // connection.
 func (t *Task) handleTimer(c *connection) {
+	if c.closing && c.unsentBytes.Load() <= 0 {
+		t.settle(c)
+	}
 	switch now := t.clock.Now(); {
 	case c.closed:
 	case c.closing && c.unsentBytes.Load() > 0:
@@ -205,85 +210,6 @@
 	case c.closing, c.idle() && !now.Before(c.closeAt):
 		_ = c.socket.Close()
 	default:
-		t.startNext(c)
-	}
-}
-
-// keyTimeout limits how long a caller waits for a key.
-const keyTimeout = 2 * time.Second
-
-func (t *Task) issueKey(c *connection, id call.ID) {
-	reply := mail.NewBox[router.IssuedKey](1)
-	service := ident.Service(c.current.url.Query().Get("service"))
-	if !t.router.TryPut(router.IssueKey{Service: service, Reply: reply}) {
-		t.writeResponse(c, refusal(errs.Busy, "too many requests are waiting in this daemon"))
-		return
-	}
-	c.callID = id
-	t.calls[id] = c
-	go func() {
-		select {
-		case k := <-reply.C():
-			t.post(keyIssued{id, k})
-		case <-time.After(keyTimeout):
-			t.post(keyIssued{id, router.IssuedKey{Kind: errs.Busy}})
-		case <-t.Done():
-		}
-	}()
-}
-
-func (t *Task) deliverKey(m keyIssued) {
-	if m.key.Kind != "" {
-		t.deliver(m.id, refusal(m.key.Kind, "issuing a key for the service in the query failed or timed out"))
-		return
-	}
-	t.deliver(m.id, call.Answered{Status: 200, Header: []call.Field{
-		{Name: "Cache-Control", Value: "no-store"}, {Name: "Content-Type", Value: "text/plain; charset=utf-8"},
-	}, Body: []byte(m.key.Key)})
-}
-
-// callRequest converts a parsed HTTP request to a call.
-func (t *Task) callRequest(c *connection, r *request, id call.ID) (*call.Request, error) {
-	d := t.dialect
-	for _, name := range []string{d.RequestID, d.Service, d.Deadline, d.Rank, d.Context, d.Key} {
-		if len(r.header[name]) > 1 {
-			return nil, errs.New(errs.BadRequest, name+" is given more than once")
-		}
-	}
-	q := &call.Request{
-		ID:      r.field(d.RequestID),
-		Service: ident.Service(r.field(d.Service)),
-		Method:  r.method,
-		URI:     r.uri,
-		Header:  d.RequestFields(r.header),
-		Body:    r.body,
-		Caller:  c.address,
-		Key:     r.field(d.Key),
-	}
-	if q.ID == "" {
-		q.ID = "call-" + strconv.FormatUint(uint64(id), 10)
-	}
-	if value := r.field(d.Deadline); value != "" {
-		n, err := strconv.ParseInt(value, 10, 32)
-		if err != nil {
-			return nil, errs.New(errs.BadRequest, d.Deadline+" "+strconv.Quote(value)+" is not a number of milliseconds")
-		}
-		q.Deadline = r.arrivedAt.Add(time.Duration(n) * time.Millisecond)
-	}
-	if value := r.field(d.Rank); value != "" {
-		rank, err := ident.ParseRank(value)
-		if err != nil {
-			return nil, errs.New(errs.BadRequest, d.Rank+": "+err.Error())
-		}
-		q.Rank = rank
-	}
-	return q, nil
-}
-
-// field returns the value of a dialect's header field, or "" if the dialect does not define that field.
-func (r *request) field(name string) string {
-	if name == "" {
-		return ""
+		t.advance(c)
 	}
-	return r.header.Get(name)
 }
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -18,6 +18,7 @@
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/quota"
+	"jacinthcross/internal/fleet/note"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/wire/header"
@@ -29,8 +30,13 @@
 	maxConnections = 10_000
 	// maxCalls limits the calls in flight. It equals the capacity of the router's mailbox.
 	maxCalls = 4096
-	// maxPipelined limits the requests that wait on one connection for an earlier response.
+	// maxPipelined limits the requests that wait on one connection to be started.
 	maxPipelined = 16
+	// maxConcurrent limits the requests of one connection that run at the same time.
+	maxConcurrent = 16
+	// maxHeldBytes is the size of the responses waiting on one connection for an earlier one, in bytes, at which no
+	// further request of the connection is started.
+	maxHeldBytes = 256 << 10
 	// readBufferSize is the size in bytes of the read buffer of each poller.
 	readBufferSize = 64 << 10
 )
@@ -74,8 +80,14 @@
 	memory              *quota.Account
 	openConnections     atomic.Int64
 	timers              *alarm.Queue[*connection]
-	calls               map[call.ID]*connection
-	// drained is closed when no call is in flight. It is nil before the Drain that carries it and after it was closed.
+	// release tells which requests are idempotent.
+	release *note.Release
+	calls   map[call.ID]*exchange
+	// answering holds the open connections with a response that the kernel has not accepted in whole, or that is still
+	// to come.
+	answering map[*connection]struct{}
+	// drained is closed when all calls have ended and the kernel has accepted their responses. It is nil before the Drain
+	// that carries it and after it was closed.
 	drained chan<- struct{}
 	// draining is set by the first Drain.
 	draining bool
@@ -133,7 +145,9 @@
 		dialect:     header.DefaultDialect(),
 		quota:       quota.New(0),
 		timers:      alarm.NewQueue[*connection](),
-		calls:       map[call.ID]*connection{},
+		release:     note.NewRelease(),
+		calls:       map[call.ID]*exchange{},
+		answering:   map[*connection]struct{}{},
 	}
 	for _, o := range options {
 		o(t)
@@ -265,17 +279,18 @@
 	case requestRefused:
 		if m.connection.task == t && m.connection.pendingRefusal == nil {
 			m.connection.pendingRefusal = &m
-			t.startNext(m.connection)
+			t.advance(m.connection)
 		}
 	case continueExpected:
 		m.connection.expectsContinue = true
-		t.startNext(m.connection)
+		t.advance(m.connection)
 	case connectionClosed:
 		t.handleClosed(m.connection)
 	case keyIssued:
 		t.deliverKey(m)
-	case LimitsChanged:
-		l := t.configured.restrictedBy(m.Limits)
+	case ReleaseChanged:
+		t.release = m.Release
+		l := t.configured.restrictedBy(m.Release.Limits)
 		t.limits.Store(&l)
 	case Drain:
 		if !t.acceptWhileDraining {
@@ -287,14 +302,9 @@
 }
 
 func (t *Task) checkDrained() {
-	if t.drained == nil {
+	if t.drained == nil || len(t.answering) > 0 {
 		return
 	}
-	for _, c := range t.calls {
-		if !c.closed {
-			return
-		}
-	}
 	close(t.drained)
 	t.drained, t.drainComplete = nil, true
 }
--- a/internal/task/front/limits_test.go
+++ b/internal/task/front/limits_test.go
@@ -18,7 +18,7 @@
 
 // setLimits sets the limits of a release and waits until they apply.
 func (f *fixture) setLimits(t *testing.T, l note.Limits) {
-	qt.Assert(t, f.inbox.TryPut(front.LimitsChanged{Limits: l}), qt.IsTrue)
+	qt.Assert(t, f.inbox.TryPut(front.ReleaseChanged{Release: &note.Release{Limits: l}}), qt.IsTrue)
 	c := dial(t, f)
 	c.send(getRequest)
 	reply(nextMessage[router.Submit](t, f), "")
--- a/internal/task/front/message.go
+++ b/internal/task/front/message.go
@@ -17,8 +17,8 @@
 // otherwise never reach zero.
 type Drain struct{ Drained chan<- struct{} }
 
-// A LimitsChanged carries the limits of the release that is now in force.
-type LimitsChanged struct{ Limits note.Limits }
+// A ReleaseChanged carries the release that is now in force.
+type ReleaseChanged struct{ Release *note.Release }
 
 // A requestReceived carries a complete request.
 type requestReceived struct {
@@ -47,7 +47,7 @@
 }
 
 func (Drain) message()            {}
-func (LimitsChanged) message()    {}
+func (ReleaseChanged) message()   {}
 func (requestReceived) message()  {}
 func (requestRefused) message()   {}
 func (continueExpected) message() {}
--- a/internal/task/front/response.go
+++ b/internal/task/front/response.go
@@ -16,14 +16,16 @@
 // write.
 const maxInlineBody = 64 << 10
 
-// writeResponse answers the current request of a connection with an outcome.
-func (t *Task) writeResponse(c *connection, o call.Outcome) {
-	r := c.current
-	c.current, c.callID = nil, 0
+// writeResponse writes the response of the first exchange of a connection and ends the exchange. In a drain, the response
+// to the last request that has been started closes the connection. Its caller sends the requests behind it again.
+func (t *Task) writeResponse(c *connection) {
+	e := c.exchanges[0]
+	c.exchanges = c.exchanges[1:]
+	r := e.request
 	t.memory.Release(r.reservedBytes)
 	closeRequested := r.wantsClose()
-	c.closing = c.closing || closeRequested || t.draining
-	status, fields, body := t.responseOf(r, o)
+	c.closing = c.closing || closeRequested || t.draining && len(c.exchanges) == 0
+	status, fields, body := t.responseOf(r, e.outcome)
 	b := appendHead(t.writeBuffer[:0], status, fields, c.closing, r.minorVersion)
 	noBody := status == http.StatusNoContent || status == http.StatusNotModified
 	switch {
@@ -38,14 +40,12 @@
 		b = append(b, "\r\n"...)
 	}
 	b = append(b, "\r\n"...)
-	size := len(body)
-	if size <= maxInlineBody {
+	if len(body) <= maxInlineBody {
 		b = append(b, body...)
 		body = nil
 	}
 	t.writeBuffer = b[:0]
-	c.responseBytes += size
-	t.memory.AcquireOverLimit(size)
+	c.responseBytes += e.heldBytes
 	t.writeBytes(c, b)
 	t.writeBytes(c, body)
 	if c.closing {
@@ -65,9 +65,12 @@
 	if !closeRequested {
 		c.closeAt = now.Add(lingeringCloseTime)
 	}
-	if closeRequested && c.unsentBytes.Load() <= 0 {
-		_ = c.socket.Close()
-		return
+	if c.unsentBytes.Load() <= 0 {
+		t.settle(c)
+		if closeRequested {
+			_ = c.socket.Close()
+			return
+		}
 	}
 	t.timers.Set(c, now.Add(unsentPollInterval))
 }
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -108,6 +108,9 @@
 		p.Request.Service = ""
 		return kind, detail
 	}
+	if p.OnlyIdempotent && !r.Idempotent {
+		return errs.Busy, "the route became non-idempotent while an earlier request of the connection was unanswered"
+	}
 	p.route = r
 	p.Request.Route, p.Request.Service = r.Name, t.splits.Choose(r)
 	p.Request.Origin, p.Request.Idempotent = t.origin, r.Idempotent
@@ -177,27 +180,19 @@
 	}
 }
 
-// routeOf returns the route of a call: the default route of the service that the call names, else the route that
-// matches its host and path, else the default route of the service that lists its host.
+// routeOf returns the route of a call, or the error kind with which it is refused if the release has none.
 func (t *Task) routeOf(p *pendingCall) (note.Route, errs.Kind, string) {
-	path, _, _ := strings.Cut(p.Request.URI, "?")
-	name := p.Request.Service
-	if name == "" {
-		if r, ok := t.release.MatchRoute(p.Host, path); ok {
-			return r, "", ""
-		}
-		name, _ = t.release.ServiceByHost(p.Host)
-	}
-	if s, ok := t.release.Services[name]; ok {
-		return s.DefaultRoute(p.Request.Method), "", ""
+	if r, ok := t.release.RouteOf(p.Request.Service, p.Host, p.Request.Method, p.Request.URI); ok {
+		return r, "", ""
 	}
 	switch {
 	case len(t.release.Services) == 0:
 		return note.Route{}, errs.Unconfirmed, "the daemon has no release yet, or its release has no services"
 	case p.Request.Service == "" && len(t.release.Routes) > 0:
+		path, _, _ := strings.Cut(p.Request.URI, "?")
 		return note.Route{}, errs.NoRoute, "no route for host " + p.Host + ", path " + path
 	}
-	return note.Route{}, errs.UnknownService, "the release has no service for the name \"" + string(name) + "\" or the host " + p.Host
+	return note.Route{}, errs.UnknownService, "the release has no service for the name \"" + string(p.Request.Service) + "\" or the host " + p.Host
 }
 
 // inheritContext takes the rank, depth and retry allowance, and the deadline if it is earlier, from the inbound call that
--- a/internal/task/router/message.go
+++ b/internal/task/router/message.go
@@ -28,7 +28,10 @@
 	Context string
 	// Arrived is when the call arrived. Timeouts are measured from it. Zero means the time of receipt.
 	Arrived time.Time
-	Reply   *mail.Box[Answer]
+	// OnlyIdempotent is true while an earlier request of the same connection is unanswered. A caller whose connection
+	// breaks then sends the call again, whatever its kind, so a non-idempotent call is refused.
+	OnlyIdempotent bool
+	Reply          *mail.Box[Answer]
 }
 
 // An Answer is the outcome of a call.
