Keep a panic in a handler of outside bytes from ending the process

Report of other operators: one malformed message or unexpected error took a whole process down. It could happen here: the loops of tasks recover from a panic, but the pollers of callers, the streams of peers, the reads of the store and the connections to targets run in goroutines of their own, where a panic ends the process. No message is known that causes one (FuzzDecode, TestBadRequestsAreRefused, TestOddEntryOfAnotherWriter).

These handlers run under guard.Run now. A panic is logged (HandlerPanicked, J1013), its connection, stream or read is given up, and a call that was sent ends as unknown.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -16,6 +16,7 @@
 	DrainTimedOut                  = Event{1010, "DrainTimedOut", Warning} // calls were still in flight at the end of the drain
 	StopTimedOut                   = Event{1011, "StopTimedOut", Error}    // the daemon did not stop within its time limit
 	PartStopped                    = Event{1012, "PartStopped", Info}      // one group of tasks has stopped during shutdown
+	HandlerPanicked                = Event{1013, "HandlerPanicked", Error} // a handler of bytes from outside panicked; its connection is closed
 	ReleaseInForce                 = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                    = Event{2002, "NoteRefused", Error} // a release note was refused; logged once for each mistake in it
 	ConfigurationServiceUnreadable = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -59,7 +60,7 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LogLinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart, MachineSuspended,
-		DrainTimedOut, StopTimedOut, PartStopped,
+		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable,
 		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
--- a/internal/task/feed/feed_test.go
+++ b/internal/task/feed/feed_test.go
@@ -53,6 +53,8 @@
 	switch a := f.await(ctx, storeCall{snapshot: true, stale: stale}).(type) {
 	case roster.Snapshot:
 		return a, nil
+	case func():
+		a()
 	case error:
 		return roster.Snapshot{}, a
 	}
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -7,6 +7,7 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/follow"
 	"jacinthcross/internal/fleet/roster"
@@ -37,13 +38,17 @@
 	t.cancel = t.runRead(t.readNumber, source, read)
 }
 
+// errPanicked is the error of a read whose handler panicked.
+const errPanicked = errors.ConstError("the daemon failed while it handled an answer of its source: see the HandlerPanicked event in the log")
+
 // runRead runs a read on its own goroutine, which sends the result to the inbox of the task.
 func (t *Task) runRead(number int, source follow.Source, read func(ctx context.Context) result) context.CancelFunc {
 	ctx, cancel := context.WithTimeout(context.Background(), readTimeout)
 	sent := t.clock.Now()
 	go func() {
 		defer cancel()
-		r := read(ctx)
+		r := result(failed{errPanicked})
+		guard.Run("read of the store", func() { r = read(ctx) })
 		t.config.Inbox.Put(readFinished{number, source, sent, r}, t.Done())
 	}()
 	return cancel
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -16,6 +16,7 @@
 	"jacinthcross/internal/base/alarm"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/fleet/note"
@@ -185,7 +186,10 @@
 	t.engine.OnOpen(t.onOpen)
 	t.engine.OnData(func(c *nbio.Conn, data []byte) {
 		if conn, ok := c.Session().(*connection); ok {
-			conn.reader.onData(data)
+			if !guard.Run("caller", func() { conn.reader.onData(data) }) {
+				conn.reader.stopped = true
+				_ = c.Close()
+			}
 			// The task was just woken and is in the run queue of this thread's P, the scheduler's processor. Next, the
 			// poller blocks in a system call without releasing the P. Without the yield, the task would start only
 			// after the runtime has started another thread for this P.
--- a/internal/task/link/stream.go
+++ b/internal/task/link/stream.go
@@ -8,6 +8,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/wire/codec"
 )
 
@@ -37,7 +38,8 @@
 				t.inbox.Put(callEnded{m.ID, s, false}, t.Done())
 				return
 			}
-			r, err := sendCall(t, m, s)
+			r, err := call.Result{}, error(errPanicked)
+			guard.Run("call of a peer", func() { r, err = sendCall(t, m, s) })
 			if err != nil {
 				r = call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}}
 			}
@@ -103,7 +105,16 @@
 	}()
 }
 
-func exchange(t *Task, m Exchange, s *yamux.Stream) (codec.Message, error) {
+// errPanicked is the error of a call or message whose handler panicked.
+const errPanicked = errors.ConstError("the daemon failed while it handled the message of a peer: see the HandlerPanicked event in the log")
+
+func exchange(t *Task, m Exchange, s *yamux.Stream) (answer codec.Message, err error) {
+	err = errPanicked
+	guard.Run("message of a peer", func() { answer, err = sendMessage(t, m, s) })
+	return answer, err
+}
+
+func sendMessage(t *Task, m Exchange, s *yamux.Stream) (codec.Message, error) {
 	timeout := exchangeTimeout
 	if m.Timeout > 0 {
 		timeout = m.Timeout
--- a/internal/task/listen/calls.go
+++ b/internal/task/listen/calls.go
@@ -9,6 +9,7 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/policy/pause"
 	"jacinthcross/internal/task/link"
@@ -46,7 +47,11 @@
 		Server: s, session: session, stream: stream, streamClosed: make(chan struct{}),
 		current: make(chan currentCall, 1), results: mail.NewBox[call.Result](1),
 	}
-	go func() { c.writeReplies() }()
+	go func() {
+		if !guard.Run("reply to a peer", c.writeReplies) {
+			c.session.Close()
+		}
+	}()
 	return c
 }
 
--- a/internal/task/listen/calls_test.go
+++ b/internal/task/listen/calls_test.go
@@ -30,6 +30,11 @@
 		task.Stop()
 		<-task.Done()
 	})
+	return task, dialSession(t, task), inbox
+}
+
+// dialSession opens a session to a task.
+func dialSession(t *testing.T, task *listen.Task) *link.Session {
 	conn, err := net.Dial("tcp", task.Addr().String())
 	qt.Assert(t, err, qt.IsNil)
 	session, err := link.NewSession(conn, true)
@@ -37,7 +42,7 @@
 	t.Cleanup(func() { session.Close() })
 	_, err = session.InitiateHello(codec.Hello{Protocol: codec.Protocol})
 	qt.Assert(t, err, qt.IsNil)
-	return task, session, inbox
+	return session
 }
 
 func openStream(t *testing.T, s *link.Session) *yamux.Stream {
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -10,6 +10,7 @@
 	"github.com/oklog/run"
 
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/link"
@@ -201,25 +202,29 @@
 		defer t.sessionGoroutines.Done()
 		defer func() { <-t.sessionSlots }()
 		defer c.Close()
-		s, err := link.NewSession(c, false)
-		if err != nil {
-			event.PeerMessageRefused.Log("peer", c.RemoteAddr(), "error", err.Error())
-			return
-		}
-		defer s.Close()
-		hello, err := s.AcceptHello(t.server.hello())
-		if err != nil {
-			logHelloError(c, err)
-			return
-		}
-		if !t.inbox.Put(sessionOpened{s, hello}, t.Stopping()) {
-			return
-		}
-		t.server.ServeSession(s)
-		t.inbox.Put(sessionClosed{s}, t.Stopping())
+		guard.Run("connection of a peer", func() { t.serveConnection(c) })
 	}()
 }
 
+func (t *Task) serveConnection(c net.Conn) {
+	s, err := link.NewSession(c, false)
+	if err != nil {
+		event.PeerMessageRefused.Log("peer", c.RemoteAddr(), "error", err.Error())
+		return
+	}
+	defer s.Close()
+	hello, err := s.AcceptHello(t.server.hello())
+	if err != nil {
+		logHelloError(c, err)
+		return
+	}
+	if !t.inbox.Put(sessionOpened{s, hello}, t.Stopping()) {
+		return
+	}
+	defer t.inbox.Put(sessionClosed{s}, t.Stopping())
+	t.server.ServeSession(s)
+}
+
 func logHelloError(c net.Conn, err error) {
 	if errors.Is(err, link.ErrProtocolVersion) {
 		event.PeerVersionMismatch.Log("peer", c.RemoteAddr(), "error", err.Error())
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -9,6 +9,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/fleet/relay"
@@ -93,7 +94,10 @@
 		go func() {
 			defer func() { <-slots }()
 			defer stream.Close()
-			s.serveStream(session, stream)
+			if !guard.Run("stream of a peer", func() { s.serveStream(session, stream) }) {
+				// The request still counts as active.
+				session.Close()
+			}
 		}()
 	}
 }
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -12,8 +12,11 @@
 	"sync"
 	"time"
 
+	"github.com/juju/errors"
+
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/wire/header"
@@ -99,7 +102,9 @@
 	}
 	request := j.appendTo(nil, c.dialect, time.Now())
 	if mayOmitBody(j.request) {
-		c.notify(c.roundTrip(j, request))
+		m := c.newResult(j, nil, errPanicked, false)
+		guard.Run("response of a target", func() { m = c.roundTrip(j, request) })
+		c.notify(m)
 		return
 	}
 	if !c.setCurrent(&j) {
@@ -163,7 +168,8 @@
 		if err != nil {
 			m = c.newResult(*j, nil, err, false)
 		} else {
-			m = c.receive(*j, reader, limited)
+			m = c.newResult(*j, nil, errPanicked, false)
+			guard.Run("response of a target", func() { m = c.receive(*j, reader, limited) })
 		}
 		if !m.reusable {
 			c.takeCurrent(true)
@@ -186,6 +192,9 @@
 	}
 }
 
+// errPanicked is the error of a call whose response made its handler panic.
+const errPanicked = errors.ConstError("the daemon failed while it read the response of the target: see the HandlerPanicked event in the log")
+
 // maxSkippedResponses limits the responses to other calls that are skipped before the expected one.
 const maxSkippedResponses = 4
 
--- a/internal/task/local/measure.go
+++ b/internal/task/local/measure.go
@@ -12,6 +12,7 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/wire/header"
 )
@@ -64,7 +65,9 @@
 		for {
 			select {
 			case q := <-requests.C():
-				taskInbox.Put(measurement{q.target, c.measure(q)}, done)
+				var m measureResult = noResponse{}
+				guard.Run("measurement of a target", func() { m = c.measure(q) })
+				taskInbox.Put(measurement{q.target, m}, done)
 			case <-done:
 				return
 			}
