Hold calls at a start until the first release

When all VMs start together, a daemon has its release 0.1 to 0.5 s after its start.

The router holds such calls for at most 0.7 s after its start and submits them with the first release that has services. While the store is away they are refused at the end of that time, and later ones at once.

--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -234,7 +234,7 @@
 	}
 	if p.NoIdempotencyKeys {
 		// See Platform.NoIdempotencyKeys for the options that do not concern keys, here and in startLocal.
-		options = append(options, router.WithoutInternalKeys(), router.WithProfile(route.ProfileNear))
+		options = append(options, router.WithoutInternalKeys(), router.WithProfile(route.ProfileNear), router.WithStartHold())
 	}
 	if p.RetryLimit.Window > 0 {
 		options = append(options, router.WithRetryLimit(p.RetryLimit))
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -60,9 +60,11 @@
 	loadWaiters   map[ident.Target][]waiter
 	loadRequested map[ident.Target]bool
 	peers         map[ident.VM]PeerAvailability
-	// heldCalls are the new calls that wait after a process pause, until holdUntil at the latest.
+	// heldCalls are the new calls that wait after a process pause or for the first release, until holdUntil at the latest.
 	heldCalls []Submit
 	holdUntil time.Time
+	// awaitingRelease is true while calls are held for the first release.
+	awaitingRelease bool
 	// drainUntil is when all calls have to be answered in a planned stop, or zero before it.
 	drainUntil time.Time
 	// pauseEnded is when the last process pause ended.
@@ -109,6 +111,16 @@
 	}
 }
 
+// WithStartHold makes the router hold calls that arrive before it has a release with services, for at most maxStartHold
+// after its start. It reads the clock, so it must follow WithClock.
+func WithStartHold() Option {
+	return func(t *Task) {
+		t.awaitingRelease = true
+		t.holdUntil = t.clock.Now().Add(maxStartHold)
+		t.timers.Set(resumeTimer{}, t.holdUntil)
+	}
+}
+
 // WithMaxCalls bounds the calls that have no outcome yet.
 func WithMaxCalls(n int) Option { return func(t *Task) { t.maxCalls = n } }
 
@@ -240,7 +252,7 @@
 	retryTimer struct{ id call.ID }
 	// hedgeTimer sends a second attempt of a slow read.
 	hedgeTimer struct{ id call.ID }
-	// resumeTimer submits the calls that were held after a process pause.
+	// resumeTimer submits the calls that were held after a process pause or for the first release.
 	resumeTimer struct{}
 )
 
--- a/internal/task/router/state.go
+++ b/internal/task/router/state.go
@@ -46,6 +46,9 @@
 		t.platformBudget.SetDaemonCount(len(vms))
 		t.platformBudget.Retain(func(s ident.Service) bool { _, ok := r.Services[s]; return ok })
 	}
+	if t.awaitingRelease && len(r.Services) > 0 {
+		t.submitHeld()
+	}
 }
 
 func (t *Task) table(service ident.Service) *route.Table {
@@ -112,6 +115,7 @@
 // handleResumed starts holding new calls after a process pause and discards the loads and ejections from before it.
 func (t *Task) handleResumed() {
 	t.pauseEnded = t.clock.Now()
+	t.awaitingRelease = false
 	t.holdUntil = t.pauseEnded.Add(maxHoldTime)
 	t.timers.Set(resumeTimer{}, t.holdUntil)
 	for _, table := range t.tables {
@@ -119,9 +123,14 @@
 	}
 }
 
-// submitHeld begins the calls that were held after a process pause.
+// maxStartHold limits the time for which calls are held after the start of the task until there is a release. When all
+// VMs start together, a daemon has its release 0.1 to 0.5 s after its start, while a refused caller returns a second
+// later.
+const maxStartHold = 700 * time.Millisecond
+
+// submitHeld begins the calls that were held after a process pause or for the first release.
 func (t *Task) submitHeld() {
-	t.holdUntil = time.Time{}
+	t.holdUntil, t.awaitingRelease = time.Time{}, false
 	t.timers.Remove(resumeTimer{})
 	held := t.heldCalls
 	t.heldCalls = nil
