Let calls leave a data centre that is full

A daemon knew 16 targets of a service, 12 of them in its own data centre, saw each about once in five seconds, and forgot its report within 50 ms. So calls were sent to one full target of the own data centre after the other and refused after the seventh: 28,500 refusals between daemons for 10,000 calls in 3 s.

At least 7 candidates are from other data centres, one of each in turn. The load of a data centre is kept beside that of each target and gives the wait to expect where the last report of a target is old. The penalty of another data centre follows from the bytes that calls of the route move: a lookup costs less there than a long answer.

--- a/internal/policy/route/candidates.go
+++ b/internal/policy/route/candidates.go
@@ -20,9 +20,11 @@
 	// maxCandidates limits the memory, connections and messages that a daemon needs for one service.
 	maxCandidates = 16
 	// minRemoteCandidates is the minimum number of candidates from other data centres, so that a large service
-	// keeps candidates when all targets in the local data centre fail. Half of them are from other
-	// regions: these are farther away, but remain when the whole region has lost the targets of the service.
-	minRemoteCandidates = 4
+	// keeps candidates when all targets in the local data centre fail or are full. Half of them are from other
+	// regions: these are farther away, but remain when the whole region has lost the targets of the service. A data
+	// centre that is short of targets needs room in several others: with 4, calls were refused in one that was full
+	// while others had half of their slots free.
+	minRemoteCandidates = 7
 )
 
 // limitCandidates keeps at most maxCandidates of the candidates, which must be in order of preference. At least
@@ -46,11 +48,25 @@
 	minOtherRegions := min(len(otherRegions), max(minRemoteCandidates/2, minRemoteCandidates-len(sameRegion)))
 	minSameRegion := min(len(sameRegion), minRemoteCandidates-minOtherRegions)
 	local = local[:min(len(local), maxCandidates-minSameRegion-minOtherRegions)]
-	sameRegion = sameRegion[:min(len(sameRegion), maxCandidates-len(local)-minOtherRegions)]
-	otherRegions = otherRegions[:min(len(otherRegions), maxCandidates-len(local)-len(sameRegion))]
+	sameRegion = spread(sameRegion, min(len(sameRegion), maxCandidates-len(local)-minOtherRegions))
+	otherRegions = spread(otherRegions, min(len(otherRegions), maxCandidates-len(local)-len(sameRegion)))
 	return slices.Concat(local, sameRegion, otherRegions)
 }
 
+// spread returns the first n candidates, taking one of each data centre in turn, so that a daemon knows room in many of
+// them.
+func spread(candidates []Candidate, n int) []Candidate {
+	taken := map[ident.DataCentre]int{}
+	round := make(map[ident.Target]int, len(candidates))
+	for _, c := range candidates {
+		round[c.Target] = taken[c.DataCentre]
+		taken[c.DataCentre]++
+	}
+	candidates = slices.Clone(candidates)
+	slices.SortStableFunc(candidates, func(a, b Candidate) int { return round[a.Target] - round[b.Target] })
+	return candidates[:n]
+}
+
 // A locality is the position of a candidate relative to the daemon.
 type locality string
 
--- a/internal/policy/route/near.go
+++ b/internal/policy/route/near.go
@@ -11,9 +11,15 @@
 	// utilizationPenalty is the penalty of a fully utilized target, as a multiple of the service's latency. At
 	// lower utilization it is proportionally smaller.
 	utilizationPenalty = .1
-	// remotePenalty is added to the score of targets in other data centres. Waiting this long for a target in
-	// the local data centre costs the caller little and saves traffic between data centres.
-	remotePenalty = 60 * time.Millisecond
+	// maxRemotePenalty is added to the score of targets in other data centres for a call of unknown size, and at most.
+	// Waiting this long for a target in the local data centre costs the caller little and saves traffic between data
+	// centres.
+	maxRemotePenalty = 60 * time.Millisecond
+	// The penalty is baseRemotePenalty, for the round trip and about 1 KB of headers and messages between daemons, and
+	// remotePenaltyPerByte for each byte of the bodies that calls of the route usually move: the traffic between data
+	// centres is paid by the byte.
+	baseRemotePenalty    = 20 * time.Millisecond
+	remotePenaltyPerByte = 8 * time.Microsecond
 	// slowThreshold is the slowness at or above which a target counts as slow.
 	slowThreshold = 1.5
 	// latencyRatioWeight is the weight of a new answer in the smoothed latency ratio of a target. maxLatencyRatio
@@ -30,15 +36,22 @@
 // the expected wait for a slot, the extra time due to a slow period, the excess of the latency ratio, the penalty for
 // another data centre and the penalty for an overdue call. Calls to one service differ in length, so the latency
 // ratio and the age of calls are relative to the usual latency of the same route.
-func (sc scorer) nearScore(s *candidateState, utilization float64) float64 {
+//
+// The wait follows from the calls in flight while the last report is fresh, and from the usual load of the data centre
+// once it is old.
+func (sc scorer) nearScore(s *candidateState, limit float64) float64 {
 	serviceLatency := sc.serviceLatency()
+	fresh, usual := sc.reportWeight(s), sc.centreUtilization(s.DataCentre)
+	otherCalls := fresh*s.otherCalls + (1-fresh)*usual*limit
+	utilization := (float64(len(s.inFlight)) + otherCalls + 1) / limit
 	score := utilizationPenalty*min(1, utilization)*serviceLatency + serviceLatency*max(0, utilization-1)
+	score += (1 - fresh) * queueWait(usual, limit) * serviceLatency
 	score += max(0, min(s.slowPeriod.remaining(sc.now).Seconds(), (s.slowPeriod.slowness-1)*serviceLatency))
 	if s.latencyRatio > 1 {
 		score += (s.latencyRatio - 1) * serviceLatency
 	}
 	if s.DataCentre != sc.dataCentre {
-		score += remotePenalty.Seconds()
+		score += sc.remotePenalty
 	}
 	if s.hasOverdueCall(sc.now) {
 		score += stragglerPenalty * serviceLatency
@@ -46,6 +59,14 @@
 	return score
 }
 
+// remotePenalty returns the penalty of a target in another data centre for calls of a size, in seconds.
+func remotePenalty(size int) float64 {
+	if size == UnknownSize {
+		return maxRemotePenalty.Seconds()
+	}
+	return min(maxRemotePenalty, baseRemotePenalty+time.Duration(size)*remotePenaltyPerByte).Seconds()
+}
+
 // A slowPeriod is the last reported slowness of a target, and how long its daemon expected that slowness to last.
 type slowPeriod struct {
 	slowness         float64
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -51,6 +51,7 @@
 	budget       *ProbeBudget
 	states       []*candidateState
 	minLatencies map[ident.DataCentre]*minLatency
+	centreLoads  map[ident.DataCentre]*centreLoad
 	// populated is true once the table has had candidates. Those added later go through slow start.
 	populated bool
 	// latencyBuffer is reused for the latencies of each scorer, to avoid an allocation per call.
@@ -74,7 +75,7 @@
 
 // NewTable returns an empty Table for the daemon on the given VM.
 func NewTable(vm ident.VM, dataCentre ident.DataCentre, options ...Option) *Table {
-	t := &Table{vm: vm, dataCentre: dataCentre, profile: ProfileTail, minLatencies: map[ident.DataCentre]*minLatency{}}
+	t := &Table{vm: vm, dataCentre: dataCentre, profile: ProfileTail, minLatencies: map[ident.DataCentre]*minLatency{}, centreLoads: map[ident.DataCentre]*centreLoad{}}
 	for _, o := range options {
 		o(t)
 	}
@@ -113,10 +114,19 @@
 	t.limitEjections(now)
 }
 
-// Pick chooses a target that is not excluded. Draining targets are never chosen. Ejected targets, and those
+// UnknownSize is the size of a call whose route has had no answer yet.
+const UnknownSize = -1
+
+// Pick chooses a target that is not excluded, for a call of unknown size.
+func (t *Table) Pick(now time.Time, excluded []ident.Target) (ident.Target, bool) {
+	return t.PickForSize(UnknownSize, now, excluded)
+}
+
+// PickForSize chooses a target that is not excluded. size is the usual number of bytes that calls of the route move to
+// and from a target, which under ProfileNear decides how far a target in another data centre is preferred. Draining targets are never chosen. Ejected targets, and those
 // that are down or whose VM is down, are chosen only if no other is left, since the fault may then be on the
 // daemon's side.
-func (t *Table) Pick(now time.Time, excluded []ident.Target) (ident.Target, bool) {
+func (t *Table) PickForSize(size int, now time.Time, excluded []ident.Target) (ident.Target, bool) {
 	var healthy, unhealthy []*candidateState
 	for _, s := range t.states {
 		switch {
@@ -133,7 +143,7 @@
 	if len(healthy) == 0 {
 		return "", false
 	}
-	return t.lowestScore(t.sample(healthy), now).Target, true
+	return t.lowestScore(t.sample(healthy), size, now).Target, true
 }
 
 // sample moves a random sample of the states, of the size that the profile sets, to the front and returns it. If
@@ -162,8 +172,9 @@
 	return states[:size]
 }
 
-func (t *Table) lowestScore(states []*candidateState, now time.Time) *candidateState {
+func (t *Table) lowestScore(states []*candidateState, size int, now time.Time) *candidateState {
 	sc := t.newScorer(now)
+	sc.remotePenalty = remotePenalty(size)
 	best, bestScore := states[0], sc.score(states[0])
 	for _, s := range states[1:] {
 		if score := sc.score(s); score < bestScore {
@@ -219,10 +230,10 @@
 	case Served:
 		t.recordLatency(s, r.Latency, now)
 		s.recordLatencyRatio(r.Latency, pending.usualLatency)
-		s.applyReport(r.Load, now)
+		t.applyReport(s, r.Load, now)
 		s.recordSuccess(now)
 	case LoadOnly:
-		s.applyReport(r.Load, now)
+		t.applyReport(s, r.Load, now)
 	case Failed:
 		t.recordFailure(s, now)
 	case TimedOut:
@@ -247,10 +258,16 @@
 // UpdateLoad records a load report that did not come with an attempt.
 func (t *Table) UpdateLoad(target ident.Target, load call.Load, now time.Time) {
 	if s := t.find(target); s != nil {
-		s.applyReport(load, now)
+		t.applyReport(s, load, now)
 	}
 }
 
+// applyReport records a load report of a target.
+func (t *Table) applyReport(s *candidateState, load call.Load, now time.Time) {
+	s.applyReport(load, now)
+	t.recordCentreLoad(s, load, now)
+}
+
 // SetDraining stops new calls to the targets on a VM until SetDown reports it as up again or a new incarnation
 // reports its load.
 func (t *Table) SetDraining(vm ident.VM) {
@@ -276,6 +293,7 @@
 // ClearTransientState clears the state that is out of date after a process pause: load estimates, the down state from
 // load reports, slow periods, failures and ejections.
 func (t *Table) ClearTransientState() {
+	clear(t.centreLoads)
 	for _, s := range t.states {
 		s.otherCalls, s.otherCallsAt, s.slowPeriod = 0, time.Time{}, slowPeriod{}
 		s.load.Down = false
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -140,6 +140,8 @@
 	// latencies are the smoothed latencies of the targets, sorted. The latency of the service is their median,
 	// so that a straggler does not raise it.
 	latencies []float64
+	// remotePenalty is what a target in another data centre costs, in seconds.
+	remotePenalty float64
 }
 
 func (t *Table) newScorer(now time.Time) scorer {
@@ -165,14 +167,12 @@
 // score returns the expected cost of sending the next call to a candidate, in seconds.
 func (sc scorer) score(s *candidateState) float64 {
 	limit := s.concurrencyLimit()
-	otherCalls := sc.meanOtherLoad * limit
-	if !s.otherCallsAt.IsZero() {
-		otherCalls += (s.otherCalls - otherCalls) * math.Exp(-sc.now.Sub(s.otherCallsAt).Seconds()/reportDecay.Seconds())
-	}
-	utilization := (float64(len(s.inFlight)) + otherCalls + 1) / limit
 	if sc.profile == ProfileNear {
-		return sc.nearScore(s, utilization)
+		return sc.nearScore(s, limit)
 	}
+	otherCalls := sc.meanOtherLoad * limit
+	otherCalls += (s.otherCalls - otherCalls) * sc.reportWeight(s)
+	utilization := (float64(len(s.inFlight)) + otherCalls + 1) / limit
 	score := utilization/s.slowStartShare(sc.now)*sc.targetLatency(s) + sc.extraRTT(s.DataCentre).Seconds()
 	if sc.isStraggler(s) {
 		score += stragglerPenalty * sc.serviceLatency()
@@ -180,6 +180,15 @@
 	return score
 }
 
+// reportWeight returns the weight of the last load report of a target in the estimate of its load, from 1 for one that has
+// just arrived to 0 for none.
+func (sc scorer) reportWeight(s *candidateState) float64 {
+	if s.otherCallsAt.IsZero() {
+		return 0
+	}
+	return math.Exp(-sc.now.Sub(s.otherCallsAt).Seconds() / reportDecay.Seconds())
+}
+
 // serviceLatency returns the latency of the service, or 1 ms while it is unknown.
 func (sc scorer) serviceLatency() float64 {
 	if len(sc.latencies) == 0 {
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -178,7 +178,8 @@
 		// The daemon beside the target cannot report that it has sent the call when the connection to it is lost.
 		p.sends++
 	}
-	if _, ok := r.Outcome.(call.Answered); ok {
+	if answered, ok := r.Outcome.(call.Answered); ok {
+		t.routeSizes.Add(p.Request.Route, len(p.Request.Body)+len(answered.Body))
 		if !p.arrived.Before(t.pauseEnded) {
 			t.routeLatencies.Add(p.Request.Route, now.Sub(a.started))
 			t.serviceLatencies[p.Request.Service].Add(now.Sub(p.arrived))
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -9,6 +9,7 @@
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/policy/place"
+	"jacinthcross/internal/policy/route"
 )
 
 // sendKeyless chooses a target for a call without a key, idempotent or not, and sends it there, with a limit on how long
@@ -17,14 +18,15 @@
 func (t *Task) sendKeyless(p *pendingCall) {
 	now := t.clock.Now()
 	table := t.table(p.Request.Service)
-	name, ok := table.Pick(now, slices.Concat(p.tried, p.refusedBy))
+	size := t.usualSize(p)
+	name, ok := table.PickForSize(size, now, slices.Concat(p.tried, p.refusedBy))
 	if !ok && len(p.refusedBy) > 0 && !p.mayQueue {
 		p.mayQueue, p.refusedBy = true, nil
-		name, ok = table.Pick(now, p.tried)
+		name, ok = table.PickForSize(size, now, p.tried)
 	}
 	if !ok && len(p.refusedBy) == 0 {
 		// All targets were tried. A failed one may still serve a call that can be repeated.
-		name, ok = table.Pick(now, nil)
+		name, ok = table.PickForSize(size, now, nil)
 	}
 	if !ok {
 		t.conclude(p, t.finalRefusal(p))
@@ -39,6 +41,14 @@
 	t.send(p, &attempt{target: target})
 }
 
+// usualSize returns the number of bytes that calls of the route usually move.
+func (t *Task) usualSize(p *pendingCall) int {
+	if size, ok := t.routeSizes[p.Request.Route]; ok {
+		return size
+	}
+	return route.UnknownSize
+}
+
 // finalRefusal returns the refusal of a call that no target accepted.
 func (t *Task) finalRefusal(p *pendingCall) call.Outcome {
 	if p.bestRefusal != nil {
--- a/internal/task/router/router.go
+++ b/internal/task/router/router.go
@@ -46,6 +46,7 @@
 	platformBudget   *retry.PlatformBudget
 	splits           *split.Splitter
 	routeLatencies   place.Latencies
+	routeSizes       place.Sizes
 	refusedRequests  *place.RefusedRequests
 	suspects         *crash.Registry
 	random           *rand.Rand
@@ -169,6 +170,7 @@
 		retryPolicy:      retry.NewPolicy(),
 		splits:           split.New(),
 		routeLatencies:   place.Latencies{},
+		routeSizes:       place.Sizes{},
 		refusedRequests:  place.NewRefusedRequests(),
 		suspects:         crash.NewRegistry(),
 		random:           rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
