Do not take a late copy of an answer without an ID for the next answer

Report of other operators: a server sent a second copy of an answer, late, on a connection that was in use again. With the ID of its request a copy was skipped here already. Without an ID it was given to the next caller, also where the target had echoed the ID in earlier responses on the connection; only refusals were checked for that.

Any response without an ID is now foreign (AnswerForeign) once the target has echoed IDs on its connection. Targets that never echo IDs cannot be told apart; the platform's do, and mark successes besides.

TestLateSecondCopyOfAnswer failed before in the row without an ID (the second call got the first answer).

--- a/internal/task/local/response.go
+++ b/internal/task/local/response.go
@@ -43,6 +43,9 @@
 	if c.isForOtherCall(j, r) {
 		return call.Unknown{Kind: errs.AnswerForeign, Detail: fmt.Sprintf("target %s: the response belongs to request %q", c.target, r.Header.Get(c.dialect.RequestID))}
 	}
+	if c.echoesIDs && c.responseID(r) == "" {
+		return call.Unknown{Kind: errs.AnswerForeign, Detail: fmt.Sprintf("target %s: the response has no request ID, unlike earlier ones on the connection, so it may belong to another call", c.target)}
+	}
 	body, err := c.bodyOf(j.request.Method, r)
 	switch {
 	case err == errBodyTooLarge:
@@ -54,9 +57,6 @@
 		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("response body of the target truncated: got %d of %d bytes", len(body), r.ContentLength)}
 	}
 	if c.dialect.ProvesNotRun(r.StatusCode, r.Header) {
-		if c.echoesIDs && c.responseID(r) == "" {
-			return call.Unknown{Kind: errs.AnswerForeign, Detail: fmt.Sprintf("target %s: the refusal has no request ID, unlike earlier responses on the connection, so it may belong to another call", c.target)}
-		}
 		return call.Refused{Kind: c.refusalKind(r), RetryAfter: retryAfter(r)}
 	}
 	if reason := c.invalidReason(r); reason != "" {
