--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -83,6 +83,7 @@
 		{2007, 8, 12 * time.Second, "a peer session whose handshake completed during the stop kept the daemon from exiting"},
 		{9003, 8, 12 * time.Second, "a path that all callers request was quarantined at all daemons after crashes of one target"},
 		{73009, 8, 12 * time.Second, "a daemon that was paused during its graceful shutdown accepted new calls until the stop timed out"},
+		{111003, 8, 12 * time.Second, "a daemon that had stopped after 4.3 s had not exited 6 s after SIGTERM, at a load average of 62"},
 	} {
 		t.Run(fmt.Sprint(test.seed), func(t *testing.T) {
 			t.Parallel()
