--- a/internal/policy/route/candidates.go
+++ b/internal/policy/route/candidates.go
@@ -22,8 +22,7 @@
 	// minRemoteCandidates is the minimum number of candidates from other data centres, so that a large service
 	// keeps candidates when all targets in the local data centre fail or are full. Half of them are from other
 	// regions: these are farther away, but remain when the whole region has lost the targets of the service. A data
-	// centre that is short of targets needs room in several others: with 4, calls were refused in one that was full
-	// while others had half of their slots free.
+	// centre that is short of targets needs room in several others.
 	minRemoteCandidates = 7
 )
 
--- a/internal/policy/route/near.go
+++ b/internal/policy/route/near.go
@@ -11,8 +11,8 @@
 	// utilizationPenalty is the penalty of a fully utilized target, as a multiple of the service's latency. At
 	// lower utilization it is proportionally smaller.
 	utilizationPenalty = .1
-	// maxRemotePenalty is added to the score of targets in other data centres for a call of unknown size, and at most.
-	// Waiting this long for a target in the local data centre costs the caller little and saves traffic between data
+	// maxRemotePenalty is the largest penalty that is added to the score of targets in other data centres, and that of
+	// calls of unknown size. Waiting this long for a target in the local data centre costs the caller little and saves traffic between data
 	// centres.
 	maxRemotePenalty = 60 * time.Millisecond
 	// The penalty is baseRemotePenalty, for the round trip and about 1 KB of headers and messages between daemons, and
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -123,9 +123,9 @@
 }
 
 // PickForSize chooses a target that is not excluded. size is the usual number of bytes that calls of the route move to
-// and from a target, which under ProfileNear decides how far a target in another data centre is preferred. Draining targets are never chosen. Ejected targets, and those
-// that are down or whose VM is down, are chosen only if no other is left, since the fault may then be on the
-// daemon's side.
+// and from a target, on which the penalty of another data centre depends under ProfileNear. Draining targets are never
+// chosen. Ejected targets, and those that are down or whose VM is down, are chosen only if no other is left, since the
+// fault may then be on the daemon's side.
 func (t *Table) PickForSize(size int, now time.Time, excluded []ident.Target) (ident.Target, bool) {
 	var healthy, unhealthy []*candidateState
 	for _, s := range t.states {
--- a/internal/task/front/connection.go
+++ b/internal/task/front/connection.go
@@ -108,10 +108,12 @@
 // mayStartNext reports whether the first request of the queue may start. Requests of a connection run at the same time
 // if all of them are idempotent: a connection that breaks does not tell its caller which of them have run.
 func (t *Task) mayStartNext(c *connection) bool {
-	if len(c.queue) == 0 || len(c.exchanges) == 0 {
-		return len(c.queue) > 0
-	}
-	if t.draining || len(c.exchanges) >= maxConcurrent || !t.isIdempotent(c.queue[0]) {
+	switch {
+	case len(c.queue) == 0:
+		return false
+	case len(c.exchanges) == 0:
+		return true
+	case t.draining, len(c.exchanges) >= maxConcurrent, !t.isIdempotent(c.queue[0]):
 		return false
 	}
 	held := 0
