--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -135,6 +135,8 @@
 	Slowness float32
 	// ExpectedSlowDuration is how long the target is expected to stay this slow.
 	ExpectedSlowDuration time.Duration
+	// UntilWarm is how long the target stays cold, or 0 if it is warm or has no limit while cold.
+	UntilWarm time.Duration
 }
 
 // A TargetLoad is the load that a target itself reports.
--- a/internal/base/errs/errs.go
+++ b/internal/base/errs/errs.go
@@ -33,22 +33,25 @@
 	TargetDown       Kind = "TargetDown"       // the target does not accept connections
 	TargetReplaced   Kind = "TargetReplaced"   // another target has taken the address
 	TargetSlow       Kind = "TargetSlow"       // the target is slow at present, and another one may be faster
-	NoTarget         Kind = "NoTarget"         // the service has no usable target
-	PeerUnreachable  Kind = "PeerUnreachable"  // the daemon beside the target cannot be reached
-	Draining         Kind = "Draining"         // the daemon or the target takes no new calls, because it is about to stop
-	Withdrawn        Kind = "Withdrawn"        // the daemon no longer serves the target
-	Quarantined      Kind = "Quarantined"      // the request has crashed targets
-	Unconfirmed      Kind = "Unconfirmed"      // the daemon has not confirmed its release yet
-	DepthExceeded    Kind = "DepthExceeded"    // the chain of calls is too long
-	DeadlineExceeded Kind = "DeadlineExceeded" // the deadline passed before the call ran, or is too close
-	DeadlineInFlight Kind = "DeadlineInFlight" // the deadline passed before the outcome was known
-	TargetFailed     Kind = "TargetFailed"     // the connection to the target failed during the call
-	AnswerCut        Kind = "AnswerCut"        // the answer is incomplete, or its end cannot be recognized
-	AnswerTooLarge   Kind = "AnswerTooLarge"   // the answer exceeds the limit
-	AnswerForeign    Kind = "AnswerForeign"    // the answer belongs to another request
-	PeerLost         Kind = "PeerLost"         // the connection to the daemon beside the target failed during the call
-	CallerGone       Kind = "CallerGone"       // the caller closed its connection
-	Internal         Kind = "Internal"         // an unexpected error
+	TargetCold       Kind = "TargetCold"       // the target has started recently and takes no more calls at present
+	// DataCentreEvacuated means that the operators want the data centre of the target to get no calls.
+	DataCentreEvacuated Kind = "DataCentreEvacuated"
+	NoTarget            Kind = "NoTarget"         // the service has no usable target
+	PeerUnreachable     Kind = "PeerUnreachable"  // the daemon beside the target cannot be reached
+	Draining            Kind = "Draining"         // the daemon or the target takes no new calls, because it is about to stop
+	Withdrawn           Kind = "Withdrawn"        // the daemon no longer serves the target
+	Quarantined         Kind = "Quarantined"      // the request has crashed targets
+	Unconfirmed         Kind = "Unconfirmed"      // the daemon has not confirmed its release yet
+	DepthExceeded       Kind = "DepthExceeded"    // the chain of calls is too long
+	DeadlineExceeded    Kind = "DeadlineExceeded" // the deadline passed before the call ran, or is too close
+	DeadlineInFlight    Kind = "DeadlineInFlight" // the deadline passed before the outcome was known
+	TargetFailed        Kind = "TargetFailed"     // the connection to the target failed during the call
+	AnswerCut           Kind = "AnswerCut"        // the answer is incomplete, or its end cannot be recognized
+	AnswerTooLarge      Kind = "AnswerTooLarge"   // the answer exceeds the limit
+	AnswerForeign       Kind = "AnswerForeign"    // the answer belongs to another request
+	PeerLost            Kind = "PeerLost"         // the connection to the daemon beside the target failed during the call
+	CallerGone          Kind = "CallerGone"       // the caller closed its connection
+	Internal            Kind = "Internal"         // an unexpected error
 )
 
 // An Outcome tells a caller whether its call ran. The result itself is a call.Outcome.
--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -17,6 +17,7 @@
 	StopTimedOut                   = Event{1011, "StopTimedOut", Error}    // the daemon did not stop within its time limit
 	PartStopped                    = Event{1012, "PartStopped", Info}      // one group of tasks has stopped during shutdown
 	HandlerPanicked                = Event{1013, "HandlerPanicked", Error} // a handler of bytes from outside panicked; its connection is closed
+	BoundsInForce                  = Event{1014, "BoundsInForce", Info}    // the limits that the platform sets for this daemon
 	ReleaseInForce                 = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                    = Event{2002, "NoteRefused", Error} // a release note was refused; logged once for each mistake in it
 	ConfigurationServiceUnreadable = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -30,6 +31,7 @@
 	ConfigUnusable                 = Event{2011, "ConfigUnusable", Warning}       // an invalid config in the store
 	StoreDuty                      = Event{2012, "StoreDuty", Info}               // this daemon starts or stops reading the store itself
 	StoreChangesTooLarge           = Event{2013, "StoreChangesTooLarge", Warning} // the changes since the daemon's revision exceed the limit of a response
+	ConfigPartUnusable             = Event{2014, "ConfigPartUnusable", Warning}   // a part of a config that cannot be read; the rest is used
 	LinkOpened                     = Event{3001, "LinkOpened", Info}
 	LinkFailed                     = Event{3002, "LinkFailed", Warning}
 	PeerMessageRefused             = Event{3003, "PeerMessageRefused", Warning}
@@ -60,9 +62,9 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LogLinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart, MachineSuspended,
-		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked,
+		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable,
-		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge,
+		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge, ConfigPartUnusable,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed, CrashReportsReceived, CrashEvidenceDropped, CrashSuspect,
--- a/internal/fleet/note/release.go
+++ b/internal/fleet/note/release.go
@@ -24,6 +24,10 @@
 	HealthPath string
 	// MaxConnections is the number of connections that a target accepts, or 0 if it is not known.
 	MaxConnections int
+	// ColdStart is how long a target is cold after its start, or 0 if it is not known.
+	ColdStart time.Duration
+	// ColdRate is the number of requests per second that a cold target tolerates, or 0 if cold targets have no limit.
+	ColdRate float64
 }
 
 // Idempotent reports whether a call with the method may be executed more than once.
@@ -74,6 +78,8 @@
 	Services  map[ident.Service]Service
 	Targets   map[ident.Target]Target
 	Withdrawn map[ident.Target]Withdrawal
+	// Evacuated holds the data centres whose targets get no new calls.
+	Evacuated map[ident.DataCentre]bool
 	Limits    Limits
 
 	indexOnce        sync.Once
@@ -107,6 +113,7 @@
 		Services:  map[ident.Service]Service{},
 		Targets:   map[ident.Target]Target{},
 		Withdrawn: map[ident.Target]Withdrawal{},
+		Evacuated: map[ident.DataCentre]bool{},
 	}
 }
 
@@ -188,5 +195,6 @@
 		Services:  maps.Clone(r.Services),
 		Targets:   maps.Clone(r.Targets),
 		Withdrawn: maps.Clone(r.Withdrawn),
+		Evacuated: maps.Clone(r.Evacuated),
 	}
 }
--- a/internal/fleet/roster/change.go
+++ b/internal/fleet/roster/change.go
@@ -8,8 +8,12 @@
 // A Revision numbers a change in the platform's store. Later changes never have a lower number.
 type Revision uint64
 
+// An Era numbers the restores of the platform's store. Each time the store returns from an older copy, its era rises by
+// one, and revisions that were given out in the era before are given out again.
+type Era uint64
+
 // A Change is one change of the state that the platform publishes: ConfigUpdated, ConfigDelta, ConfigInvalid,
-// TargetRegistered, TargetRemoved, TargetLapsed or TargetUnusable.
+// ConfigPartInvalid, TargetRegistered, TargetRemoved, TargetLapsed, TargetUnusable, DataCentreEvacuated or DataCentreRestored.
 type Change interface {
 	change()
 	// ChangeRevision returns the revision of the change.
@@ -71,6 +75,43 @@
 // ChangeRevision implements Change.
 func (c ConfigInvalid) ChangeRevision() Revision { return c.Revision }
 
+// A DataCentreEvacuated reports that the operators want the targets of a data centre to get no new calls.
+type DataCentreEvacuated struct {
+	DataCentre ident.DataCentre
+	Revision   Revision
+}
+
+// A DataCentreRestored reports that the targets of a data centre get calls again.
+type DataCentreRestored struct {
+	DataCentre ident.DataCentre
+	Revision   Revision
+}
+
+func (DataCentreEvacuated) change() {}
+func (DataCentreRestored) change()  {}
+
+// ChangeRevision implements Change.
+func (c DataCentreEvacuated) ChangeRevision() Revision { return c.Revision }
+
+// ChangeRevision implements Change.
+func (c DataCentreRestored) ChangeRevision() Revision { return c.Revision }
+
+// A ConfigPartInvalid reports a part of a config that cannot be read, such as a route of an unknown type. The rest of the
+// config is used.
+type ConfigPartInvalid struct {
+	// Part names the part, such as a route.
+	Part   string
+	Reason string
+	// Dropped is true if the part is left out. Otherwise its unreadable fields count as missing.
+	Dropped  bool
+	Revision Revision
+}
+
+func (ConfigPartInvalid) change() {}
+
+// ChangeRevision implements Change.
+func (c ConfigPartInvalid) ChangeRevision() Revision { return c.Revision }
+
 func (ConfigUpdated) change()    {}
 func (TargetRegistered) change() {}
 func (TargetRemoved) change()    {}
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -80,7 +80,7 @@
 			present[c.Target.Name] = true
 		case TargetUnusable:
 			present[c.Name] = true
-		case ConfigUpdated, ConfigDelta, ConfigInvalid, TargetRemoved:
+		case ConfigUpdated, ConfigDelta, ConfigInvalid, ConfigPartInvalid, TargetRemoved, DataCentreEvacuated, DataCentreRestored:
 		}
 	}
 	changed := r.Apply(Changes(s), interrupted, now)
@@ -124,7 +124,7 @@
 			changed = r.markUnusable(ch) || changed
 		case TargetLapsed:
 			changed = r.markLapsed(ch) || changed
-		case ConfigInvalid:
+		case ConfigInvalid, ConfigPartInvalid, DataCentreEvacuated, DataCentreRestored:
 		}
 	}
 	r.revision = max(r.revision, c.Revision)
--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -61,7 +61,7 @@
 // start it at once. With these kinds the call has not run.
 func Redirectable(kind errs.Kind) bool {
 	switch kind {
-	case errs.TargetSlow, errs.Overloaded, errs.QueueTimeout, errs.Busy, errs.Draining, errs.Withdrawn, errs.TargetDown, errs.TargetReplaced, errs.PeerUnreachable:
+	case errs.TargetSlow, errs.Overloaded, errs.QueueTimeout, errs.Busy, errs.Draining, errs.Withdrawn, errs.TargetDown, errs.TargetReplaced, errs.PeerUnreachable, errs.TargetCold, errs.DataCentreEvacuated:
 		return true
 	}
 	return false
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -315,7 +315,9 @@
 			event.EntryUnusable.Log("target", c.Name, "serial", c.Revision, "reason", c.Reason)
 		case roster.ConfigInvalid:
 			event.ConfigUnusable.Log("serial", c.Revision, "reason", c.Reason)
-		case roster.ConfigUpdated, roster.ConfigDelta, roster.TargetRegistered, roster.TargetRemoved, roster.TargetLapsed:
+		case roster.ConfigPartInvalid:
+			event.ConfigPartUnusable.Log("serial", c.Revision, "part", c.Part, "reason", c.Reason, "dropped", c.Dropped)
+		case roster.ConfigUpdated, roster.ConfigDelta, roster.TargetRegistered, roster.TargetRemoved, roster.TargetLapsed, roster.DataCentreEvacuated, roster.DataCentreRestored:
 		}
 	}
 }
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -25,7 +25,7 @@
 	head := ident.Head{Serial: 7, Digest: ident.Digest{4, 5}}
 	fields := []call.Field{{Name: "Accept", Value: "text/plain"}, {Name: "X", Value: ""}}
 	load := call.Load{
-		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5, ExpectedSlowDuration: 6,
+		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5, ExpectedSlowDuration: 6, UntilWarm: 7,
 	}
 	return []codec.Message{
 		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true, Daemon: netip.MustParseAddrPort("127.0.0.1:7000")},
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -158,7 +158,7 @@
 		InFlight: int(p.GetInFlight()), Queued: int(p.GetQueued()), Limit: int(p.GetLimit()),
 		QueueDelay: time.Duration(p.GetQueueDelayNanoseconds()), Latency: time.Duration(p.GetLatencyNanoseconds()),
 		Incarnation: i, Epoch: ident.Epoch(p.GetEpoch()), Head: h, Draining: p.GetDraining(),
-		Down: p.GetDown(), Slowness: p.GetSlowness(), ExpectedSlowDuration: time.Duration(p.GetSlowForNanoseconds()),
+		Down: p.GetDown(), Slowness: p.GetSlowness(), ExpectedSlowDuration: time.Duration(p.GetSlowForNanoseconds()), UntilWarm: time.Duration(p.GetUntilWarmNanoseconds()),
 	}, err
 }
 
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -100,7 +100,7 @@
 		InFlight: uint32(l.InFlight), Queued: uint32(l.Queued), Limit: uint32(l.Limit),
 		QueueDelayNanoseconds: int64(l.QueueDelay), LatencyNanoseconds: int64(l.Latency),
 		Incarnation: l.Incarnation[:], Epoch: uint32(l.Epoch), Head: encodeHead(l.Head), Draining: l.Draining,
-		Down: l.Down, Slowness: l.Slowness, SlowForNanoseconds: int64(l.ExpectedSlowDuration),
+		Down: l.Down, Slowness: l.Slowness, SlowForNanoseconds: int64(l.ExpectedSlowDuration), UntilWarmNanoseconds: int64(l.UntilWarm),
 	}
 }
 
--- a/internal/wire/codec/published.go
+++ b/internal/wire/codec/published.go
@@ -42,8 +42,12 @@
 			p.Entries = append(p.Entries, &peerpb.Entry{
 				Name: string(c.Name), Revision: uint64(c.Revision), State: &peerpb.Entry_Unusable{Unusable: true},
 			})
-		case roster.ConfigInvalid:
-			// Peers need only valid configs.
+		case roster.DataCentreEvacuated:
+			p.Evacuations = append(p.Evacuations, &peerpb.Evacuation{DataCentre: string(c.DataCentre), Revision: uint64(c.Revision)})
+		case roster.DataCentreRestored:
+			p.Evacuations = append(p.Evacuations, &peerpb.Evacuation{DataCentre: string(c.DataCentre), Revision: uint64(c.Revision), Removed: true})
+		case roster.ConfigInvalid, roster.ConfigPartInvalid:
+			// Peers need only what can be used.
 		}
 	}
 	return p
@@ -67,6 +71,7 @@
 	for _, s := range c.Services {
 		p.Services = append(p.Services, &peerpb.Service{
 			Name: string(s.Name), HealthPath: s.HealthPath, MaxConnections: int64(s.MaxConnections),
+			ColdStartNanoseconds: int64(s.ColdStart), ColdRate: s.ColdRate,
 		})
 	}
 	return p
@@ -116,9 +121,20 @@
 		}
 		m.Changes.Changes = append(m.Changes.Changes, c)
 	}
+	for _, e := range p.GetEvacuations() {
+		m.Changes.Changes = append(m.Changes.Changes, decodeEvacuation(e))
+	}
 	return m, nil
 }
 
+func decodeEvacuation(p *peerpb.Evacuation) roster.Change {
+	dataCentre, revision := ident.DataCentre(p.GetDataCentre()), roster.Revision(p.GetRevision())
+	if p.GetRemoved() {
+		return roster.DataCentreRestored{DataCentre: dataCentre, Revision: revision}
+	}
+	return roster.DataCentreEvacuated{DataCentre: dataCentre, Revision: revision}
+}
+
 func configChange(revision uint64, p *peerpb.Config, c roster.Config) roster.Change {
 	if !p.GetChanges() {
 		return roster.ConfigUpdated{Config: c, Revision: roster.Revision(revision)}
@@ -158,7 +174,10 @@
 	}
 	for _, s := range p.GetServices() {
 		name := ident.Service(s.GetName())
-		c.Services[name] = note.Service{Name: name, HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections())}
+		c.Services[name] = note.Service{
+			Name: name, HealthPath: s.GetHealthPath(), MaxConnections: int(s.GetMaxConnections()),
+			ColdStart: time.Duration(s.GetColdStartNanoseconds()), ColdRate: s.GetColdRate(),
+		}
 	}
 	return c, nil
 }
