Evacuate data centres from the store to the targets

Cause: the key op/evacuate/ZONE had types and an encoding, but the adapter did not read it and no task acted on it.

The router chooses no target there and sends a call that a daemon there refuses to another data centre without counting it as a redirect. The daemon beside a target there refuses new and waiting calls; running calls end. A confirmation is answered after the release has been announced.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -32,6 +32,8 @@
 	StoreDuty                      = Event{2012, "StoreDuty", Info}               // this daemon starts or stops reading the store itself
 	StoreChangesTooLarge           = Event{2013, "StoreChangesTooLarge", Warning} // the changes since the daemon's revision exceed the limit of a response
 	ConfigPartUnusable             = Event{2014, "ConfigPartUnusable", Warning}   // a part of a config that cannot be read; the rest is used
+	DataCentreEvacuated            = Event{2017, "DataCentreEvacuated", Warning}  // the targets of a data centre get no new calls
+	DataCentreRestored             = Event{2018, "DataCentreRestored", Info}
 	LinkOpened                     = Event{3001, "LinkOpened", Info}
 	LinkFailed                     = Event{3002, "LinkFailed", Warning}
 	PeerMessageRefused             = Event{3003, "PeerMessageRefused", Warning}
@@ -47,15 +49,17 @@
 	CrashReportsReceived           = Event{4007, "CrashReportsReceived", Info}
 	CrashEvidenceDropped           = Event{4008, "CrashEvidenceDropped", Warning} // the VM has a target of another service, so the evidence on requests of the former one was discarded
 	CrashSuspect                   = Event{4009, "CrashSuspect", Warning}         // what is known of a request that was in flight during several crashes has changed
-	CallSent                       = Event{5001, "CallSent", Decision}            // the entry daemon sent an attempt to a target's daemon
-	CallRetried                    = Event{5002, "CallRetried", Decision}         // the entry daemon retries a call
-	CallConcluded                  = Event{5003, "CallConcluded", Decision}       // the entry daemon has the final outcome of a call
-	CallQueued                     = Event{5004, "CallQueued", Decision}          // a target's daemon queued a call
-	CallDispatched                 = Event{5005, "CallDispatched", Decision}      // a target's daemon sent a call to the target
-	CallEnded                      = Event{5006, "CallEnded", Decision}           // a target's daemon got the outcome of a run
-	CallBounced                    = Event{5007, "CallBounced", Decision}         // the entry daemon redirects a call that a target's daemon refused; the rest of the code calls this a redirect
-	CallRefused                    = Event{5008, "CallRefused", Decision}         // a target's daemon refused a call
-	CallInFlightAtCrash            = Event{5009, "CallInFlightAtCrash", Info}     // not rate-limited: a crash has at most as many lines as the target has slots
+	TargetEvacuated                = Event{4014, "TargetEvacuated", Info}         // the data centre of the target beside this daemon is evacuated
+	TargetRestored                 = Event{4015, "TargetRestored", Info}
+	CallSent                       = Event{5001, "CallSent", Decision}        // the entry daemon sent an attempt to a target's daemon
+	CallRetried                    = Event{5002, "CallRetried", Decision}     // the entry daemon retries a call
+	CallConcluded                  = Event{5003, "CallConcluded", Decision}   // the entry daemon has the final outcome of a call
+	CallQueued                     = Event{5004, "CallQueued", Decision}      // a target's daemon queued a call
+	CallDispatched                 = Event{5005, "CallDispatched", Decision}  // a target's daemon sent a call to the target
+	CallEnded                      = Event{5006, "CallEnded", Decision}       // a target's daemon got the outcome of a run
+	CallBounced                    = Event{5007, "CallBounced", Decision}     // the entry daemon redirects a call that a target's daemon refused; the rest of the code calls this a redirect
+	CallRefused                    = Event{5008, "CallRefused", Decision}     // a target's daemon refused a call
+	CallInFlightAtCrash            = Event{5009, "CallInFlightAtCrash", Info} // not rate-limited: a crash has at most as many lines as the target has slots
 )
 
 // All returns all events.
@@ -65,9 +69,11 @@
 		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable,
 		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge, ConfigPartUnusable,
+		DataCentreEvacuated, DataCentreRestored,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed, CrashReportsReceived, CrashEvidenceDropped, CrashSuspect,
+		TargetEvacuated, TargetRestored,
 		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced, CallRefused, CallInFlightAtCrash,
 	}
 }
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -40,6 +40,7 @@
 	lastRelease *note.Release
 	entries     map[ident.Target]*entry
 	removals    map[ident.Target]removal
+	evacuations evacuations
 }
 
 // A removal is the removal of the entry of a target.
@@ -53,7 +54,7 @@
 func New() *Roster {
 	return &Roster{
 		entries: map[ident.Target]*entry{}, removals: map[ident.Target]removal{},
-		routeRevisions: map[ident.Route]Revision{}, removedRoutes: map[ident.Route]Revision{},
+		routeRevisions: map[ident.Route]Revision{}, removedRoutes: map[ident.Route]Revision{}, evacuations: newEvacuations(),
 	}
 }
 
@@ -84,6 +85,7 @@
 		}
 	}
 	changed := r.Apply(Changes(s), interrupted, now)
+	changed = r.evacuations.endSnapshot(s) || changed
 	for name, e := range r.entries {
 		if !present[name] && e.revision <= s.Revision {
 			changed = r.remove(TargetRemoved{Name: name, Revision: s.Revision}, interrupted, now) || changed
@@ -124,9 +126,14 @@
 			changed = r.markUnusable(ch) || changed
 		case TargetLapsed:
 			changed = r.markLapsed(ch) || changed
-		case ConfigInvalid, ConfigPartInvalid, DataCentreEvacuated, DataCentreRestored:
+		case DataCentreEvacuated:
+			changed = r.evacuations.evacuate(ch) || changed
+		case DataCentreRestored:
+			changed = r.evacuations.restore(ch) || changed
+		case ConfigInvalid, ConfigPartInvalid:
 		}
 	}
+	r.historyStart = max(r.historyStart, r.evacuations.prune())
 	r.revision = max(r.revision, c.Revision)
 	return changed
 }
@@ -351,6 +358,7 @@
 	release := note.NewRelease()
 	release.Head = ident.Head{Serial: ident.Serial(r.revision)}
 	release.Version, release.Limits = r.config.Version, r.config.Limits
+	release.Evacuated = r.evacuations.inForce()
 	if r.config.Routes != nil {
 		release.Routes, release.Services = r.config.Routes, r.config.Services
 	}
--- a/internal/fleet/roster/since.go
+++ b/internal/fleet/roster/since.go
@@ -40,6 +40,7 @@
 			c.Changes = append(c.Changes, e.changes(name)...)
 		}
 	}
+	c.Changes = append(c.Changes, r.evacuations.changesAfter(revision, full)...)
 	if full {
 		return c, true
 	}
--- a/internal/super/daemon/callbacks.go
+++ b/internal/super/daemon/callbacks.go
@@ -95,8 +95,8 @@
 	}
 }
 
-// onPause makes the router hold new calls until enough peers have confirmed the release or revision. It is called after
-// each process pause, for example when the machine was suspended.
+// onPause makes the router hold new calls until enough peers have confirmed the release or revision, and the local task
+// refuse them after a long pause. It is called after each process pause, for example when the machine was suspended.
 func (st *sharedState) onPause(time.Duration) {
 	st.router.TryPut(router.ProcessResumed{})
 	reply := mail.NewBox[bool](1)
@@ -105,7 +105,11 @@
 	}
 	go func() {
 		select {
-		case <-reply.C():
+		case confirmed := <-reply.C():
+			if confirmed {
+				// The local task precedes the router, which then sends it the calls that were held.
+				st.local.TryPut(local.ReleaseConfirmed{})
+			}
 			st.router.TryPut(router.ReleaseConfirmed{})
 		case <-time.After(confirmTimeout):
 		}
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -6,6 +6,7 @@
 
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/fleet/follow"
 	"jacinthcross/internal/fleet/note"
@@ -103,8 +104,12 @@
 	lastEncoded    *codec.EncodedConfig
 	lastEncodedKey encodedConfigKey
 	// unannounced is true when the release has changed and Announce has not accepted it yet.
-	unannounced     bool
-	confirmReplies  []*mail.Box[bool]
+	unannounced bool
+	// evacuated holds the evacuated data centres of the last release.
+	evacuated      map[ident.DataCentre]bool
+	confirmReplies []*mail.Box[bool]
+	// confirmed is true from the answer of a source until the requests for a confirmation are answered.
+	confirmed       bool
 	pendingRequests []pendingRequest
 }
 
@@ -187,6 +192,7 @@
 	if t.unannounced {
 		t.announce()
 	}
+	t.answerConfirmRequests()
 	t.answerPeers(now)
 	if t.cancel == nil && !t.nextAt.After(now) {
 		t.startRead(now)
@@ -199,6 +205,7 @@
 	r := t.roster.Release()
 	t.unannounced = !t.config.Announce(r)
 	event.ReleaseInForce.Log("serial", r.Head.Serial, "version", r.Version, "targets", len(r.Targets), "unnamedServices", t.roster.UnnamedServices(), "pendingReports", t.roster.PendingReports())
+	t.logEvacuations(r)
 	position := follow.PositionOf(t.config.Self, follow.PeersOf(r))
 	if position.ReadsStore != t.position.ReadsStore {
 		event.StoreDuty.Log("reads", position.ReadsStore)
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -269,10 +269,19 @@
 		event.StoreRegained.Log("after", now.Sub(t.failingSince), "source", sourceName(source), "serial", t.roster.Revision())
 		t.failingSince, t.lastError = time.Time{}, ""
 	}
-	for _, reply := range t.confirmReplies {
-		reply.TryPut(true)
+	t.confirmed = true
+}
+
+// answerConfirmRequests answers the requests for a confirmation once a source has confirmed the roster and the release has
+// been announced, so that no task acts on the confirmation with the release from before.
+func (t *Task) answerConfirmRequests() {
+	if t.confirmed && !t.unannounced {
+		for _, reply := range t.confirmReplies {
+			reply.TryPut(true)
+		}
+		t.confirmReplies = nil
 	}
-	t.confirmReplies = nil
+	t.confirmed = t.confirmed && t.unannounced
 }
 
 func (t *Task) sourceFailed(source follow.Source, err error, now time.Time) {
--- a/internal/task/local/isolate.go
+++ b/internal/task/local/isolate.go
@@ -22,7 +22,7 @@
 	if !t.suspects.HasSuspects() || !t.suspects.NeedsTrial(t.target.Service, r.digest(), now) {
 		return true
 	}
-	trial, ok := crash.TrialTarget(r.digest(), t.release.TargetsByService(t.target.Service))
+	trial, ok := crash.TrialTarget(r.digest(), t.release.AvailableTargets(t.target.Service))
 	return ok && trial.VM == t.vm
 }
 
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -48,6 +48,11 @@
 	release     *note.Release
 	target      note.Target
 	hasTarget   bool
+	// evacuated is true while the release in force evacuates the data centre of the target.
+	evacuated bool
+	// refuseUntil is set after a long process pause. Calls that would start are refused until then, or until the release
+	// is confirmed.
+	refuseUntil time.Time
 	draining    bool
 	drained     chan<- struct{}
 
@@ -215,6 +220,9 @@
 	t.onPause(gap)
 	// The target may have closed idle connections during the pause, and the messages about it may still be unread.
 	t.closeIdle(now)
+	if gap >= maxReleaseAge {
+		t.refuseUntil = now.Add(maxConfirmWait)
+	}
 	if t.gate != nil {
 		t.ledger.AdvanceEpoch(now)
 		t.advanceGate(now)
@@ -225,7 +233,11 @@
 // during the suspension, so most of them have expired although their deadlines have not passed on that clock.
 func (t *Task) handleSuspension(d time.Duration) {
 	t.onPause(d)
-	t.closeIdle(t.clock.Now())
+	now := t.clock.Now()
+	t.closeIdle(now)
+	if d >= maxReleaseAge {
+		t.refuseUntil = now.Add(maxConfirmWait)
+	}
 	t.refuseQueued(errs.Busy)
 }
 
@@ -248,6 +260,7 @@
 	case monitorConnClosed:
 		t.handleMonitorConnClosed(m.conn, t.clock.Now())
 	case ReleaseConfirmed:
+		t.refuseUntil = time.Time{}
 		t.admitHeld()
 	case PeerCrashReports:
 		t.handlePeerCrashReports(m)
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -31,6 +31,7 @@
 	if target.Draining {
 		t.refuseQueued(errs.Draining)
 	}
+	t.updateEvacuation(t.clock.Now())
 	if moved {
 		// One nanosecond later than now, so that connections that have just become idle are closed too.
 		t.closeIdle(t.clock.Now().Add(time.Nanosecond))
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -146,6 +146,10 @@
 		return errs.Withdrawn, true
 	case t.draining, t.target.Draining:
 		return errs.Draining, true
+	case t.isEvacuated():
+		return errs.DataCentreEvacuated, true
+	case now.Before(t.refuseUntil):
+		return errs.Busy, true
 	case t.down:
 		return errs.TargetDown, true
 	case t.replaced:
@@ -205,6 +209,13 @@
 	now := t.clock.Now()
 	if m.unsent {
 		t.closeConn(m.conn)
+		if t.isEvacuated() {
+			r.gate.Done(admit.Failed, admit.FinishedCall{}, now)
+			r.conn = nil
+			t.refuse(r, errs.DataCentreEvacuated)
+			t.advanceGate(now)
+			return
+		}
 		t.send(r, t.newConn())
 		return
 	}
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -66,7 +66,7 @@
 		name, ok = table.Pick(now, nil)
 	}
 	if !ok {
-		t.conclude(p, refusal(errs.NoTarget, "no target available for service "+string(p.Request.Service)))
+		t.conclude(p, t.noTarget(p))
 		return
 	}
 	target := t.release.Targets[name]
--- a/internal/task/router/call.go
+++ b/internal/task/router/call.go
@@ -44,6 +44,9 @@
 	// mayQueue is true once a redirect finds no further target or the limit of redirects is reached. The call may then
 	// queue at the target that the table picks first.
 	mayQueue bool
+	// evacuated holds the data centres of the targets that refused the call as evacuated. The release in force here may not
+	// name them yet.
+	evacuated []ident.DataCentre
 	// bestRefusal is the refusal of a redirected attempt with the shortest Retry-After, or nil.
 	bestRefusal *call.Refused
 	// sends counts the attempts that reached or may have reached a target.
--- a/internal/task/router/crash.go
+++ b/internal/task/router/crash.go
@@ -32,7 +32,7 @@
 
 // sendTrial sends a call to the trial target of its request, or refuses it if it was sent there before.
 func (t *Task) sendTrial(p *pendingCall) {
-	target, ok := crash.TrialTarget(p.digest(), t.release.TargetsByService(p.Request.Service))
+	target, ok := crash.TrialTarget(p.digest(), t.release.AvailableTargets(p.Request.Service))
 	if !ok || slices.Contains(p.tried, target.Name) || slices.Contains(p.refusedBy, target.Name) {
 		t.conclude(p, refusal(errs.Busy, "the request was in flight during several crashes and is tried on one target only"))
 		return
--- a/internal/task/router/load.go
+++ b/internal/task/router/load.go
@@ -148,7 +148,7 @@
 	if known {
 		t.table(target.Service).UpdateLoad(m.target, m.load, now)
 	}
-	usable := known && !m.load.Draining && !m.load.Incarnation.IsZero()
+	usable := known && t.release.AcceptsCalls(target) && !m.load.Draining && !m.load.Incarnation.IsZero()
 	if usable && m.load.Down {
 		// A key whose owner is down is issued only if there is no other target.
 		_, other := t.table(target.Service).Pick(now, []ident.Target{m.target})
@@ -196,6 +196,10 @@
 		p.awaitingLoad = ""
 		p.tried = append(p.tried, target)
 		if _, ok := t.table(p.Request.Service).Pick(t.clock.Now(), p.tried); !ok {
+			if t.release.Evacuated[t.release.Targets[target].DataCentre] {
+				t.conclude(p, t.noTarget(p))
+				return
+			}
 			t.conclude(p, refusal(errs.PeerUnreachable, "no load report from target "+string(target)))
 			return
 		}
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -19,14 +19,15 @@
 	now := t.clock.Now()
 	table := t.table(p.Request.Service)
 	size := t.usualSize(p)
-	name, ok := table.PickForSize(size, now, slices.Concat(p.tried, p.refusedBy))
+	evacuated := t.reportedEvacuated(p)
+	name, ok := table.PickForSize(size, now, slices.Concat(p.tried, p.refusedBy, evacuated))
 	if !ok && len(p.refusedBy) > 0 && !p.mayQueue {
 		p.mayQueue, p.refusedBy = true, nil
-		name, ok = table.PickForSize(size, now, p.tried)
+		name, ok = table.PickForSize(size, now, slices.Concat(p.tried, evacuated))
 	}
 	if !ok && len(p.refusedBy) == 0 {
 		// All targets were tried. A failed one may still serve a call that can be repeated.
-		name, ok = table.PickForSize(size, now, nil)
+		name, ok = table.PickForSize(size, now, evacuated)
 	}
 	if !ok {
 		t.conclude(p, t.finalRefusal(p))
@@ -54,7 +55,7 @@
 	if p.bestRefusal != nil {
 		return *p.bestRefusal
 	}
-	return refusal(errs.NoTarget, "no target available for service "+string(p.Request.Service))
+	return t.noTarget(p)
 }
 
 // mayRedirect reports whether a call that was refused with a kind may be sent to another target. The daemon beside one
@@ -72,6 +73,10 @@
 	if p.bestRefusal == nil || r.RetryAfter < p.bestRefusal.RetryAfter {
 		p.bestRefusal = &r
 	}
+	if r.Kind == errs.DataCentreEvacuated && !t.needsTrial(p, now) {
+		t.leaveDataCentre(p, a)
+		return
+	}
 	// At the limit of redirects, a call that its caller can send again is refused. Any other call may then queue at the
 	// target that the table picks first.
 	limitReached := len(p.refusedBy) >= place.MaxRedirects
--- a/internal/task/router/state.go
+++ b/internal/task/router/state.go
@@ -67,10 +67,7 @@
 
 func (t *Task) candidates(service ident.Service) []route.Candidate {
 	var candidates []route.Candidate
-	for _, target := range t.release.TargetsByService(service) {
-		if target.Draining {
-			continue
-		}
+	for _, target := range t.release.AvailableTargets(service) {
 		candidates = append(candidates, route.Candidate{
 			Target: target.Name, VM: target.VM, DataCentre: target.DataCentre, Region: target.Region, Slots: target.Slots,
 		})
