Test evacuations on the fakes and in the fault soak

Cause: nothing checked that no call starts in an evacuated data centre while daemons, peers or the store are in trouble.

Change: a daemon beside such a target sends its peers a load report at the start and at the end of an evacuation, and a router takes a newer revision from a load report as from a response.

--- a/internal/bench/cmds/soak.go
+++ b/internal/bench/cmds/soak.go
@@ -15,17 +15,18 @@
 )
 
 type soakCommand struct {
-	Seed   uint64        `arg:"--seed" help:"first seed (default random)"`
-	Seeds  int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
-	VMs    int           `arg:"--vms" default:"8" help:"number of VMs, 4 to 300"`
-	Length time.Duration `arg:"--length" default:"12s" help:"length of the plan for each seed"`
-	Daemon string        `arg:"--daemon" help:"path of the daemon executable (default: built from this repository)" placeholder:"PATH"`
-	Crash  bool          `arg:"--crash-requests" help:"also send a request that crashes each target that runs it"`
-	Logs   string        `arg:"--logs" help:"directory for the logs of seeds that violate a guarantee (default a new one)" placeholder:"DIR"`
+	Seed     uint64        `arg:"--seed" help:"first seed (default random)"`
+	Seeds    int           `arg:"--seeds" default:"1" help:"number of seeds, one after the other"`
+	VMs      int           `arg:"--vms" default:"8" help:"number of VMs, 4 to 300"`
+	Length   time.Duration `arg:"--length" default:"12s" help:"length of the plan for each seed"`
+	Daemon   string        `arg:"--daemon" help:"path of the daemon executable (default: built from this repository)" placeholder:"PATH"`
+	Crash    bool          `arg:"--crash-requests" help:"also send a request that crashes each target that runs it"`
+	Evacuate bool          `arg:"--evacuations" help:"also evacuate and restore data centres"`
+	Logs     string        `arg:"--logs" help:"directory for the logs of seeds that violate a guarantee (default a new one)" placeholder:"DIR"`
 }
 
 func (c *soakCommand) Run(env args.Env) error {
-	config := soak.Config{VMs: c.VMs, Length: c.Length, CrashRequests: c.Crash}
+	config := soak.Config{VMs: c.VMs, Length: c.Length, CrashRequests: c.Crash, Evacuations: c.Evacuate}
 	if err := config.Check(); err != nil {
 		return err
 	}
--- a/internal/bench/soak/act.go
+++ b/internal/bench/soak/act.go
@@ -13,7 +13,7 @@
 func (s *soak) start() error {
 	for i := range s.config.VMs {
 		service := services[i%len(services)]
-		vm := s.site.AddVM(service, fmt.Sprintf("d%d", i/2%2), targetSlots, targetWorkTime)
+		vm := s.site.AddVM(service, dataCentreOf(i), targetSlots, targetWorkTime)
 		n, err := newNode(vm, i, s.site.Store.Address())
 		if err != nil {
 			return err
@@ -108,6 +108,8 @@
 		s.nodes[a.VM].vm.Target.SetSlowness(a.Percent)
 	case TargetCrash, ReplaceTarget:
 		s.replaceTarget(a, begin)
+	case EvacuateDataCentre:
+		s.evacuate(a.DataCentre, begin)
 	case ChangeConfig:
 		if begin {
 			s.publishConfig()
--- a/internal/bench/soak/check.go
+++ b/internal/bench/soak/check.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -119,8 +120,11 @@
 	Published map[int]time.Time
 	// DrainStarted holds the time at which a target started to drain, by target ID.
 	DrainStarted map[string]time.Time
-	// Services holds the service of each VM.
+	// Services holds the service of each VM, and Targets the address of its target.
 	Services []string
+	Targets  []netip.AddrPort
+	// Evacuations holds the evacuations of data centres in order of time.
+	Evacuations []Evacuation
 	// Errors holds errors of the soak itself.
 	Errors []error
 	// PlanEnd is the time at which the plan ends. Callers continue to send requests after it.
@@ -187,7 +191,7 @@
 			out = append(out, Finding{NoRunAfterDrain, r.ID, fmt.Sprintf("ran on %s %s after the target started to drain", r.Target, r.StartedAt.Sub(drained))})
 		}
 	}
-	for _, part := range [][]Finding{h.checkVersions(), h.checkRecovery(), h.checkExits(), h.checkCrashRequest(), h.checkQuarantine()} {
+	for _, part := range [][]Finding{h.checkVersions(), h.checkRecovery(), h.checkExits(), h.checkCrashRequest(), h.checkQuarantine(), h.checkEvacuations()} {
 		out = append(out, part...)
 	}
 	return out
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -200,7 +200,7 @@
 // isPlanned reports whether an action is a planned change, during which no request may be lost.
 func isPlanned(a Action) bool {
 	switch a.(type) {
-	case StopDaemon, ReloadDaemon, ReplaceTarget, ChangeConfig:
+	case StopDaemon, ReloadDaemon, ReplaceTarget, ChangeConfig, EvacuateDataCentre:
 		return true
 	case KillDaemon, FreezeDaemon, Disturb, StoreFault, StoreSlow, StoreCompact, TargetFault, TargetSlow, TargetCrash:
 	}
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -26,6 +26,8 @@
 	Length time.Duration
 	// CrashRequests makes callers send a request that crashes each target which runs it.
 	CrashRequests bool
+	// Evacuations adds steps to the plan that evacuate data centres.
+	Evacuations bool
 }
 
 // Check returns an error if the Config is invalid.
@@ -105,7 +107,12 @@
 	if err := s.start(); err != nil {
 		return nil, nil, err
 	}
-	s.execute(NewPlan(c.Seed, c.VMs, c.Length))
+	plan := NewPlan(c.Seed, c.VMs, c.Length)
+	if c.Evacuations {
+		plan = withEvacuations(plan, c.Seed, c.Length)
+	}
+	s.history.Targets = targetAddresses(s.nodes)
+	s.execute(plan)
 	if len(s.history.Errors) > 0 {
 		return nil, nil, errors.Annotate(s.history.Errors[0], "start a target that replaces another")
 	}
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// Guards against calls that start in an evacuated data centre, or a restored one that gets no calls, while daemons are
+// stopped, killed, paused or disconnected.
+func TestSoakWithEvacuations(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	program := buildDaemon(t, "", "", "")
+	for _, seed := range []uint64{600, 601} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := soak.Config{DaemonPath: program, Seed: seed, VMs: 8, Length: 12 * time.Second, Evacuations: true}
+			qt.Assert(t, runSoak(t, c), qt.HasLen, 0)
+		})
+	}
+}
+
 // maxSeeds is the number of seeds within which a violation has to be found: not every plan contains the fault that
 // triggers it.
 const maxSeeds = 5
@@ -134,6 +150,7 @@
 		{soak.OwnAnswer, "internal/task/local/conn.go", "return id != \"\" && id != j.request.ID", "return id == j.request.Method", false},
 		{soak.NoRunAfterDrain, "platform/decode.go", "Draining: v.Status.State == stateDraining", "Draining: false", false},
 		{soak.ConfigInForce, "internal/fleet/roster/roster.go", "func (r *Roster) setConfig(c ConfigUpdated) bool {\n", "func (r *Roster) setConfig(c ConfigUpdated) bool {\n\tif r.configRevision > 0 {\n\t\treturn false\n\t}\n", false},
+		{soak.NoRunWhileEvacuated, "platform/decode.go", "evacuationPrefix); ok {", "evacuationPrefix); ok && false {", false},
 		{soak.ConnectionKept, "internal/super/daemon/daemon.go", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n\treturn\n", false},
 		{soak.StopsInTime, "platform/platform.go", "const acceptWhileDraining = 3 * time.Second", "const acceptWhileDraining = 7 * time.Second", false},
 		{soak.CrashRequestStopped, "internal/task/local/health.go", "if t.crashThrottle.Allow(now) {", "if t.crashThrottle.Allow(now) && false {", true},
@@ -143,7 +160,7 @@
 			t.Parallel()
 			program := buildDaemon(t, test.file, test.old, test.new)
 			for seed := range uint64(maxSeeds) {
-				c := soak.Config{DaemonPath: program, Seed: 20 + seed, VMs: 6, Length: 8 * time.Second, CrashRequests: test.crashRequests}
+				c := soak.Config{DaemonPath: program, Seed: 20 + seed, VMs: 6, Length: 8 * time.Second, CrashRequests: test.crashRequests, Evacuations: test.guarantee == soak.NoRunWhileEvacuated}
 				for _, f := range runSoak(t, c) {
 					if f.Guarantee == test.guarantee {
 						return
--- a/internal/task/local/evacuation.go
+++ b/internal/task/local/evacuation.go
@@ -29,6 +29,7 @@
 	if !evacuated {
 		event.TargetRestored.Log("target", t.target.Name, "dataCentre", t.target.DataCentre)
 		t.handleRestored(now)
+		t.reportEvacuation()
 		return
 	}
 	running := 0
@@ -39,8 +40,13 @@
 	}
 	event.TargetEvacuated.Log("target", t.target.Name, "dataCentre", t.target.DataCentre, "running", running, "waiting", len(t.calls)-running)
 	t.refuseQueued(errs.DataCentreEvacuated)
+	t.reportEvacuation()
 }
 
+// reportEvacuation sends peers a load report, which names the release in force. Peers that cannot read the store, and whose
+// sources cannot either, read it from this daemon. They get no other reports while no calls go to the target.
+func (t *Task) reportEvacuation() { t.onTargetReport(t.target.Name, t.load()) }
+
 // handleRestored is called when the evacuation of the target's data centre ends, before the first call is admitted. The
 // target has had no calls for a while and may be cold.
 func (t *Task) handleRestored(time.Time) {}
--- a/internal/task/local/evacuation_test.go
+++ b/internal/task/local/evacuation_test.go
@@ -25,18 +25,20 @@
 }
 
 // Guards against calls that start in an evacuated data centre, new or queued ones, against running calls that are cut off
-// by the evacuation, and against a target that gets no calls after the restore.
+// by the evacuation, against a target that gets no calls after the restore, and against peers that do not learn of either
+// because the target sends them no responses.
 func TestEvacuation(t *testing.T) {
 	for _, test := range []struct {
 		name      string
 		evacuated []ident.DataCentre
 		queued    string
 		new       string
+		reports   int
 	}{
-		{"own data centre", []ident.DataCentre{"d"}, "Refused DataCentreEvacuated", "Refused DataCentreEvacuated"},
-		{"one of two", []ident.DataCentre{"e", "d"}, "Refused DataCentreEvacuated", "Refused DataCentreEvacuated"},
-		{"another data centre", []ident.DataCentre{"e"}, `Answered 200 ""`, `Answered 200 ""`},
-		{"no data centre", nil, `Answered 200 ""`, `Answered 200 ""`},
+		{"own data centre", []ident.DataCentre{"d"}, "Refused DataCentreEvacuated", "Refused DataCentreEvacuated", 2},
+		{"one of two", []ident.DataCentre{"e", "d"}, "Refused DataCentreEvacuated", "Refused DataCentreEvacuated", 2},
+		{"another data centre", []ident.DataCentre{"e"}, `Answered 200 ""`, `Answered 200 ""`, 0},
+		{"no data centre", nil, `Answered 200 ""`, `Answered 200 ""`, 0},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			release := make(chan struct{})
@@ -45,7 +47,8 @@
 				return answerOK(w, r, body)
 			})
 			beside := note.Target{Name: "b1", Address: target.address()}
-			f := startFixture(t, note.Target{Name: "b1", Address: target.address(), Slots: 1})
+			reports := make(chan call.Load, 8)
+			f := startFixture(t, note.Target{Name: "b1", Address: target.address(), Slots: 1}, WithTargetReportFunc(func(_ ident.Target, l call.Load) { reports <- l }))
 			f.putEvacuation(beside)
 			request := call.Request{Deadline: time.Now().Add(time.Hour)}
 			running, _ := f.send(request)
@@ -60,6 +63,7 @@
 			qt.Assert(t, summary(f.wait(added)), qt.Equals, test.new)
 			f.putEvacuation(beside)
 			qt.Assert(t, summary(f.do(request)), qt.Equals, `Answered 200 ""`)
+			qt.Assert(t, reports, qt.HasLen, test.reports)
 		})
 	}
 }
--- a/internal/task/router/evacuation_test.go
+++ b/internal/task/router/evacuation_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -87,6 +88,32 @@
 	}
 }
 
+// Guards against a daemon that does not learn of the end of an evacuation from the daemons in that data centre, whose targets
+// send it no responses.
+func TestTargetReportNamesNewerRelease(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		target ident.Target
+		serial ident.Serial
+		want   int
+	}{
+		{"newer", "t1", 8, 1},
+		{"the same", "t1", 7, 0},
+		{"older", "t1", 6, 0},
+		{"of an unknown target", "t9", 8, 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var asked []netip.AddrPort
+			h := newHarness(4, WithNewerReleaseFunc(func(_ ident.Head, peer netip.AddrPort) { asked = append(asked, peer) }))
+			r := splitRelease("far")
+			r.Head.Serial = 7
+			h.receive(ReleaseChanged{r})
+			h.receive(TargetReported{Target: test.target, Load: call.Load{Head: ident.Head{Serial: test.serial}}})
+			qt.Assert(t, asked, qt.HasLen, test.want)
+		})
+	}
+}
+
 // Guards against a call that is sent to an evacuated data centre because it waited for the load of its target.
 func TestEvacuationDuringLoadRequest(t *testing.T) {
 	h := newHarness(4)
--- a/internal/task/router/state.go
+++ b/internal/task/router/state.go
@@ -98,9 +98,14 @@
 }
 
 // handleTargetReport records a load report from the daemon beside a target. No table is created for a service that is
-// not in use.
+// not in use. The daemon may have a newer release, for example one that restores its data centre: targets of an evacuated
+// one send no other reports.
 func (t *Task) handleTargetReport(m TargetReported) {
-	if table, ok := t.tables[t.release.Targets[m.Target].Service]; ok {
+	target, known := t.release.Targets[m.Target]
+	if known && target.VM != t.vm && m.Load.Head.Serial > t.release.Head.Serial {
+		t.onNewerRelease(m.Load.Head, target.Daemon)
+	}
+	if table, ok := t.tables[target.Service]; ok {
 		table.UpdateLoad(m.Target, m.Load, t.clock.Now())
 	}
 }
