--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -173,6 +173,7 @@
 		t.finishRead(m, now)
 	case ConfirmRequest:
 		t.confirmReplies = append(t.confirmReplies, m.Reply)
+		t.confirmed = false // a confirmation from before the request does not count
 		t.cancelRead()
 		t.nextAt = now
 	case PeerRequest:
--- a/internal/task/local/evacuation.go
+++ b/internal/task/local/evacuation.go
@@ -50,3 +50,11 @@
 // handleRestored is called when the evacuation of the target's data centre ends, before the first call is admitted. The
 // target has had no calls for a while and may be cold.
 func (t *Task) handleRestored(time.Time) {}
+
+// distrustRelease refuses calls that would start after a long process pause, until the release is confirmed. They have not
+// been sent, so another target can run them. Releases that are built from notes evacuate no data centre.
+func (t *Task) distrustRelease(paused time.Duration, now time.Time) {
+	if paused >= maxReleaseAge && t.release.Version > 0 {
+		t.refuseUntil = now.Add(maxConfirmWait)
+	}
+}
--- a/internal/task/local/evacuation_test.go
+++ b/internal/task/local/evacuation_test.go
@@ -16,6 +16,7 @@
 // putEvacuation sends a release with a target in the data centre d, and the given evacuated data centres.
 func (f *fixture) putEvacuation(target note.Target, evacuated ...ident.DataCentre) {
 	r := note.NewRelease()
+	r.Version = 1
 	target.VM, target.Service, target.DataCentre, target.Slots = "vm1", "bookings", "d", 1
 	r.Targets[target.Name] = target
 	for _, name := range evacuated {
@@ -86,6 +87,7 @@
 			target := newRawTarget(t, "127.0.0.1:0", answerOK)
 			c := &offsetClock{}
 			f := startFixture(t, note.Target{Name: "b1", Address: target.address()}, WithClock(c))
+			f.putEvacuation(note.Target{Name: "b1", Address: target.address()})
 			f.load()
 			c.offset.Store(int64(test.pause))
 			f.load()
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -220,9 +220,7 @@
 	t.onPause(gap)
 	// The target may have closed idle connections during the pause, and the messages about it may still be unread.
 	t.closeIdle(now)
-	if gap >= maxReleaseAge {
-		t.refuseUntil = now.Add(maxConfirmWait)
-	}
+	t.distrustRelease(gap, now)
 	if t.gate != nil {
 		t.ledger.AdvanceEpoch(now)
 		t.advanceGate(now)
@@ -235,9 +233,7 @@
 	t.onPause(d)
 	now := t.clock.Now()
 	t.closeIdle(now)
-	if d >= maxReleaseAge {
-		t.refuseUntil = now.Add(maxConfirmWait)
-	}
+	t.distrustRelease(d, now)
 	t.refuseQueued(errs.Busy)
 }
 
