Show evacuated data centres in the status

Cause: operators had to read the log to see that an evacuation is in force.

Change: the status names the evacuated data centres, and jacinthcross status remarks it for the daemons there.

--- a/internal/cli/cmds/status.go
+++ b/internal/cli/cmds/status.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -146,6 +147,9 @@
 	if s.Target.Draining {
 		out = append(out, "draining")
 	}
+	if slices.Contains(s.Release.Evacuated, s.DataCentre) {
+		out = append(out, "evacuated")
+	}
 	if n := len(s.Release.Lagging); n > 0 {
 		out = append(out, fmt.Sprintf("%d peers lag", n))
 	}
--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -3,8 +3,10 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -84,6 +86,8 @@
 	Since    time.Time
 	Targets  int
 	Services int
+	// Evacuated are the evacuated data centres, in order of their names.
+	Evacuated []ident.DataCentre `json:",omitempty"`
 	// Lagging are the VMs whose daemons reported a lower serial.
 	Lagging []ident.VM
 	// Refusals are the last mistakes found in refused notes and snapshots. They do not concern calls.
@@ -214,6 +218,7 @@
 // setRelease sets the release in force and the name of the target.
 func (s *Status) setRelease(r *note.Release) {
 	s.Release.Serial, s.Release.Targets, s.Release.Services = r.Head.Serial, len(r.Targets), len(r.Services)
+	s.Release.Evacuated = slices.Sorted(maps.Keys(r.Evacuated))
 	if s.Release.State = ReleaseAccepted; r.Head.IsZero() {
 		s.Release.State = ReleaseNone
 	}
