--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -13,6 +13,7 @@
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/wire/codec"
 )
@@ -46,6 +47,9 @@
 		codec.CrashReports{From: "vm", Service: "service", Tallies: []crash.Tally{{
 			Service: "other", Digest: ident.Digest{9}, Origin: ident.Incarnation{8}, Crashes: 3, Confirmed: 2, Cleared: 1, Age: time.Minute,
 		}}},
+		codec.ChangesReply{Changes: roster.Changes{Revision: 9, Changes: []roster.Change{
+			roster.DataCentreEvacuated{DataCentre: "d", Revision: 8}, roster.DataCentreRestored{DataCentre: "e", Revision: 9},
+		}}},
 		codec.Drain{VM: "vm"},
 		codec.Done{},
 	}
