Order the state of the store by era and revision

Cause: a store that is restored from an older copy gives its revisions out again. The daemons took the highest revision as the newest state, so they ignored all that was written after the restore until the old revision was passed, and then mixed the states of both.

Change: responses of the store carry Store-Era, and rosters, messages between daemons and load reports carry the era with the revision. A peer of an older era gets the full state; one that shows a newer era causes a read. The test of the event catalogue now also reads platform/, which logs StoreEraUnreadable.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -32,6 +32,8 @@
 	StoreDuty                      = Event{2012, "StoreDuty", Info}               // this daemon starts or stops reading the store itself
 	StoreChangesTooLarge           = Event{2013, "StoreChangesTooLarge", Warning} // the changes since the daemon's revision exceed the limit of a response
 	ConfigPartUnusable             = Event{2014, "ConfigPartUnusable", Warning}   // a part of a config that cannot be read; the rest is used
+	StoreRestored                  = Event{2020, "StoreRestored", Warning}        // the store was restored from an older copy; its state replaces what the daemon knows
+	StoreEraUnreadable             = Event{2021, "StoreEraUnreadable", Warning}   // the header with the era of the store cannot be read
 	LinkOpened                     = Event{3001, "LinkOpened", Info}
 	LinkFailed                     = Event{3002, "LinkFailed", Warning}
 	PeerMessageRefused             = Event{3003, "PeerMessageRefused", Warning}
@@ -65,6 +67,7 @@
 		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable,
 		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge, ConfigPartUnusable,
+		StoreRestored, StoreEraUnreadable,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed, CrashReportsReceived, CrashEvidenceDropped, CrashSuspect,
--- a/internal/base/event/list_test.go
+++ b/internal/base/event/list_test.go
@@ -111,7 +111,7 @@
 func loggedFields(t *testing.T) map[string][]string {
 	t.Helper()
 	fields := map[string][]string{}
-	err := filepath.WalkDir("../..", func(path string, d fs.DirEntry, err error) error {
+	visit := func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -126,8 +126,10 @@
 			return true
 		})
 		return nil
-	})
-	qt.Assert(t, err, qt.IsNil)
+	}
+	for _, root := range []string{"../..", "../../../platform"} {
+		qt.Assert(t, filepath.WalkDir(root, visit), qt.IsNil)
+	}
 	return fields
 }
 
--- a/internal/base/ident/ident.go
+++ b/internal/base/ident/ident.go
@@ -74,11 +74,20 @@
 	return d, nil
 }
 
+// An Era numbers the restores of the platform's store from an older copy. Serials are ordered within an era only.
+type Era uint64
+
 // A Head identifies the newest release that a daemon holds, the head of the sequence of releases. With a store, Serial
-// is the revision of the store and Digest is zero.
+// is the revision of the store, Era its era, and Digest is zero. Without a store, Era is zero.
 type Head struct {
 	Serial Serial
 	Digest Digest
+	Era    Era
+}
+
+// IsAfter reports whether h identifies a later release than other.
+func (h Head) IsAfter(other Head) bool {
+	return h.Era > other.Era || h.Era == other.Era && h.Serial > other.Serial
 }
 
 // IsZero reports whether the Head identifies no release.
--- a/internal/cli/cmds/status.go
+++ b/internal/cli/cmds/status.go
@@ -71,20 +71,27 @@
 			done <- struct{}{}
 		}()
 	}
-	highest := ident.Serial(0)
+	var newest ident.Head
 	for range reports {
 		<-done
 	}
 	for _, r := range reports {
 		if r.Status != nil {
-			highest = max(highest, r.Status.Release.Serial)
+			if h := headOf(r.Status); h.IsAfter(newest) {
+				newest = h
+			}
 		}
 	}
 	for i, r := range reports {
-		reports[i].Lags = r.Status != nil && r.Status.Release.Serial < highest
+		reports[i].Lags = r.Status != nil && newest.IsAfter(headOf(r.Status))
 	}
 }
 
+// headOf returns the head of the release in a status, without its digest.
+func headOf(s *admin.Status) ident.Head {
+	return ident.Head{Serial: s.Release.Serial, Era: s.Release.Era}
+}
+
 func readStatus(ctx context.Context, address netip.AddrPort) (*admin.Status, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/status", nil)
 	if err != nil {
--- a/internal/fleet/roster/change.go
+++ b/internal/fleet/roster/change.go
@@ -10,7 +10,7 @@
 
 // An Era numbers the restores of the platform's store. Each time the store returns from an older copy, its era rises by
 // one, and revisions that were given out in the era before are given out again.
-type Era uint64
+type Era = ident.Era
 
 // A Change is one change of the state that the platform publishes: ConfigUpdated, ConfigDelta, ConfigInvalid,
 // ConfigPartInvalid, TargetRegistered, TargetRemoved, TargetLapsed, TargetUnusable, DataCentreEvacuated or DataCentreRestored.
@@ -137,10 +137,12 @@
 	Limits   note.Limits
 }
 
-// Changes holds the changes after a revision, and the revision up to which they are complete.
+// Changes holds the changes after a revision, and the revision up to which they are complete. All revisions are of the
+// same era.
 type Changes struct {
 	Changes  []Change
 	Revision Revision
+	Era      Era
 }
 
 // A Snapshot is the full published state at a revision, as one change for each entry and one for the config. It is read
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -20,12 +20,14 @@
 const maxRemovals = 4096
 
 // A Roster holds the newest known config and entries of the targets. It never returns to an older state: the config and
-// each entry keep the change with the highest revision.
+// each entry keep the change with the highest revision. All revisions are of one era (see startEra).
 type Roster struct {
+	era      Era
 	revision Revision
 	// historyStart is the revision after which all individual changes are known.
-	historyStart   Revision
-	config         Config
+	historyStart Revision
+	config       Config
+	// configRevision is 0 if the config was published in an older era.
 	configRevision Revision
 	// configRevisions are the revisions of the most recent configs. The config of the last revision is in force.
 	configRevisions []Revision
@@ -65,11 +67,16 @@
 
 // ApplySnapshot applies a snapshot of the full published state and reports whether anything changed. A snapshot older
 // than the known state is ignored. interrupted is true if entries may have lapsed since the store was last read: missing
-// entries are then dropped only after LapseGrace.
+// entries are then dropped only after LapseGrace. The same holds for a snapshot of a newer era, in which entries are
+// missing that were written after the copy from which the store was restored.
 func (r *Roster) ApplySnapshot(s Snapshot, interrupted bool, now time.Time) bool {
-	if s.Revision < r.revision {
+	if s.Era < r.era || s.Era == r.era && s.Revision < r.revision {
 		return false
 	}
+	newEra := s.Era > r.era
+	if newEra {
+		r.startEra(s.Era, now)
+	}
 	r.historyStart = s.Revision
 	present := map[ident.Target]bool{}
 	for _, c := range s.Changes {
@@ -83,18 +90,25 @@
 		case ConfigUpdated, ConfigDelta, ConfigInvalid, ConfigPartInvalid, TargetRemoved, DataCentreEvacuated, DataCentreRestored:
 		}
 	}
-	changed := r.Apply(Changes(s), interrupted, now)
+	changed := r.Apply(Changes(s), interrupted, now) || newEra
 	for name, e := range r.entries {
-		if !present[name] && e.revision <= s.Revision {
+		switch {
+		case present[name] || e.revision > s.Revision:
+		case newEra && e.inUse():
+			e.lapse(s.Revision, now)
+		default:
 			changed = r.remove(TargetRemoved{Name: name, Revision: s.Revision}, interrupted, now) || changed
 		}
 	}
 	return changed
 }
 
-// NeedsSnapshot reports whether the changes are based on a config other than the one in force. They cannot be applied
-// then, and the full state has to be read.
+// NeedsSnapshot reports whether the changes are of a newer era, or based on a config other than the one in force. They
+// cannot be applied then, and the full state has to be read.
 func (r *Roster) NeedsSnapshot(c Changes) bool {
+	if c.Era != r.era {
+		return c.Era > r.era
+	}
 	for _, ch := range c.Changes {
 		if ch, ok := ch.(ConfigDelta); ok && ch.Revision > r.configRevision && ch.Base != r.configRevision {
 			return true
@@ -103,10 +117,10 @@
 	return false
 }
 
-// Apply applies changes and reports whether any had an effect. Changes based on a config other than the one in force
-// are ignored. interrupted has the same meaning as for ApplySnapshot.
+// Apply applies changes and reports whether any had an effect. Changes of another era, or based on a config other than the
+// one in force, are ignored. interrupted has the same meaning as for ApplySnapshot.
 func (r *Roster) Apply(c Changes, interrupted bool, now time.Time) bool {
-	if r.NeedsSnapshot(c) {
+	if c.Era != r.era || r.NeedsSnapshot(c) {
 		return false
 	}
 	changed := false
@@ -138,11 +152,14 @@
 // ConfigRevision returns the revision of the config in force.
 func (r *Roster) ConfigRevision() Revision { return r.configRevision }
 
-// setConfig replaces the config if the new one has a higher version and no lower revision.
+// setConfig replaces the config if the new one supersedes it.
 func (r *Roster) setConfig(c ConfigUpdated) bool {
-	if c.Version <= r.config.Version || c.Revision < r.configRevision {
+	if !r.supersedesConfig(c) {
 		return false
 	}
+	if c.Revision == 0 {
+		r.forgetConfigRevisions()
+	}
 	for name, route := range c.Routes {
 		if old, ok := r.config.Routes[name]; !ok || !old.Equal(route) {
 			r.routeRevisions[name] = c.Revision
@@ -162,7 +179,9 @@
 			r.routedServices[share.Service] = true
 		}
 	}
-	r.configRevisions = append(r.configRevisions, c.Revision)
+	if c.Revision > 0 {
+		r.configRevisions = append(r.configRevisions, c.Revision)
+	}
 	if len(r.configRevisions) > maxConfigRevisions {
 		r.configRevisions = r.configRevisions[1:]
 	}
@@ -274,10 +293,7 @@
 		return false
 	}
 	if interrupted && e.inUse() && !e.target().Draining {
-		e.revision = c.Revision
-		if e.dropAt.IsZero() {
-			e.dropAt = now.Add(LapseGrace)
-		}
+		e.lapse(c.Revision, now)
 		return false
 	}
 	delete(r.entries, c.Name)
@@ -312,7 +328,10 @@
 	for name, e := range r.entries {
 		if !e.dropAt.IsZero() && !e.dropAt.After(now) {
 			delete(r.entries, name)
-			// The process in use may be running: if it reports again, it is used at once.
+			if e.target().Draining {
+				e.recordEnd(e.TargetRegistered, now)
+			}
+			// The process in use may be running: if it reports again, it is used at once unless it was draining.
 			r.recordRemoval(name, removal{e.revision, e.ended})
 			changed = true
 		}
@@ -349,7 +368,7 @@
 // address of a target that has ended.
 func (r *Roster) Release() *note.Release {
 	release := note.NewRelease()
-	release.Head = ident.Head{Serial: ident.Serial(r.revision)}
+	release.Head = ident.Head{Serial: ident.Serial(r.revision), Era: r.era}
 	release.Version, release.Limits = r.config.Version, r.config.Limits
 	if r.config.Routes != nil {
 		release.Routes, release.Services = r.config.Routes, r.config.Services
--- a/internal/fleet/roster/since.go
+++ b/internal/fleet/roster/since.go
@@ -23,26 +23,22 @@
 // ChangesAfter returns the changes after a revision. If the individual changes since that revision are not known, it
 // returns the full published state, and full is true.
 func (r *Roster) ChangesAfter(revision Revision) (c Changes, full bool) {
-	c.Revision = r.revision
-	full = revision < r.historyStart
-	if full {
-		revision = 0
+	if revision < r.historyStart {
+		return r.state(), true
 	}
-	switch {
+	c.Revision, c.Era = r.revision, r.era
+	switch base := r.configRevisionAt(revision); {
 	case r.configRevision <= revision:
-	case full || r.configRevisionAt(revision) == 0:
+	case base == 0:
 		c.Changes = append(c.Changes, ConfigUpdated{Config: r.config, Revision: r.configRevision})
 	default:
-		c.Changes = append(c.Changes, r.configDelta(r.configRevisionAt(revision)))
+		c.Changes = append(c.Changes, r.configDelta(base))
 	}
 	for name, e := range r.entries {
 		if e.revision > revision {
 			c.Changes = append(c.Changes, e.changes(name)...)
 		}
 	}
-	if full {
-		return c, true
-	}
 	for name, m := range r.removals {
 		if m.revision > revision {
 			c.Changes = append(c.Changes, TargetRemoved{Name: name, Revision: m.revision})
@@ -51,6 +47,18 @@
 	return c, false
 }
 
+// state returns the full published state.
+func (r *Roster) state() Changes {
+	c := Changes{Revision: r.revision, Era: r.era}
+	if r.config.Version > 0 {
+		c.Changes = append(c.Changes, ConfigUpdated{Config: r.config, Revision: r.configRevision})
+	}
+	for name, e := range r.entries {
+		c.Changes = append(c.Changes, e.changes(name)...)
+	}
+	return c
+}
+
 // changes returns the changes that give a peer the entry. A peer decides on a pending report itself, since its decision
 // has no revision that the peer could ask for.
 func (e *entry) changes(name ident.Target) []Change {
--- a/internal/super/daemon/callbacks.go
+++ b/internal/super/daemon/callbacks.go
@@ -65,9 +65,9 @@
 	}
 }
 
-// onPeerRevision informs the feed task of the revision that a peer holds.
+// onPeerRevision informs the feed task of the era and the revision that a peer holds.
 func (st *sharedState) onPeerRevision(head ident.Head, peer netip.AddrPort) {
-	st.feed.TryPut(feed.RevisionReported{Revision: roster.Revision(head.Serial), Peer: peer})
+	st.feed.TryPut(feed.RevisionReported{Era: head.Era, Revision: roster.Revision(head.Serial), Peer: peer})
 }
 
 // onConfirmation informs the local task that enough peers have confirmed the release.
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -225,7 +225,7 @@
 	st.withRelease(func(r *note.Release) { st.router.TryPut(router.ReleaseChanged{Release: r}) })
 	onNewerRelease := st.onPeerHead
 	if _, ok := s.Source.(conf.StoreSource); ok {
-		// With a store, Head.Serial is the revision.
+		// With a store, Head.Serial is the revision, of the era Head.Era.
 		onNewerRelease = st.onPeerRevision
 	}
 	options := []router.Option{
@@ -304,7 +304,7 @@
 // announceRelease sends a new release to the tasks that depend on it and reports whether all their mailboxes had room.
 // A release older than the current one is ignored.
 func (st *sharedState) announceRelease(r *note.Release) bool {
-	if last := st.release.Load(); last != nil && r.Head.Serial < last.Head.Serial {
+	if last := st.release.Load(); last != nil && last.Head.IsAfter(r.Head) {
 		return true
 	}
 	st.release.Store(r)
--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -74,6 +74,8 @@
 // release comes from notes.
 type ReleaseStatus struct {
 	Serial ident.Serial
+	// Era is the era of the store. It is 0 until the store has been restored from an older copy.
+	Era ident.Era `json:",omitempty"`
 	// Version is the version that operators gave the newest config. It is 0 unless the config comes from a store.
 	Version uint64 `json:",omitempty"`
 	Digest  string
@@ -213,6 +215,7 @@
 
 // setRelease sets the release in force and the name of the target.
 func (s *Status) setRelease(r *note.Release) {
+	s.Release.Era = r.Head.Era
 	s.Release.Serial, s.Release.Targets, s.Release.Services = r.Head.Serial, len(r.Targets), len(r.Services)
 	if s.Release.State = ReleaseAccepted; r.Head.IsZero() {
 		s.Release.State = ReleaseNone
--- a/internal/task/feed/feed.go
+++ b/internal/task/feed/feed.go
@@ -80,6 +80,9 @@
 	// needSnapshot says that the next read of the store has to fetch a snapshot, and needFreshSnapshot that the snapshot
 	// must not be stale.
 	needSnapshot, needFreshSnapshot bool
+	// newestEra is the newest era that the store or a peer has told of. While the roster is in an older one, the store is
+	// read by snapshots, and what sources in older eras answer confirms nothing.
+	newestEra roster.Era
 	// emptyReads counts the snapshots without targets. The first snapshot with targets sets it to maxEmptyReads, which
 	// ends the repeated reads of snapshots.
 	emptyReads int
@@ -109,8 +112,13 @@
 }
 
 // An encodedConfigKey identifies a change of the config: the revisions of the new config and of the one that it builds on,
-// which is 0 for a whole config.
-type encodedConfigKey struct{ revision, base roster.Revision }
+// which is 0 for a whole config. In another era, the same revisions may be those of other configs, and all configs of
+// older eras have revision 0.
+type encodedConfigKey struct {
+	era            roster.Era
+	version        uint64
+	revision, base roster.Revision
+}
 
 // A pendingRequest is the request of a peer that waits for a change.
 type pendingRequest struct {
@@ -171,8 +179,10 @@
 		t.cancelRead()
 		t.nextAt = now
 	case PeerRequest:
+		t.noteEra(m.Era, now)
 		t.pendingRequests = append(t.pendingRequests, pendingRequest{m, now, now.Add(min(m.Wait, peerWait)), t.confirmedAt})
 	case RevisionReported:
+		t.noteEra(m.Era, now)
 		t.readFromNewerPeer(m)
 	case StatusRequest:
 		m.Reply.TryPut(Status{Release: t.roster.Release(), ConfirmedAt: t.confirmedAt, ReadsStore: t.position.ReadsStore, LastError: t.lastError})
@@ -238,7 +248,7 @@
 func (t *Task) answerPeers(now time.Time) {
 	var waiting []pendingRequest
 	for _, a := range t.pendingRequests {
-		if t.roster.Revision() <= a.After && !t.confirmedAt.After(a.confirmedAt) && a.deadline.After(now) && !t.storeUnreachable(now) {
+		if t.roster.Era() == a.Era && t.roster.Revision() <= a.After && !t.confirmedAt.After(a.confirmedAt) && a.deadline.After(now) && !t.storeUnreachable(now) {
 			waiting = append(waiting, a)
 			continue
 		}
--- a/internal/task/feed/message.go
+++ b/internal/task/feed/message.go
@@ -19,7 +19,7 @@
 // A StoreReader reads from the store, the service of the platform that holds the targets and the config. It ends a read
 // soon when nothing arrives. A read of which parts keep arriving is limited by its context only.
 type StoreReader interface {
-	// Snapshot reads all entries. A stale read costs the platform less, but its result may be some seconds old.
+	// The results have the era of the store. Snapshot reads all entries. A stale read costs the platform less, but its result may be some seconds old.
 	Snapshot(ctx context.Context, stale bool) (roster.Snapshot, error)
 	// Changes returns the changes after a revision as soon as there are any, or none after wait.
 	Changes(ctx context.Context, after roster.Revision, wait time.Duration) (roster.Changes, error)
@@ -45,8 +45,9 @@
 	Reply *mail.Box[codec.ChangesReply]
 }
 
-// A RevisionReported carries the revision of a peer's roster, which the peer sent with its load.
+// A RevisionReported carries the era and the revision of a peer's roster, which the peer sent with its load.
 type RevisionReported struct {
+	Era      roster.Era
 	Revision roster.Revision
 	Peer     netip.AddrPort
 }
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -66,8 +66,8 @@
 // storeRead returns a read of the store. Unless waitForChange is set, the read returns at once.
 func (t *Task) storeRead(waitForChange bool) func(ctx context.Context) result {
 	source, after := t.config.StoreReader, t.roster.Revision()
-	if t.needSnapshot {
-		stale := !t.needFreshSnapshot
+	if t.needSnapshot || t.behindEra() {
+		stale := !t.needFreshSnapshot && !t.behindEra()
 		return func(ctx context.Context) result {
 			s, err := source.Snapshot(ctx, stale)
 			if err != nil {
@@ -91,7 +91,7 @@
 
 // peerRead returns a read from a peer.
 func (t *Task) peerRead(source follow.PeerSource, waitForChange bool) func(ctx context.Context) result {
-	dialerInbox, request := t.config.Dialer, codec.ChangesRequest{After: t.roster.Revision()}
+	dialerInbox, request := t.config.Dialer, codec.ChangesRequest{After: t.roster.Revision(), Era: t.roster.Era()}
 	switch {
 	case t.needPeerSnapshot:
 		request.After = 0
@@ -128,7 +128,8 @@
 
 // readFromNewerPeer reads from a peer that reported a newer revision, concurrently with the regular read.
 func (t *Task) readFromNewerPeer(m RevisionReported) {
-	if m.Revision <= t.roster.Revision() || t.readingFromNewerPeer {
+	newer := m.Era > t.roster.Era() || m.Era == t.roster.Era() && m.Revision > t.roster.Revision()
+	if !newer || t.readingFromNewerPeer {
 		return
 	}
 	t.readingFromNewerPeer = true
@@ -138,6 +139,7 @@
 
 // finishRead applies the result of a read. Results of cancelled reads are ignored.
 func (t *Task) finishRead(m readFinished, now time.Time) {
+	defer t.logRestore(t.roster.Era(), t.roster.Revision(), now)
 	switch m.number {
 	case newerPeerRead:
 		t.readingFromNewerPeer = false
@@ -158,13 +160,27 @@
 func (t *Task) applyResult(m readFinished, now time.Time) {
 	switch r := m.result.(type) {
 	case snapshot:
+		if t.isOutdated(r.Era, now) {
+			t.sourceFailed(m.source, errOlderEra, now)
+			return
+		}
 		t.logUnusable(r.Changes)
+		// A peer may have kept a higher version of the config over the restore of the store.
+		t.needPeerSnapshot = t.needPeerSnapshot || r.Era > t.roster.Era()
 		t.unannounced = t.roster.ApplySnapshot(r.Snapshot, t.mayHaveLapsed(now), now) || t.unannounced
 		if t.needSnapshot = t.countEmptyRead(); t.needSnapshot {
 			t.nextAt = now.Add(emptyReadInterval)
 		}
 		t.sourceAnswered(m.source, m.sent, now)
 	case changes:
+		switch {
+		case t.isOutdated(r.Era, now):
+			t.sourceFailed(m.source, errOlderEra, now)
+			return
+		case t.behindEra():
+			// The revisions of these changes are of an era of which a snapshot has to be read first.
+			return
+		}
 		t.logUnusable(r.Changes.Changes)
 		t.unannounced = t.roster.Apply(r.Changes, t.mayHaveLapsed(now), now) || t.unannounced
 		t.nextAt = now.Add(watchDelay)
@@ -172,7 +188,7 @@
 		// delayed.
 		t.sourceAnswered(m.source, earlier(now, m.sent.Add(watchWait)), now)
 	case peerReply:
-		if t.roster.NeedsSnapshot(r.Changes) {
+		if !r.Complete && t.roster.NeedsSnapshot(r.Changes) {
 			t.needPeerSnapshot = true
 			return
 		}
@@ -213,26 +229,27 @@
 
 // staleError returns why a peer that answered is not a usable source (see applyPeerReply).
 func staleError(r peerReply) error {
-	if r.Revision == 0 {
+	if r.Revision == 0 && r.Era == 0 {
 		return errors.New("the peer has not received any state of the store yet")
 	}
-	return errors.Errorf("the peer is not a usable source: its data are too old, its revision is lower than that of this daemon, or it cannot reach the store (data confirmed by the store %s ago, revision %d, store unreachable: %t)", r.Age, r.Revision, r.StoreUnreachable)
+	return errors.Errorf("the peer is not a usable source: its data are too old, its revision or its era is lower than that of this daemon, or it cannot reach the store (data confirmed by the store %s ago, revision %d of era %d, store unreachable: %t)", r.Age, r.Revision, r.Era, r.StoreUnreachable)
 }
 
 // applyPeerReply applies the answer of a peer. It reports whether the peer is a usable source: it can reach the store,
-// its data are not older than maxPeerAge, and its revision is not lower than that of the roster.
+// its data are not older than maxPeerAge, its revision is not lower than that of the roster, and no newer era is known.
 func (t *Task) applyPeerReply(p peerReply, now time.Time) bool {
+	t.noteEra(p.Era, now)
 	if p.Complete {
 		t.unannounced = t.roster.ApplySnapshot(roster.Snapshot(p.Changes), false, now) || t.unannounced
 	} else {
 		t.unannounced = t.roster.Apply(p.Changes, false, now) || t.unannounced
 	}
-	return !p.StoreUnreachable && p.Age <= maxPeerAge && p.Revision >= t.roster.Revision()
+	return !p.StoreUnreachable && p.Age <= maxPeerAge && p.Era == t.roster.Era() && p.Revision >= t.roster.Revision() && !t.behindEra()
 }
 
 // changesReplyTo returns the answer to a peer that has the changes up to a revision.
 func (t *Task) changesReplyTo(a pendingRequest, now time.Time) codec.ChangesReply {
-	c, complete := t.roster.ChangesAfter(a.After)
+	c, complete := t.roster.ChangesFor(a.Era, a.After)
 	return codec.ChangesReply{
 		Changes: c, Config: t.encodedConfig(c), Complete: complete, Age: t.age(now), Waited: now.Sub(a.arrivedAt), StoreUnreachable: t.storeUnreachable(now),
 	}
@@ -242,7 +259,7 @@
 // the same time mostly hold the same config, so the last encoding is kept for them.
 func (t *Task) encodedConfig(c roster.Changes) *codec.EncodedConfig {
 	for _, ch := range c.Changes {
-		key := encodedConfigKey{revision: ch.ChangeRevision()}
+		key := encodedConfigKey{era: c.Era, version: t.roster.Version(), revision: ch.ChangeRevision()}
 		switch ch := ch.(type) {
 		case roster.ConfigDelta:
 			key.base = ch.Base
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -171,7 +171,7 @@
 	t.recordAttemptResult(a, attemptResultOf(r, now.Sub(a.started)), now)
 	// Only the daemon beside the target reports an incarnation.
 	p.targetDaemonReplied = !r.Load.Incarnation.IsZero()
-	if r.Load.Head.Serial > t.release.Head.Serial {
+	if r.Load.Head.IsAfter(t.release.Head) {
 		t.onNewerRelease(r.Load.Head, a.target.Daemon)
 	}
 	if _, unknown := r.Outcome.(call.Unknown); r.Sent || unknown {
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -36,7 +36,9 @@
 	case *peerpb.Envelope_Drain:
 		return Drain{VM: ident.VM(b.Drain.GetVM())}, nil
 	case *peerpb.Envelope_Ask:
-		return ChangesRequest{After: roster.Revision(b.Ask.GetAfter()), Wait: time.Duration(b.Ask.GetWaitNanoseconds())}, nil
+		return ChangesRequest{
+			After: roster.Revision(b.Ask.GetAfter()), Era: roster.Era(b.Ask.GetEra()), Wait: time.Duration(b.Ask.GetWaitNanoseconds()),
+		}, nil
 	case *peerpb.Envelope_Published:
 		return decodeChangesReply(b.Published, now)
 	case *peerpb.Envelope_Done:
@@ -145,7 +147,7 @@
 
 func decodeHead(p *peerpb.Head) (ident.Head, error) {
 	d, err := decodeDigest(p.GetDigest())
-	return ident.Head{Serial: ident.Serial(p.GetSerial()), Digest: d}, err
+	return ident.Head{Serial: ident.Serial(p.GetSerial()), Digest: d, Era: ident.Era(p.GetEra())}, err
 }
 
 func decodeLoad(p *peerpb.Load) (call.Load, error) {
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -37,7 +37,7 @@
 	case Drain:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Drain{Drain: &peerpb.Drain{VM: string(m.VM)}}}
 	case ChangesRequest:
-		return &peerpb.Envelope{Body: &peerpb.Envelope_Ask{Ask: &peerpb.Ask{After: uint64(m.After), WaitNanoseconds: int64(m.Wait)}}}
+		return &peerpb.Envelope{Body: &peerpb.Envelope_Ask{Ask: &peerpb.Ask{After: uint64(m.After), Era: uint64(m.Era), WaitNanoseconds: int64(m.Wait)}}}
 	case ChangesReply:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Published{Published: encodeChangesReply(m, now)}}
 	case Done:
@@ -92,7 +92,7 @@
 }
 
 func encodeHead(h ident.Head) *peerpb.Head {
-	return &peerpb.Head{Serial: uint64(h.Serial), Digest: h.Digest[:]}
+	return &peerpb.Head{Serial: uint64(h.Serial), Digest: h.Digest[:], Era: uint64(h.Era)}
 }
 
 func encodeLoad(l call.Load) *peerpb.Load {
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -26,7 +26,7 @@
 	VM          ident.VM
 	DataCentre  ident.DataCentre
 	Incarnation ident.Incarnation
-	// Head is the newest release that the sender holds. With a store, Head.Serial is the revision.
+	// Head is the newest release that the sender holds. With a store, Head.Serial is the revision, and Head.Era its era.
 	Head     ident.Head
 	Draining bool
 	// Daemon is the address on which the sender listens for peers, or the zero AddrPort if the message has none.
@@ -72,9 +72,10 @@
 	Tallies []crash.Tally
 }
 
-// A ChangesRequest asks for the changes that the platform has published after a revision.
+// A ChangesRequest asks for the changes that the platform has published after a revision of an era.
 type ChangesRequest struct {
 	After roster.Revision
+	Era   roster.Era
 	// Wait is how long the receiver may wait for a change before it answers.
 	Wait time.Duration
 }
--- a/internal/wire/codec/published.go
+++ b/internal/wire/codec/published.go
@@ -14,7 +14,7 @@
 )
 
 func encodeChangesReply(m ChangesReply, now time.Time) *peerpb.Published {
-	p := &peerpb.Published{Revision: uint64(m.Revision), Whole: m.Complete, AgeNanoseconds: int64(m.Age), Lost: m.StoreUnreachable, WaitedNanoseconds: int64(m.Waited)}
+	p := &peerpb.Published{Revision: uint64(m.Revision), Era: uint64(m.Era), Whole: m.Complete, AgeNanoseconds: int64(m.Age), Lost: m.StoreUnreachable, WaitedNanoseconds: int64(m.Waited)}
 	for _, c := range m.Changes.Changes {
 		switch c := c.(type) {
 		case roster.ConfigUpdated, roster.ConfigDelta:
@@ -100,7 +100,7 @@
 
 func decodeChangesReply(p *peerpb.Published, now time.Time) (Message, error) {
 	m := ChangesReply{
-		Changes: roster.Changes{Revision: roster.Revision(p.GetRevision())}, Complete: p.GetWhole(),
+		Changes: roster.Changes{Revision: roster.Revision(p.GetRevision()), Era: roster.Era(p.GetEra())}, Complete: p.GetWhole(),
 		Age: time.Duration(p.GetAgeNanoseconds()), Waited: time.Duration(p.GetWaitedNanoseconds()), StoreUnreachable: p.GetLost(),
 	}
 	config, err := inflateConfig(p)
