--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -13,6 +13,7 @@
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
 	"jacinthcross/internal/fleet/relay"
+	"jacinthcross/internal/fleet/roster"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/wire/codec"
 )
@@ -22,7 +23,7 @@
 // messages returns sample messages, most of them with every field set.
 func messages() []codec.Message {
 	incarnation := ident.Incarnation{1, 2, 3}
-	head := ident.Head{Serial: 7, Digest: ident.Digest{4, 5}}
+	head := ident.Head{Serial: 7, Digest: ident.Digest{4, 5}, Era: 2}
 	fields := []call.Field{{Name: "Accept", Value: "text/plain"}, {Name: "X", Value: ""}}
 	load := call.Load{
 		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5, ExpectedSlowDuration: 6, UntilWarm: 7,
@@ -46,6 +47,8 @@
 		codec.CrashReports{From: "vm", Service: "service", Tallies: []crash.Tally{{
 			Service: "other", Digest: ident.Digest{9}, Origin: ident.Incarnation{8}, Crashes: 3, Confirmed: 2, Cleared: 1, Age: time.Minute,
 		}}},
+		codec.ChangesRequest{After: 7, Era: 2, Wait: time.Second},
+		codec.ChangesReply{Changes: roster.Changes{Revision: 7, Era: 2}, Complete: true, Age: time.Second, Waited: time.Minute, StoreUnreachable: true},
 		codec.Drain{VM: "vm"},
 		codec.Done{},
 	}
--- /dev/null
+++ b/spec/broken/era-changes.pml
@@ -0,0 +1,2 @@
+#define BROKEN_CHANGES
+#include "../era.pml"
--- /dev/null
+++ b/spec/broken/era-revert.pml
@@ -0,0 +1,2 @@
+#define BROKEN_REVERT
+#include "../era.pml"
--- /dev/null
+++ b/spec/broken/era-revision.pml
@@ -0,0 +1,2 @@
+#define BROKEN_REVISION
+#include "../era.pml"
