Let the soak restore the store from older copies

StoreRestore takes the store back to a copy up to 3 s old; targets and operators write again 0.2 to 1.8 s later.

--- a/internal/bench/cmds/soak.go
+++ b/internal/bench/cmds/soak.go
@@ -21,11 +21,12 @@
 	Length time.Duration `arg:"--length" default:"12s" help:"length of the plan for each seed"`
 	Daemon string        `arg:"--daemon" help:"path of the daemon executable (default: built from this repository)" placeholder:"PATH"`
 	Crash  bool          `arg:"--crash-requests" help:"also send a request that crashes each target that runs it"`
+	Store  bool          `arg:"--store-restores" help:"also restore the store from older copies"`
 	Logs   string        `arg:"--logs" help:"directory for the logs of seeds that violate a guarantee (default a new one)" placeholder:"DIR"`
 }
 
 func (c *soakCommand) Run(env args.Env) error {
-	config := soak.Config{VMs: c.VMs, Length: c.Length, CrashRequests: c.Crash}
+	config := soak.Config{VMs: c.VMs, Length: c.Length, CrashRequests: c.Crash, StoreRestores: c.Store}
 	if err := config.Check(); err != nil {
 		return err
 	}
--- a/internal/bench/soak/act.go
+++ b/internal/bench/soak/act.go
@@ -96,6 +96,8 @@
 		s.site.Store.SetDelay(a.Delay)
 	case StoreCompact:
 		s.site.Store.DropHistory()
+	case StoreRestore:
+		s.restoreStore(a.Age, begin)
 	case TargetFault:
 		if !begin {
 			a.Mode = fake.Healthy
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -102,14 +103,18 @@
 }
 
 // Guards against plans that differ between runs with the same seed, whose steps end after the end of the plan, or
-// that never contain some kind of action.
+// that never contain some kind of action, and against restores of the store that change the other steps of a seed.
 func TestPlan(t *testing.T) {
 	const length = 12 * time.Second
 	kinds := map[string]bool{}
 	for seed := range uint64(40) {
 		plan := NewPlan(seed, 8, length)
 		qt.Assert(t, plan, qt.DeepEquals, NewPlan(seed, 8, length))
-		for _, s := range plan {
+		restores := withRestores(slices.Clone(plan), seed, length)
+		qt.Assert(t, restores, qt.DeepEquals, withRestores(slices.Clone(plan), seed, length))
+		others := slices.DeleteFunc(slices.Clone(restores), func(s Step) bool { return kindOf(s.Action) == "StoreRestore" })
+		qt.Assert(t, others, qt.DeepEquals, plan)
+		for _, s := range restores {
 			qt.Assert(t, s.At+s.Duration <= length, qt.IsTrue)
 			if s.At < time.Duration(plannedFraction*float64(length)) {
 				qt.Assert(t, isPlanned(s.Action), qt.IsTrue)
@@ -117,7 +122,7 @@
 			kinds[kindOf(s.Action)] = true
 		}
 	}
-	qt.Assert(t, kinds, qt.HasLen, 13)
+	qt.Assert(t, kinds, qt.HasLen, 14)
 }
 
 func kindOf(a Action) string {
@@ -138,6 +143,8 @@
 		return "StoreSlow"
 	case StoreCompact:
 		return "StoreCompact"
+	case StoreRestore:
+		return "StoreRestore"
 	case TargetFault:
 		return "TargetFault"
 	case TargetSlow:
--- a/internal/bench/soak/crash.go
+++ b/internal/bench/soak/crash.go
@@ -115,7 +115,7 @@
 		return a.VM, true
 	case Disturb:
 		return a.VM, true
-	case ReloadDaemon, StoreFault, StoreSlow, StoreCompact, TargetFault, TargetSlow, TargetCrash, ReplaceTarget, ChangeConfig:
+	case ReloadDaemon, StoreFault, StoreSlow, StoreCompact, StoreRestore, TargetFault, TargetSlow, TargetCrash, ReplaceTarget, ChangeConfig:
 	}
 	return 0, false
 }
--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -39,6 +39,10 @@
 // A StoreCompact discards the change history of the store.
 type StoreCompact struct{}
 
+// A StoreRestore restores the store from a copy that is at least Age old, or from the oldest one. When the step ends, the
+// targets and the operators write again.
+type StoreRestore struct{ Age time.Duration }
+
 // A TargetFault changes how a target responds.
 type TargetFault struct {
 	VM   int
@@ -65,6 +69,7 @@
 func (StoreFault) action()    {}
 func (StoreSlow) action()     {}
 func (StoreCompact) action()  {}
+func (StoreRestore) action()  {}
 func (TargetFault) action()   {}
 func (TargetSlow) action()    {}
 func (TargetCrash) action()   {}
@@ -156,6 +161,33 @@
 	return steps
 }
 
+const (
+	// meanRestoreInterval is the mean time between two restores of the store.
+	meanRestoreInterval = 2500 * time.Millisecond
+	// Targets write their entries again within about two seconds after a restore.
+	minRestoreDuration = 200 * time.Millisecond
+	maxRestoreDuration = 1800 * time.Millisecond
+	maxCopyAge         = 3 * time.Second
+)
+
+// withRestores adds restores of the store to the unplanned part of a plan. They are drawn independently, so that the other
+// steps of a seed stay the same.
+func withRestores(steps []Step, seed uint64, length time.Duration) []Step {
+	r := rand.New(rand.NewPCG(seed, 1))
+	for at := time.Duration(plannedFraction * float64(length)); ; {
+		at += time.Duration(r.ExpFloat64() * float64(meanRestoreInterval))
+		duration := minRestoreDuration + time.Duration(r.Int64N(int64(maxRestoreDuration-minRestoreDuration)))
+		age := time.Duration(r.Int64N(int64(maxCopyAge)))
+		if at+duration > length {
+			break
+		}
+		steps = append(steps, Step{At: at, Duration: duration, Action: StoreRestore{age}})
+		at += duration
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
+	return steps
+}
+
 func plannedAction(r *rand.Rand, vms int) Action {
 	switch r.IntN(6) {
 	case 0, 1:
@@ -202,7 +234,7 @@
 	switch a.(type) {
 	case StopDaemon, ReloadDaemon, ReplaceTarget, ChangeConfig:
 		return true
-	case KillDaemon, FreezeDaemon, Disturb, StoreFault, StoreSlow, StoreCompact, TargetFault, TargetSlow, TargetCrash:
+	case KillDaemon, FreezeDaemon, Disturb, StoreFault, StoreSlow, StoreCompact, StoreRestore, TargetFault, TargetSlow, TargetCrash:
 	}
 	return false
 }
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -26,6 +26,8 @@
 	Length time.Duration
 	// CrashRequests makes callers send a request that crashes each target which runs it.
 	CrashRequests bool
+	// StoreRestores adds restores of the store from older copies to the plan.
+	StoreRestores bool
 }
 
 // Check returns an error if the Config is invalid.
@@ -85,6 +87,8 @@
 	newestVersion *newestVersion
 	// retiredTargets are the targets that were replaced. They keep the records of their runs.
 	retiredTargets []*fake.Target
+	// copies are copies of the store, the oldest first.
+	copies []storeCopy
 }
 
 // Run runs a soak and returns its findings.
@@ -105,7 +109,11 @@
 	if err := s.start(); err != nil {
 		return nil, nil, err
 	}
-	s.execute(NewPlan(c.Seed, c.VMs, c.Length))
+	plan := NewPlan(c.Seed, c.VMs, c.Length)
+	if c.StoreRestores {
+		plan = withRestores(plan, c.Seed, c.Length)
+	}
+	s.execute(plan)
 	if len(s.history.Errors) > 0 {
 		return nil, nil, errors.Annotate(s.history.Errors[0], "start a target that replaces another")
 	}
@@ -186,6 +194,9 @@
 		}
 		s.history.Starts[m.vm][m.process] = m.at
 	case stepEvent:
+		if s.config.StoreRestores {
+			s.copies = append(s.copies, storeCopy{time.Now(), s.site.Store.Copy()})
+		}
 		s.apply(m.step.Action, m.begin)
 	}
 }
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -115,6 +115,22 @@
 	}
 }
 
+// Guards against daemons that return to an older config, use a target again that has left, or miss what is written later,
+// when the store is restored from older copies while daemons are stopped, killed, paused or disconnected.
+func TestSoakWithStoreRestores(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	program := buildDaemon(t, "", "", "")
+	for _, seed := range []uint64{40, 41} {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			c := soak.Config{DaemonPath: program, Seed: seed, VMs: 8, Length: 12 * time.Second, StoreRestores: true}
+			qt.Assert(t, runSoak(t, c), qt.HasLen, 0)
+		})
+	}
+}
+
 // maxSeeds is the number of seeds within which a violation has to be found: not every plan contains the fault that
 // triggers it.
 const maxSeeds = 5
--- a/internal/task/feed/era_test.go
+++ b/internal/task/feed/era_test.go
@@ -13,9 +13,9 @@
 	"jacinthcross/internal/wire/codec"
 )
 
-// restoredAt is the state of era 1 after the restore: it has one target more, at a revision below that of startedHarness.
-func restoredAt(revision roster.Revision) roster.Changes {
-	return roster.Changes{Changes: registrations(1, 1, 2, 3), Revision: revision, Era: 1}
+// restored is the state of era 1 after the restore: it has one target more, at a revision below that of startedHarness.
+func restored() roster.Changes {
+	return roster.Changes{Changes: registrations(1, 1, 2, 3), Revision: 2, Era: 1}
 }
 
 // nextSnapshotCall returns the next read of a snapshot. Reads of changes before it were in progress.
@@ -69,7 +69,7 @@
 				}
 			}
 			qt.Assert(t, q.stale, qt.IsFalse)
-			q.answer <- roster.Snapshot(restoredAt(2))
+			q.answer <- roster.Snapshot(restored())
 			h.assertRestored(h.nextRelease())
 		})
 	}
@@ -82,7 +82,7 @@
 		h := startedHarness(t, follower)
 		_, request, e := h.nextPeerCall()
 		qt.Assert(t, request.Era, qt.Equals, roster.Era(0))
-		e.Reply.TryPut(link.Answer{Message: codec.ChangesReply{Changes: restoredAt(2), Complete: true}})
+		e.Reply.TryPut(link.Answer{Message: codec.ChangesReply{Changes: restored(), Complete: true}})
 		h.assertRestored(h.nextRelease())
 		_, request, _ = h.nextPeerCall()
 		qt.Assert(t, request.Era, qt.Equals, roster.Era(1))
@@ -95,12 +95,12 @@
 		peer, request, e := h.nextPeerCall()
 		qt.Assert(t, peer, qt.Equals, address(7))
 		qt.Assert(t, request.Era, qt.Equals, roster.Era(0))
-		e.Reply.TryPut(link.Answer{Message: codec.ChangesReply{Changes: restoredAt(2), Complete: true}})
+		e.Reply.TryPut(link.Answer{Message: codec.ChangesReply{Changes: restored(), Complete: true}})
 		h.assertRestored(h.nextRelease())
 	})
 	t.Run("the peer that is asked is in the older era", func(t *testing.T) {
 		h := newHarness(t, follower)
-		h.nextStoreCall().answer <- roster.Snapshot(restoredAt(2))
+		h.nextStoreCall().answer <- roster.Snapshot(restored())
 		h.assertRestored(h.nextRelease())
 		_, _, e := h.nextPeerCall()
 		e.Reply.TryPut(link.Answer{Message: codec.ChangesReply{Changes: roster.Changes{Changes: registrations(5, 9), Revision: 5}}})
@@ -113,7 +113,7 @@
 	})
 	t.Run("a peer of the older era asks", func(t *testing.T) {
 		h := newHarness(t, reader)
-		h.nextStoreCall().answer <- roster.Snapshot(restoredAt(2))
+		h.nextStoreCall().answer <- roster.Snapshot(restored())
 		h.nextRelease()
 		reply := mail.NewBox[codec.ChangesReply](1)
 		h.inbox.TryPut(PeerRequest{ChangesRequest: codec.ChangesRequest{After: 30, Wait: peerWait}, Reply: reply})
