Make the tests of a restored store reject daemons that ignore the era

The soak had no check that finds a config which reverts.

A daemon that lets the config revert is one more defect that the soak has to find; copies are 2 to 6 s old for that.

--- a/internal/bench/soak/plan.go
+++ b/internal/bench/soak/plan.go
@@ -167,7 +167,8 @@
 	// Targets write their entries again within about two seconds after a restore.
 	minRestoreDuration = 200 * time.Millisecond
 	maxRestoreDuration = 1800 * time.Millisecond
-	maxCopyAge         = 3 * time.Second
+	minCopyAge         = 2 * time.Second
+	maxCopyAge         = 6 * time.Second
 )
 
 // withRestores adds restores of the store to the unplanned part of a plan. They are drawn independently, so that the other
@@ -177,7 +178,7 @@
 	for at := time.Duration(plannedFraction * float64(length)); ; {
 		at += time.Duration(r.ExpFloat64() * float64(meanRestoreInterval))
 		duration := minRestoreDuration + time.Duration(r.Int64N(int64(maxRestoreDuration-minRestoreDuration)))
-		age := time.Duration(r.Int64N(int64(maxCopyAge)))
+		age := minCopyAge + time.Duration(r.Int64N(int64(maxCopyAge-minCopyAge)))
 		if at+duration > length {
 			break
 		}
--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -144,22 +144,24 @@
 		guarantee      soak.Guarantee
 		file, old, new string
 		crashRequests  bool
+		storeRestores  bool
 	}{
-		{soak.AtMostOnce, "internal/policy/retry/retry.go", "case !a.Idempotent || a.OwnerBound || o.Kind == errs.AnswerTooLarge:", "case a.OwnerBound:", false},
-		{soak.TrueRefusal, "internal/base/errs/table.go", "TargetFailed:     {502,", "TargetFailed:     {503,", false},
-		{soak.OwnAnswer, "internal/task/local/conn.go", "return id != \"\" && id != j.request.ID", "return id == j.request.Method", false},
-		{soak.NoRunAfterDrain, "platform/decode.go", "Draining: v.Status.State == stateDraining", "Draining: false", false},
-		{soak.ConfigInForce, "internal/fleet/roster/roster.go", "func (r *Roster) setConfig(c ConfigUpdated) bool {\n", "func (r *Roster) setConfig(c ConfigUpdated) bool {\n\tif r.configRevision > 0 {\n\t\treturn false\n\t}\n", false},
-		{soak.ConnectionKept, "internal/super/daemon/daemon.go", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n\treturn\n", false},
-		{soak.StopsInTime, "platform/platform.go", "const acceptWhileDraining = 3 * time.Second", "const acceptWhileDraining = 7 * time.Second", false},
-		{soak.CrashRequestStopped, "internal/task/local/health.go", "if t.crashThrottle.Allow(now) {", "if t.crashThrottle.Allow(now) && false {", true},
-		{soak.SoundRequestServed, "internal/task/local/crash.go", "return t.suspects.IsQuarantined(t.target.Service, d, now) || t.crashes.IsLikelyCause(d, now)", "_, crashes := t.crashes.Evidence(d, now)\n\treturn crashes > 0", true},
+		{soak.AtMostOnce, "internal/policy/retry/retry.go", "case !a.Idempotent || a.OwnerBound || o.Kind == errs.AnswerTooLarge:", "case a.OwnerBound:", false, false},
+		{soak.TrueRefusal, "internal/base/errs/table.go", "TargetFailed:     {502,", "TargetFailed:     {503,", false, false},
+		{soak.OwnAnswer, "internal/task/local/conn.go", "return id != \"\" && id != j.request.ID", "return id == j.request.Method", false, false},
+		{soak.NoRunAfterDrain, "platform/decode.go", "Draining: v.Status.State == stateDraining", "Draining: false", false, false},
+		{soak.ConfigInForce, "internal/fleet/roster/roster.go", "func (r *Roster) setConfig(c ConfigUpdated) bool {\n", "func (r *Roster) setConfig(c ConfigUpdated) bool {\n\tif r.configRevision > 0 {\n\t\treturn false\n\t}\n", false, false},
+		{soak.ConfigKept, "internal/fleet/roster/era.go", "return c.Version > r.config.Version && c.Revision", "return (c.Version > r.config.Version || r.HasOlderConfig()) && c.Revision", false, true},
+		{soak.ConnectionKept, "internal/super/daemon/daemon.go", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n\treturn\n", false, false},
+		{soak.StopsInTime, "platform/platform.go", "const acceptWhileDraining = 3 * time.Second", "const acceptWhileDraining = 7 * time.Second", false, false},
+		{soak.CrashRequestStopped, "internal/task/local/health.go", "if t.crashThrottle.Allow(now) {", "if t.crashThrottle.Allow(now) && false {", true, false},
+		{soak.SoundRequestServed, "internal/task/local/crash.go", "return t.suspects.IsQuarantined(t.target.Service, d, now) || t.crashes.IsLikelyCause(d, now)", "_, crashes := t.crashes.Evidence(d, now)\n\treturn crashes > 0", true, false},
 	} {
 		t.Run(string(test.guarantee), func(t *testing.T) {
 			t.Parallel()
 			program := buildDaemon(t, test.file, test.old, test.new)
 			for seed := range uint64(maxSeeds) {
-				c := soak.Config{DaemonPath: program, Seed: 20 + seed, VMs: 6, Length: 8 * time.Second, CrashRequests: test.crashRequests}
+				c := soak.Config{DaemonPath: program, Seed: 20 + seed, VMs: 6, Length: 8 * time.Second, CrashRequests: test.crashRequests, StoreRestores: test.storeRestores}
 				for _, f := range runSoak(t, c) {
 					if f.Guarantee == test.guarantee {
 						return
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -167,6 +167,10 @@
 		t.logUnusable(r.Changes)
 		// A peer may have kept a higher version of the config over the restore of the store.
 		t.needPeerSnapshot = t.needPeerSnapshot || r.Era > t.roster.Era()
+		if r.Era == t.roster.Era() && r.Revision < t.roster.Revision() {
+			// Without a delay, a store whose revisions went back without a new era would be read all the time.
+			t.nextAt = now.Add(watchDelay)
+		}
 		t.unannounced = t.roster.ApplySnapshot(r.Snapshot, t.mayHaveLapsed(now), now) || t.unannounced
 		if t.needSnapshot = t.countEmptyRead(); t.needSnapshot {
 			t.nextAt = now.Add(emptyReadInterval)
