Ignore changes that were asked for in an older era

Cause: a check of the store runs beside the regular read and is not cancelled when a peer brings a newer era. Its answer has the changes of the new era after a revision of the old one.

Change: the result of a read of changes has the era of the request.

--- a/internal/task/feed/era_test.go
+++ b/internal/task/feed/era_test.go
@@ -75,6 +75,22 @@
 	}
 }
 
+// Guards against changes of the newer era that are missed: the answer to a check of the store that was sent in the older era
+// has the changes after a revision of that era, and the daemon has learnt of the newer era from its peer meanwhile.
+func TestCheckSentInOlderEra(t *testing.T) {
+	_, follower := readerAndFollower()
+	h := startedHarness(t, follower)
+	_, _, e := h.nextPeerCall()
+	check := h.nextStoreCall()
+	qt.Assert(t, check.after, qt.Equals, roster.Revision(3))
+	e.Reply.TryPut(link.Answer{Message: codec.ChangesReply{Changes: restored(), Complete: true}})
+	h.assertRestored(h.nextRelease())
+	check.answer <- roster.Changes{Changes: registrations(5, 9), Revision: 5, Era: 1}
+	// The next check starts after the answer to this one has been handled.
+	qt.Assert(t, h.nextStoreCall().after, qt.Equals, roster.Revision(2))
+	qt.Assert(t, h.releases, qt.HasLen, 0)
+}
+
 // Guards against daemons of different eras that do not end up in the newer one.
 func TestPeersOfOtherEras(t *testing.T) {
 	reader, follower := readerAndFollower()
--- a/internal/task/feed/message.go
+++ b/internal/task/feed/message.go
@@ -78,8 +78,12 @@
 type result interface{ result() }
 
 type (
-	snapshot  struct{ roster.Snapshot }
-	changes   struct{ roster.Changes }
+	snapshot struct{ roster.Snapshot }
+	// askedEra is the era of the revision after which the changes were read.
+	changes struct {
+		roster.Changes
+		askedEra roster.Era
+	}
 	peerReply struct{ codec.ChangesReply }
 	failed    struct{ err error }
 )
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -65,7 +65,7 @@
 
 // storeRead returns a read of the store. Unless waitForChange is set, the read returns at once.
 func (t *Task) storeRead(waitForChange bool) func(ctx context.Context) result {
-	source, after := t.config.StoreReader, t.roster.Revision()
+	source, after, era := t.config.StoreReader, t.roster.Revision(), t.roster.Era()
 	if t.needSnapshot || t.behindEra() {
 		stale := !t.needFreshSnapshot && !t.behindEra()
 		return func(ctx context.Context) result {
@@ -85,7 +85,7 @@
 		if err != nil {
 			return failed{err}
 		}
-		return changes{c}
+		return changes{c, era}
 	}
 }
 
@@ -181,8 +181,9 @@
 		case t.isOutdated(r.Era, now):
 			t.sourceFailed(m.source, errOlderEra, now)
 			return
-		case t.behindEra():
-			// The revisions of these changes are of an era of which a snapshot has to be read first.
+		case r.askedEra != r.Era:
+			// The changes follow a revision of an older era, so those between the snapshot of their era and that revision are
+			// missing.
 			return
 		}
 		t.logUnusable(r.Changes.Changes)
--- /dev/null
+++ b/spec/broken/era-asked.pml
@@ -0,0 +1,2 @@
+#define BROKEN_ASKED
+#include "../era.pml"
