--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -34,6 +34,8 @@
 	ConfigPartUnusable             = Event{2014, "ConfigPartUnusable", Warning}   // a part of a config that cannot be read; the rest is used
 	DataCentreEvacuated            = Event{2017, "DataCentreEvacuated", Warning}  // the targets of a data centre get no new calls
 	DataCentreRestored             = Event{2018, "DataCentreRestored", Info}
+	StoreRestored                  = Event{2020, "StoreRestored", Warning}      // the store was restored from an older copy; its state replaces what the daemon knows
+	StoreEraUnreadable             = Event{2021, "StoreEraUnreadable", Warning} // the header with the era of the store cannot be read
 	LinkOpened                     = Event{3001, "LinkOpened", Info}
 	LinkFailed                     = Event{3002, "LinkFailed", Warning}
 	PeerMessageRefused             = Event{3003, "PeerMessageRefused", Warning}
@@ -60,7 +62,7 @@
 	CallBounced                    = Event{5007, "CallBounced", Decision}     // the entry daemon redirects a call that a target's daemon refused; the rest of the code calls this a redirect
 	CallRefused                    = Event{5008, "CallRefused", Decision}     // a target's daemon refused a call
 	CallInFlightAtCrash            = Event{5009, "CallInFlightAtCrash", Info} // not rate-limited: a crash has at most as many lines as the target has slots
-	RetryWithheld                  = Event{5010, "RetryWithheld", Decision}   // the entry daemon refuses a call that it could retry, since retries are short
+	RetryWithheld                  = Event{5012, "RetryWithheld", Decision}   // the entry daemon refuses a call that it could retry, since retries are short
 )
 
 // All returns all events.
@@ -70,7 +72,7 @@
 		SettingsNeedRestart, MachineSuspended, DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable, StoreLost,
 		StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge, ConfigPartUnusable,
-		DataCentreEvacuated, DataCentreRestored,
+		DataCentreEvacuated, DataCentreRestored, StoreRestored, StoreEraUnreadable,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed, TargetDown, TargetUp, TargetCrashed, CrashReportsReceived,
 		CrashEvidenceDropped, CrashSuspect, TargetEvacuated, TargetRestored,
--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -103,14 +103,19 @@
 }
 
 // Guards against plans that differ between runs with the same seed, whose steps end after the end of the plan, or
-// that never contain some kind of action, and against evacuations that overlap or change the other steps.
+// that never contain some kind of action, and against evacuations that overlap, or evacuations or restores of the store
+// that change the other steps of a seed.
 func TestPlan(t *testing.T) {
 	const length = 12 * time.Second
 	kinds := map[string]bool{}
 	for seed := range uint64(40) {
 		plan := NewPlan(seed, 8, length)
 		qt.Assert(t, plan, qt.DeepEquals, NewPlan(seed, 8, length))
-		extended, evacuatedUntil := withEvacuations(plan, seed, length), map[Action]time.Duration{}
+		restores := withRestores(slices.Clone(plan), seed, length)
+		qt.Assert(t, restores, qt.DeepEquals, withRestores(slices.Clone(plan), seed, length))
+		others := slices.DeleteFunc(slices.Clone(restores), func(s Step) bool { return kindOf(s.Action) == "StoreRestore" })
+		qt.Assert(t, others, qt.DeepEquals, plan)
+		extended, evacuatedUntil := withEvacuations(restores, seed, length), map[Action]time.Duration{}
 		for _, s := range extended {
 			qt.Assert(t, s.At+s.Duration <= length, qt.IsTrue)
 			if a, ok := s.Action.(EvacuateDataCentre); ok {
@@ -145,6 +150,8 @@
 		return "StoreSlow"
 	case StoreCompact:
 		return "StoreCompact"
+	case StoreRestore:
+		return "StoreRestore"
 	case TargetFault:
 		return "TargetFault"
 	case TargetSlow:
--- a/internal/bench/soak/soak.go
+++ b/internal/bench/soak/soak.go
@@ -28,6 +28,8 @@
 	CrashRequests bool
 	// Evacuations adds steps to the plan that evacuate data centres.
 	Evacuations bool
+	// StoreRestores adds restores of the store from older copies to the plan.
+	StoreRestores bool
 }
 
 // Check returns an error if the Config is invalid.
@@ -87,6 +89,8 @@
 	newestVersion *newestVersion
 	// retiredTargets are the targets that were replaced. They keep the records of their runs.
 	retiredTargets []*fake.Target
+	// copies are copies of the store, the oldest first.
+	copies []storeCopy
 }
 
 // Run runs a soak and returns its findings.
@@ -111,6 +115,9 @@
 	if c.Evacuations {
 		plan = withEvacuations(plan, c.Seed, c.Length)
 	}
+	if c.StoreRestores {
+		plan = withRestores(plan, c.Seed, c.Length)
+	}
 	s.history.Targets = targetAddresses(s.nodes)
 	s.execute(plan)
 	if len(s.history.Errors) > 0 {
@@ -193,6 +200,9 @@
 		}
 		s.history.Starts[m.vm][m.process] = m.at
 	case stepEvent:
+		if s.config.StoreRestores {
+			s.copies = append(s.copies, storeCopy{time.Now(), s.site.Store.Copy()})
+		}
 		s.apply(m.step.Action, m.begin)
 	}
 }
--- a/internal/fleet/roster/evacuation.go
+++ b/internal/fleet/roster/evacuation.go
@@ -1,6 +1,10 @@
 package roster
 
-import "jacinthcross/internal/base/ident"
+import (
+	"time"
+
+	"jacinthcross/internal/base/ident"
+)
 
 // maxRestored limits the recorded restores of data centres. Operators name as many data centres as they like, also some
 // that do not exist.
@@ -10,6 +14,8 @@
 type evacuation struct {
 	evacuated bool
 	revision  Revision
+	// dropAt is when an evacuation of an older era of the store ends unless the operators write it again, or zero.
+	dropAt time.Time
 }
 
 // evacuations holds the data centres that the operators have evacuated. A restored data centre keeps its record, so that
@@ -23,6 +29,31 @@
 
 func newEvacuations() evacuations { return evacuations{known: map[ident.DataCentre]evacuation{}} }
 
+// startEra begins a newer era of the store. The copy from which it was restored may lack evacuations that the operators
+// write again, so those in force stay for LapseGrace.
+func (s *evacuations) startEra(now time.Time) {
+	s.restoredUpTo = 0
+	for dataCentre, e := range s.known {
+		if e.evacuated {
+			s.known[dataCentre] = evacuation{evacuated: true, dropAt: now.Add(LapseGrace)}
+		} else {
+			delete(s.known, dataCentre)
+		}
+	}
+}
+
+// dropLapsed ends the evacuations of an older era whose grace period is over and reports whether there were any.
+func (s *evacuations) dropLapsed(now time.Time) bool {
+	changed := false
+	for dataCentre, e := range s.known {
+		if !e.dropAt.IsZero() && !e.dropAt.After(now) {
+			delete(s.known, dataCentre)
+			changed = true
+		}
+	}
+	return changed
+}
+
 // evacuate applies a DataCentreEvacuated and reports whether the release changes.
 func (s *evacuations) evacuate(c DataCentreEvacuated) bool {
 	old, ok := s.known[c.DataCentre]
@@ -49,7 +80,7 @@
 
 // endSnapshot restores the data centres that a snapshot does not name as evacuated, and reports whether there are any. The
 // changes of the snapshot have been applied.
-func (s *evacuations) endSnapshot(snapshot Snapshot) bool {
+func (s *evacuations) endSnapshot(snapshot Snapshot, now time.Time) bool {
 	present := map[ident.DataCentre]bool{}
 	for _, c := range snapshot.Changes {
 		if c, ok := c.(DataCentreEvacuated); ok {
@@ -58,7 +89,7 @@
 	}
 	changed := false
 	for dataCentre, e := range s.known {
-		if e.evacuated && !present[dataCentre] {
+		if e.evacuated && !present[dataCentre] && !e.dropAt.After(now) {
 			changed = s.restore(DataCentreRestored{DataCentre: dataCentre, Revision: snapshot.Revision}) || changed
 		}
 	}
--- a/internal/fleet/roster/evacuation_test.go
+++ b/internal/fleet/roster/evacuation_test.go
@@ -28,8 +28,8 @@
 	return update{changes: c, revision: revision, snapshot: true}
 }
 
-// apply applies an update and reports whether it had an effect.
-func apply(r *roster.Roster, u update) bool {
+// applyEvacuations applies an update and reports whether it had an effect.
+func applyEvacuations(r *roster.Roster, u update) bool {
 	c := roster.Changes{Changes: u.changes, Revision: u.revision}
 	if u.snapshot {
 		return r.ApplySnapshot(roster.Snapshot(c), u.interrupted, start)
@@ -73,20 +73,51 @@
 			r := roster.New()
 			for _, u := range test.updates {
 				before := evacuatedIn(r)
-				qt.Assert(t, apply(r, u), qt.Equals, !slices.Equal(before, evacuatedIn(r)))
+				qt.Assert(t, applyEvacuations(r, u), qt.Equals, !slices.Equal(before, evacuatedIn(r)))
 			}
 			qt.Assert(t, evacuatedIn(r), qt.DeepEquals, test.want)
 			// A peer with an older revision agrees, whether it holds nothing or what was known at first.
 			first := roster.New()
-			apply(first, test.updates[0])
+			applyEvacuations(first, test.updates[0])
 			for _, peer := range []*roster.Roster{roster.New(), first} {
 				if peer.Revision() == r.Revision() {
 					continue
 				}
 				c, full := r.ChangesAfter(peer.Revision())
-				apply(peer, update{changes: c.Changes, revision: c.Revision, snapshot: full})
+				applyEvacuations(peer, update{changes: c.Changes, revision: c.Revision, snapshot: full})
 				qt.Assert(t, evacuatedIn(peer), qt.DeepEquals, test.want)
 			}
 		})
 	}
 }
+
+// Guards against an evacuation that ends because the store returned from an older copy, against one that the copy brings
+// back for good, and against one that stays although the operators do not write it again.
+func TestEvacuationOfAnOlderEra(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		// copied and later are the evacuations in the copy and those that the operators write in the new era.
+		copied, later []roster.Change
+		// wantAtOnce and want are in force after the copy and after the grace period.
+		wantAtOnce, want []ident.DataCentre
+	}{
+		{"not written again", nil, nil, []ident.DataCentre{"d"}, nil},
+		{"written again", nil, []roster.Change{evacuated("d", 3)}, []ident.DataCentre{"d"}, []ident.DataCentre{"d"}},
+		{"in the copy", []roster.Change{evacuated("d", 1)}, nil, []ident.DataCentre{"d"}, []ident.DataCentre{"d"}},
+		{"an older one in the copy, restored again", []roster.Change{evacuated("e", 1)}, []roster.Change{restored("e", 3)}, []ident.DataCentre{"d", "e"}, nil},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := roster.New()
+			r.Apply(roster.Changes{Changes: []roster.Change{evacuated("d", 50)}, Revision: 50}, false, start)
+			r.ApplySnapshot(roster.Snapshot{Changes: test.copied, Revision: 2, Era: 1}, false, start)
+			qt.Assert(t, evacuatedIn(r), qt.DeepEquals, test.wantAtOnce)
+			r.Apply(roster.Changes{Changes: test.later, Revision: 3, Era: 1}, false, start)
+			end := start.Add(roster.LapseGrace)
+			if at, ok := r.NextChange(); ok {
+				qt.Assert(t, at, qt.Equals, end)
+			}
+			r.DropLapsed(end)
+			qt.Assert(t, evacuatedIn(r), qt.DeepEquals, test.want)
+		})
+	}
+}
--- a/internal/task/router/state.go
+++ b/internal/task/router/state.go
@@ -102,7 +102,7 @@
 // one send no other reports.
 func (t *Task) handleTargetReport(m TargetReported) {
 	target, known := t.release.Targets[m.Target]
-	if known && target.VM != t.vm && m.Load.Head.Serial > t.release.Head.Serial {
+	if known && target.VM != t.vm && m.Load.Head.IsAfter(t.release.Head) {
 		t.onNewerRelease(m.Load.Head, target.Daemon)
 	}
 	if table, ok := t.tables[target.Service]; ok {
