Keep the connection to a silent peer for calls that may not be repeated

Cause: a link gave up after 500 ms of silence and answered all its calls as lost, and the accepting end closed the connection, which cancelled the runs. A call that may not be repeated then ended as 502 although its run could still end well.

Change: such a call (Request.IsRepeatable) keeps its connection until its deadline, at both ends. The link is retired: it answers the other calls as lost, returns new ones to the dialer, which opens another link, and ends with its last call. The dialer passes cancellations to retired links as well. The accepting end cancels only the calls that may be repeated. yamux no longer closes a connection for a stream that was not acknowledged within a second; the number of open streams is checked instead, so that no task waits for one. A cancellation that was left in the mailbox of an ended link behind its call was dropped, and is forwarded now.

Two tests of links sent calls that may not be repeated and expected that they end at once on a silent connection.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -60,6 +60,10 @@
 	Idempotent bool
 }
 
+// IsRepeatable reports whether the call may be sent again after an attempt with an unknown outcome: running it twice does
+// no harm, or its key prevents a second run.
+func (r *Request) IsRepeatable() bool { return r.Idempotent || r.Key != "" }
+
 // Digest returns the SHA-256 of the method, URI and body of the request.
 func (r *Request) Digest() ident.Digest {
 	h := sha256.New()
--- a/internal/super/daemon/link_test.go
+++ b/internal/super/daemon/link_test.go
@@ -31,12 +31,13 @@
 	task    *listen.Task
 	inbox   *mail.Box[listen.Message]
 	calls   chan local.Run
+	cancels chan local.Cancel
 	reports chan listen.Report
 }
 
 func newPeer(t testing.TB, hello codec.Hello) *peer {
 	p := &peer{
-		inbox: mail.NewBox[listen.Message](16), calls: make(chan local.Run, 1024),
+		inbox: mail.NewBox[listen.Message](16), calls: make(chan local.Run, 1024), cancels: make(chan local.Cancel, 1024),
 		reports: make(chan listen.Report, 1024),
 	}
 	inbox := mail.NewBox[local.Message](1024)
@@ -50,8 +51,11 @@
 		for {
 			select {
 			case m := <-inbox.C():
-				if r, ok := m.(local.Run); ok {
-					p.calls <- r
+				switch m := m.(type) {
+				case local.Run:
+					p.calls <- m
+				case local.Cancel:
+					p.cancels <- m
 				}
 			case <-p.task.Done():
 				return
@@ -108,11 +112,15 @@
 	<-d.task.Done()
 }
 
+// send sends a call that may be repeated.
 func (d *testDialer) send(to netip.AddrPort, body string) call.ID {
+	return d.sendRequest(to, call.Request{Body: []byte(body), Deadline: time.Now().Add(testTimeout), Idempotent: true})
+}
+
+func (d *testDialer) sendRequest(to netip.AddrPort, r call.Request) call.ID {
 	id := call.NextID()
-	d.inbox.TryPut(dialer.Message{Peer: to, Message: link.Send{ID: id, Target: "target", Reply: d.results, Request: call.Request{
-		Rank: ident.Urgent, Body: []byte(body), Deadline: time.Now().Add(testTimeout),
-	}}})
+	r.Rank = ident.Urgent
+	d.inbox.TryPut(dialer.Message{Peer: to, Message: link.Send{ID: id, Target: "target", Reply: d.results, Request: r}})
 	return id
 }
 
--- a/internal/super/daemon/proxy_test.go
+++ b/internal/super/daemon/proxy_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -29,6 +30,8 @@
 type proxiedConn struct {
 	server, client             net.Conn
 	dropToServer, dropToClient atomic.Bool
+	// held delays the bytes in both directions while it is locked for writing.
+	held sync.RWMutex
 }
 
 func newLossyProxy(t testing.TB, upstream netip.AddrPort) *lossyProxy {
@@ -79,6 +82,8 @@
 		for {
 			n, err := from.Read(b)
 			if err != nil {
+				c.held.RLock()
+				defer c.held.RUnlock()
 				// While bytes are dropped, the close of the connection is not forwarded either.
 				if !drop.Load() {
 					to.Close()
@@ -87,7 +92,10 @@
 			}
 			if !drop.Load() {
 				p.bytes.Add(int64(n))
-				if _, err := to.Write(b[:n]); err != nil {
+				c.held.RLock()
+				_, err := to.Write(b[:n])
+				c.held.RUnlock()
+				if err != nil {
 					return
 				}
 			}
@@ -107,6 +115,22 @@
 	}
 }
 
+// hold delays the bytes of the currently open connections, and their ends, until the returned function is called. New
+// connections are not affected.
+func (p *lossyProxy) hold() (resume func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	held := slices.Clone(p.connections)
+	for _, c := range held {
+		c.held.Lock()
+	}
+	return sync.OnceFunc(func() {
+		for _, c := range held {
+			c.held.Unlock()
+		}
+	})
+}
+
 func (p *lossyProxy) addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
 
 // A fakeTarget is a target that answers each call after a service time and counts the calls it has run.
--- a/internal/task/dialer/dialer.go
+++ b/internal/task/dialer/dialer.go
@@ -30,14 +30,21 @@
 // A Task owns the links of the daemon.
 type Task struct {
 	*tree.Loop
-	inbox   *mail.Box[Message]
-	ended   chan netip.AddrPort
-	links   map[netip.AddrPort]*linkEntry
+	inbox *mail.Box[Message]
+	// changed receives a link that was retired or has ended.
+	changed chan *linkEntry
+	// returned receives the messages that a retired link has not sent.
+	returned chan Message
+	links    map[netip.AddrPort]*linkEntry
+	// retired holds the links to silent peers that wait for the replies to calls that may not be repeated. Each of them
+	// ends at the deadline of its last call, which limits their number.
+	retired map[netip.AddrPort][]*linkEntry
 	backoff *backoff
 	options []link.Option
 }
 
 type linkEntry struct {
+	peer netip.AddrPort
 	task *link.Task
 	box  *mail.Box[link.Message]
 	// dialAt is when the link dials or dialled.
@@ -55,11 +62,13 @@
 // New starts the task. It reads from inbox.
 func New(inbox *mail.Box[Message], options ...Option) *Task {
 	t := &Task{
-		Loop:    tree.NewLoop(),
-		inbox:   inbox,
-		ended:   make(chan netip.AddrPort),
-		links:   map[netip.AddrPort]*linkEntry{},
-		backoff: newBackoff(),
+		Loop:     tree.NewLoop(),
+		inbox:    inbox,
+		changed:  make(chan *linkEntry),
+		returned: make(chan Message),
+		retired:  map[netip.AddrPort][]*linkEntry{},
+		links:    map[netip.AddrPort]*linkEntry{},
+		backoff:  newBackoff(),
 	}
 	for _, o := range options {
 		o(t)
@@ -76,8 +85,10 @@
 		select {
 		case m := <-t.inbox.C():
 			t.forward(m)
-		case peer := <-t.ended:
-			t.remove(peer)
+		case m := <-t.returned:
+			t.forwardUnsent(m.Peer, m.Message, nil)
+		case e := <-t.changed:
+			t.update(e)
 		case <-t.Stopping():
 			return nil
 		}
@@ -89,15 +100,16 @@
 		t.notify(m.Peer, n, m.OneLink)
 		return
 	}
-	e, ok := t.links[m.Peer]
-	if ok && hasEnded(e) {
-		t.remove(m.Peer)
-		e, ok = t.links[m.Peer]
+	if c, ok := m.Message.(link.Cancel); ok {
+		// A call that may not be repeated may be in flight on a retired link, and the others ignore its cancellation.
+		for _, e := range t.retired[m.Peer] {
+			e.box.TryPut(c)
+		}
+		t.cancel(m.Peer, c)
+		return
 	}
+	e, ok := t.current(m.Peer)
 	if !ok {
-		if _, cancel := m.Message.(link.Cancel); cancel {
-			return
-		}
 		e = t.startLink(m.Peer, t.backoff.wait(m.Peer, time.Now()))
 	}
 	if wait := time.Until(e.dialAt); wait > 0 && !waitsForDial(m.Message) {
@@ -109,6 +121,23 @@
 	}
 }
 
+// current returns the link that sends new messages to a peer, if there is one.
+func (t *Task) current(peer netip.AddrPort) (*linkEntry, bool) {
+	e, ok := t.links[peer]
+	if ok && (isClosed(e.task.Done()) || isClosed(e.task.Retired())) {
+		t.update(e)
+		e, ok = t.links[peer]
+	}
+	return e, ok
+}
+
+// cancel cancels a call on the current link to a peer.
+func (t *Task) cancel(peer netip.AddrPort, m link.Cancel) {
+	if e, ok := t.current(peer); ok {
+		e.box.TryPut(m)
+	}
+}
+
 // waitsForDial reports whether a message may wait for the next dial of a peer that has failed. A call does not wait,
 // since another target may serve it, but an exchange can be answered only by this peer.
 func waitsForDial(m link.Message) bool {
@@ -116,9 +145,9 @@
 	return ok
 }
 
-func hasEnded(e *linkEntry) bool {
+func isClosed(c <-chan struct{}) bool {
 	select {
-	case <-e.task.Done():
+	case <-c:
 		return true
 	default:
 		return false
@@ -145,48 +174,82 @@
 // startLink starts the link to a peer, which dials after delay.
 func (t *Task) startLink(peer netip.AddrPort, delay time.Duration) *linkEntry {
 	box := mail.NewBox[link.Message](linkMailboxSize)
-	options := append(slices.Clip(t.options), link.WithDialDelay(delay))
-	e := &linkEntry{box: box, task: link.New(peer, box, options...), dialAt: time.Now().Add(delay)}
+	options := append(slices.Clip(t.options), link.WithDialDelay(delay),
+		link.WithReturnFunc(func(m link.Message, stopping <-chan struct{}) {
+			select {
+			case t.returned <- Message{Peer: peer, Message: m}:
+			case <-stopping:
+			}
+		}))
+	e := &linkEntry{peer: peer, box: box, task: link.New(peer, box, options...), dialAt: time.Now().Add(delay)}
 	t.links[peer] = e
-	go func() {
-		<-e.task.Done()
+	notify := func() {
 		select {
-		case t.ended <- peer:
+		case t.changed <- e:
 		case <-t.Done():
 		}
+	}
+	go func() {
+		select {
+		case <-e.task.Retired():
+			notify()
+		case <-e.task.Done():
+		}
+		<-e.task.Done()
+		notify()
 	}()
 	return e
 }
 
-// remove removes a link that has ended. The messages left in its mailbox were not sent, so they go to a new link if the
-// connection had been opened, and are refused otherwise.
-func (t *Task) remove(peer netip.AddrPort) {
-	e, ok := t.links[peer]
-	if !ok || !hasEnded(e) {
+// update removes a link that was retired or has ended from the links that send new messages. The messages left in the
+// mailbox of an ended link were not sent, so they go to a new link if the connection had been opened, and are refused
+// otherwise.
+func (t *Task) update(e *linkEntry) {
+	ended := isClosed(e.task.Done())
+	if t.links[e.peer] == e {
+		t.supersede(e, ended)
+	}
+	if !ended {
 		return
 	}
-	delete(t.links, peer)
-	now := time.Now()
-	opened := e.task.Err() == nil
-	if opened && now.Sub(e.dialAt) >= stableTime {
-		t.backoff.recordSuccess(peer)
-	} else {
-		t.backoff.recordFailure(peer, opened, now)
+	if i := slices.Index(t.retired[e.peer], e); i >= 0 {
+		t.retired[e.peer] = slices.Delete(t.retired[e.peer], i, i+1)
+		if len(t.retired[e.peer]) == 0 {
+			delete(t.retired, e.peer)
+		}
 	}
 	for {
 		select {
 		case m := <-e.box.C():
-			t.forwardUnsent(peer, m, e.task.Err())
+			t.forwardUnsent(e.peer, m, e.task.Err())
 		default:
 			return
 		}
 	}
 }
 
-// forwardUnsent forwards a message that an ended link did not send to a new link, or refuses it if err, the error of the
-// dial, is not nil.
+// supersede removes a link from the links that send new messages, and records whether its connection was stable.
+func (t *Task) supersede(e *linkEntry, ended bool) {
+	delete(t.links, e.peer)
+	now := time.Now()
+	opened := !ended || e.task.Err() == nil
+	if opened && now.Sub(e.dialAt) >= stableTime {
+		t.backoff.recordSuccess(e.peer)
+	} else {
+		t.backoff.recordFailure(e.peer, opened, now)
+	}
+	if !ended {
+		t.retired[e.peer] = append(t.retired[e.peer], e)
+	}
+}
+
+// forwardUnsent forwards a message that an ended or retired link did not send to a new link, or refuses it if err, the
+// error of the dial, is not nil.
 func (t *Task) forwardUnsent(peer netip.AddrPort, m link.Message, err error) {
-	switch m.(type) {
+	switch m := m.(type) {
+	case link.Cancel:
+		// The call may have been forwarded before.
+		t.cancel(peer, m)
 	case link.Send, link.Exchange:
 		if err != nil {
 			t.refuse(m, errs.PeerUnreachable, err.Error())
@@ -213,10 +276,17 @@
 }
 
 func (t *Task) stopAll() {
+	var all []*linkEntry
 	for _, e := range t.links {
+		all = append(all, e)
+	}
+	for _, retired := range t.retired {
+		all = append(all, retired...)
+	}
+	for _, e := range all {
 		e.task.Stop()
 	}
-	for _, e := range t.links {
+	for _, e := range all {
 		<-e.task.Done()
 	}
 }
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -23,13 +23,6 @@
 	maxCalls = 1024
 )
 
-// While calls are in flight, a ping is sent after silenceTimeout without received bytes, and the connection is closed
-// when the ping is not answered within pingTimeout.
-const (
-	silenceTimeout = 200 * time.Millisecond
-	pingTimeout    = 300 * time.Millisecond
-)
-
 // A Task owns the connection to one peer daemon.
 type Task struct {
 	*tree.Loop
@@ -43,8 +36,11 @@
 	report      func(Report)
 	session     *Session
 	peerHello   codec.Hello
-	calls       map[call.ID]*callStream
-	streams     streamPool
+	calls       map[call.ID]*pendingCall
+	// retired is closed when the peer is silent and only the calls in flight keep the connection.
+	retired       chan struct{}
+	returnMessage func(m Message, stopping <-chan struct{})
+	streams       streamPool
 	// trimTimer fires when idle streams have to be trimmed. It is armed only while there are any.
 	trimTimer *time.Timer
 	trimArmed bool
@@ -78,21 +74,29 @@
 // WithReportFunc sets the function that is called with reports on the peer. It must not block.
 func WithReportFunc(report func(Report)) Option { return func(t *Task) { t.report = report } }
 
+// WithReturnFunc sets the function that takes the calls, exchanges and cancellations that reach the task after it was
+// retired. It may wait until stopping is closed.
+func WithReturnFunc(f func(m Message, stopping <-chan struct{})) Option {
+	return func(t *Task) { t.returnMessage = f }
+}
+
 // New starts the task that connects to the daemon at peer. After the task has ended, its Err is an error only if the
 // connection could not be opened. Messages that are then left in inbox were not sent.
 func New(peer netip.AddrPort, inbox *mail.Box[Message], options ...Option) *Task {
 	t := &Task{
-		Loop:         tree.NewLoop(),
-		peer:         peer,
-		inbox:        inbox,
-		maxSize:      9 << 20,
-		idleTimeout:  defaultIdleTimeout,
-		serve:        func(*Session) {},
-		hello:        func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
-		report:       func(Report) {},
-		calls:        map[call.ID]*callStream{},
-		silenceTimer: time.NewTimer(silenceTimeout),
-		trimTimer:    time.NewTimer(trimInterval),
+		Loop:          tree.NewLoop(),
+		peer:          peer,
+		inbox:         inbox,
+		maxSize:       9 << 20,
+		idleTimeout:   defaultIdleTimeout,
+		serve:         func(*Session) {},
+		hello:         func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
+		report:        func(Report) {},
+		returnMessage: func(Message, <-chan struct{}) {},
+		calls:         map[call.ID]*pendingCall{},
+		retired:       make(chan struct{}),
+		silenceTimer:  time.NewTimer(silenceTimeout),
+		trimTimer:     time.NewTimer(trimInterval),
 	}
 	t.silenceTimer.Stop()
 	t.trimTimer.Stop()
@@ -128,14 +132,17 @@
 			t.receive(m)
 			idle.Reset(t.idleTimeout)
 		case <-t.silenceTimer.C:
-			if !t.checkSilence(time.Now()) {
-				t.reportLost("the peer did not answer a ping")
+			if t.isRetired() {
+				t.expireCalls(time.Now())
+			} else if !t.checkSilence(time.Now()) && !t.retire() {
 				return nil
 			}
 		case <-t.trimTimer.C:
 			t.trimStreams()
 		case <-t.session.CloseChan():
-			t.reportLost("the peer closed the connection, or the connection failed")
+			if !t.isRetired() {
+				t.reportLost("the peer closed the connection, or the connection failed")
+			}
 			return nil
 		case <-idle.C:
 			if len(t.calls) == 0 {
@@ -146,6 +153,9 @@
 			t.refuseQueued(errors.New("the daemon is stopping"))
 			return nil
 		}
+		if t.isRetired() && len(t.calls) == 0 {
+			return nil
+		}
 	}
 }
 
@@ -189,13 +199,16 @@
 }
 
 func (t *Task) receive(m Message) {
+	if t.isRetired() && t.returned(m) {
+		return
+	}
 	switch m := m.(type) {
 	case Send:
 		t.send(m)
 	case Cancel:
-		if s, ok := t.calls[m.ID]; ok {
+		if p, ok := t.calls[m.ID]; ok {
 			delete(t.calls, m.ID)
-			s.Close()
+			p.stream.closeSoon()
 		}
 	case Exchange:
 		t.openExchange(m)
@@ -232,19 +245,38 @@
 	if len(t.calls) == 0 {
 		t.waitingSince = time.Now()
 	}
-	t.calls[m.ID] = s
+	p := &pendingCall{Send: m, stream: s}
+	t.calls[m.ID] = p
 	if !t.silenceArmed {
 		t.silenceArmed = true
 		t.silenceTimer.Reset(silenceTimeout)
 	}
-	s.calls <- m
+	s.calls <- p
+}
+
+// returned returns a message for the peer that a retired connection does not send, and reports whether it did. A
+// cancellation of a call that is not in flight here may follow a call that was returned.
+func (t *Task) returned(m Message) bool {
+	switch m := m.(type) {
+	case Send, Exchange:
+	case Cancel:
+		if _, ok := t.calls[m.ID]; ok {
+			return false
+		}
+	case Notify:
+		return true
+	case callEnded, pinged:
+		return false
+	}
+	t.returnMessage(m, t.Stopping())
+	return true
 }
 
 // finishCall keeps the stream of an ended call for another call. It closes the stream of a cancelled call, which
 // is no longer in calls, and a stream that cannot be reused.
 func (t *Task) finishCall(m callEnded) {
-	_, inFlight := t.calls[m.id]
-	delete(t.calls, m.id)
+	_, inFlight := t.calls[m.ID]
+	delete(t.calls, m.ID)
 	if !inFlight || !m.reusable {
 		close(m.stream.calls)
 		return
@@ -264,42 +296,6 @@
 	}
 }
 
-// checkSilence checks the connection when the silence timer fires, arms the timer for the next check, and reports
-// whether to keep the connection.
-func (t *Task) checkSilence(now time.Time) bool {
-	if !t.pingSent.IsZero() {
-		return t.checkPing(now)
-	}
-	if len(t.calls) == 0 {
-		t.silenceArmed = false
-		return true
-	}
-	since := t.session.LastReceived()
-	if t.waitingSince.After(since) {
-		since = t.waitingSince
-	}
-	if remaining := silenceTimeout - now.Sub(since); remaining > 0 {
-		t.silenceTimer.Reset(remaining)
-		return true
-	}
-	t.pingSent = now
-	startPing(t)
-	t.silenceTimer.Reset(pingTimeout)
-	return true
-}
-
-// checkPing reports whether to keep waiting for the answer to a ping after pingTimeout. Received bytes other than that
-// answer do not count, since the peer may send without receiving. After a pause of this process the answer may
-// wait in the mailbox behind the timer, so a check that runs late restarts the timeout.
-func (t *Task) checkPing(now time.Time) bool {
-	if elapsed := now.Sub(t.pingSent); elapsed > 2*pingTimeout {
-		t.pingSent = now
-		t.silenceTimer.Reset(pingTimeout)
-		return true
-	}
-	return false
-}
-
 func (t *Task) openExchange(m Exchange) {
 	s, err := t.session.OpenStream()
 	if err != nil {
@@ -310,9 +306,13 @@
 }
 
 func (t *Task) refuse(m Send, kind errs.Kind, err error) {
-	m.Reply.Put(call.Result{Attempt: m.ID, Outcome: call.Refused{
-		Kind: kind, RetryAfter: errs.ResponseFor(kind).RetryAfter, Detail: err.Error(),
-	}}, t.Stopping())
+	r := refusal(kind, err)
+	r.Attempt = m.ID
+	m.Reply.Put(r, t.Stopping())
+}
+
+func refusal(kind errs.Kind, err error) call.Result {
+	return call.Result{Outcome: call.Refused{Kind: kind, RetryAfter: errs.ResponseFor(kind).RetryAfter, Detail: err.Error()}}
 }
 
 // refuseQueued refuses the messages in the inbox after a failed dial and when the task is stopped. After a lost or idle
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -44,8 +44,7 @@
 
 // A callEnded says that a call has ended. reusable is true if its stream may be used for another call.
 type callEnded struct {
-	id       call.ID
-	stream   *callStream
+	*pendingCall
 	reusable bool
 }
 
--- a/internal/task/link/pool.go
+++ b/internal/task/link/pool.go
@@ -21,29 +21,34 @@
 // A callStream is a stream for one call at a time. Its goroutine reads from calls, to which only the task writes.
 type callStream struct {
 	*yamux.Stream
-	calls chan Send
+	calls chan *pendingCall
 }
 
 func newCallStream(s *yamux.Stream) *callStream {
-	return &callStream{Stream: s, calls: make(chan Send, 1)}
+	return &callStream{Stream: s, calls: make(chan *pendingCall, 1)}
 }
 
 // next waits for the next call. It returns false when there will be none.
-func (s *callStream) next(t *Task) (Send, bool) {
+func (s *callStream) next(t *Task) (*pendingCall, bool) {
 	select {
-	case m, ok := <-s.calls:
-		return m, ok
+	case p, ok := <-s.calls:
+		return p, ok
 	case <-t.Done():
 	}
 	// The task has ended, but may have left a call in the channel.
 	select {
-	case m, ok := <-s.calls:
-		return m, ok
+	case p, ok := <-s.calls:
+		return p, ok
 	default:
-		return Send{}, false
+		return nil, false
 	}
 }
 
+// closeSoon closes the stream in a goroutine, since the close waits until the connection takes its frame.
+func (s *callStream) closeSoon() {
+	go func() { s.Close() }()
+}
+
 // pastDeadline is a deadline in the past.
 var pastDeadline = time.Unix(1, 0)
 
--- a/internal/task/link/session.go
+++ b/internal/task/link/session.go
@@ -15,10 +15,9 @@
 
 // Limits of a session. writeTimeout ends a write when the peer reads nothing.
 const (
-	maxStreamWindow   = 1 << 20
-	writeTimeout      = time.Second
-	streamOpenTimeout = time.Second
-	acceptBacklog     = 1024
+	maxStreamWindow = 1 << 20
+	writeTimeout    = time.Second
+	acceptBacklog   = 1024
 )
 
 // HelloTimeout limits the exchange of Hello messages at the start of a connection.
@@ -35,6 +34,52 @@
 	// requests counts the requests of the peer in progress. The number of open streams may be higher, since idle streams
 	// stay open.
 	requests atomic.Int64
+	// keptCalls counts the calls of the peer in progress that may not be repeated, and keepUntil is the latest deadline of
+	// such a call so far, in nanoseconds after the start of conn.
+	keptCalls atomic.Int64
+	keepUntil atomic.Int64
+	// silenced is closed and replaced each time the peer is found silent.
+	silenced atomic.Pointer[chan struct{}]
+}
+
+// BeginKeptCall counts the start of a call of the peer that may not be repeated, which EndKeptCall ends.
+func (s *Session) BeginKeptCall(deadline time.Time) {
+	s.keptCalls.Add(1)
+	until := int64(deadline.Add(replyGrace).Sub(s.conn.start))
+	for {
+		old := s.keepUntil.Load()
+		if until <= old || s.keepUntil.CompareAndSwap(old, until) {
+			return
+		}
+	}
+}
+
+// EndKeptCall counts the end of a call of the peer that may not be repeated.
+func (s *Session) EndKeptCall() { s.keptCalls.Add(-1) }
+
+// HasKeptCalls reports whether a call of the peer that may not be repeated is in progress before its deadline. Its reply
+// is lost if the connection is closed.
+func (s *Session) HasKeptCalls(now time.Time) bool {
+	return s.keptCalls.Load() > 0 && int64(now.Sub(s.conn.start)) < s.keepUntil.Load()
+}
+
+// Silenced returns a channel that is closed when the peer is found silent, at which the calls of the peer that may be
+// repeated end.
+func (s *Session) Silenced() <-chan struct{} { return *s.silenced.Load() }
+
+// EndRepeatableCalls ends the calls of a silent peer that may be repeated.
+func (s *Session) EndRepeatableCalls() {
+	next := make(chan struct{})
+	close(*s.silenced.Swap(&next))
+}
+
+// OpenStream opens a stream. It returns an error when so many streams are open that yamux might wait until the peer has
+// acknowledged some of them, since the tasks that open streams must not wait.
+func (s *Session) OpenStream() (*yamux.Stream, error) {
+	if n := s.NumStreams(); n >= acceptBacklog {
+		return nil, errors.Errorf("%d streams are open on the connection", n)
+	}
+	return s.Session.OpenStream()
 }
 
 // GoAway tells the peer to open no more streams. From then on no calls on open streams are accepted either.
@@ -61,7 +106,9 @@
 	config := yamux.DefaultConfig()
 	config.EnableKeepAlive = false
 	config.ConnectionWriteTimeout = writeTimeout
-	config.StreamOpenTimeout = streamOpenTimeout
+	// The task that owns the session checks the peer. yamux would close a connection that is only busy, or that calls
+	// which may not be repeated still need.
+	config.StreamOpenTimeout = 0
 	config.MaxStreamWindowSize = maxStreamWindow
 	config.AcceptBacklog = acceptBacklog
 	config.LogOutput = io.Discard
@@ -79,7 +126,9 @@
 	if err != nil {
 		return nil, errors.Annotate(err, "open session")
 	}
-	return &Session{Session: s, conn: conn}, nil
+	session, silenced := &Session{Session: s, conn: conn}, make(chan struct{})
+	session.silenced.Store(&silenced)
+	return session, nil
 }
 
 // LastReceived returns when the connection last received bytes.
--- a/internal/task/link/stream.go
+++ b/internal/task/link/stream.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -22,6 +23,21 @@
 	MaxTransferTime = 10 * time.Second
 )
 
+// A pendingCall is a call in flight. It is answered once: by the goroutine of its stream, or by the task if the peer is
+// silent and the goroutine may wait on the connection.
+type pendingCall struct {
+	Send
+	stream   *callStream
+	answered atomic.Bool
+}
+
+func (p *pendingCall) answer(t *Task, r call.Result) {
+	if p.answered.CompareAndSwap(false, true) {
+		r.Attempt = p.ID
+		p.Reply.Put(r, t.Stopping())
+	}
+}
+
 // startCallStream starts the goroutine that sends the calls of one stream. It ends when a call fails, which leaves the
 // stream in an unknown state, when the stream cannot be reused, when the task closes the channel of its calls, or when
 // the task has ended.
@@ -29,23 +45,22 @@
 	go func() {
 		defer s.Close()
 		for used := false; ; used = true {
-			m, ok := s.next(t)
+			p, ok := s.next(t)
 			if !ok {
 				return
 			}
 			if used && !s.reusable() {
-				t.refuse(m, errs.PeerUnreachable, errors.Errorf("stream to peer %s is closed or holds unexpected bytes; the call was not sent", t.peer))
-				t.inbox.Put(callEnded{m.ID, s, false}, t.Done())
+				p.answer(t, refusal(errs.PeerUnreachable, errors.Errorf("stream to peer %s is closed or holds unexpected bytes; the call was not sent", t.peer)))
+				t.inbox.Put(callEnded{p, false}, t.Done())
 				return
 			}
 			r, err := call.Result{}, error(errPanicked)
-			guard.Run("call of a peer", func() { r, err = sendCall(t, m, s) })
+			guard.Run("call of a peer", func() { r, err = sendCall(t, p.Send, s) })
 			if err != nil {
-				r = call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}}
+				r.Outcome = call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}
 			}
-			r.Attempt = m.ID
-			m.Reply.Put(r, t.Stopping())
-			t.inbox.Put(callEnded{m.ID, s, err == nil}, t.Done())
+			p.answer(t, r)
+			t.inbox.Put(callEnded{p, err == nil}, t.Done())
 			if err != nil {
 				return
 			}
--- a/internal/task/listen/calls.go
+++ b/internal/task/listen/calls.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -27,6 +28,8 @@
 	streamClosed chan struct{}
 	// current holds the call in progress, from before it is forwarded until its result is taken.
 	current chan currentCall
+	// kept is true if the current or last call may not be repeated.
+	kept    atomic.Bool
 	results *mail.Box[call.Result]
 }
 
@@ -40,6 +43,8 @@
 	reservedBytes int
 	// noMemory is true if the memory for the body could not be reserved. The call is then refused.
 	noMemory bool
+	// kept is true for a call that may not be repeated, which keeps the connection while the peer is silent.
+	kept bool
 }
 
 func newCallStream(s *Server, session *link.Session, stream *yamux.Stream) *callStream {
@@ -62,7 +67,7 @@
 	defer c.cancelCurrent()
 	defer close(c.streamClosed)
 	for {
-		p := currentCall{id: call.NextID(), number: m.Number}
+		p := currentCall{id: call.NextID(), number: m.Number, kept: !m.Request.IsRepeatable()}
 		if !exact {
 			p.forwarded = make(chan struct{})
 		}
@@ -71,11 +76,14 @@
 		} else {
 			p.noMemory = true
 		}
+		c.kept.Store(p.kept)
+		if p.kept {
+			c.session.BeginKeptCall(m.Request.Deadline)
+		}
 		select {
 		case c.current <- p:
 		default:
-			c.bodyMemory.Release(p.reservedBytes)
-			c.session.EndRequest()
+			c.end(p)
 			event.PeerMessageRefused.Log("peer", c.stream.RemoteAddr(), "error", "received a call before the reply to the previous one")
 			return
 		}
@@ -95,12 +103,20 @@
 	}
 }
 
+// end releases what a call held.
+func (c *callStream) end(p currentCall) {
+	c.bodyMemory.Release(p.reservedBytes)
+	if p.kept {
+		c.session.EndKeptCall()
+	}
+	c.session.EndRequest()
+}
+
 // cancelCurrent cancels the call in progress, if any, after the stream was closed.
 func (c *callStream) cancelCurrent() {
 	select {
 	case p := <-c.current:
-		defer c.session.EndRequest()
-		defer c.bodyMemory.Release(p.reservedBytes)
+		defer c.end(p)
 		if p.forwarded != nil {
 			select {
 			case <-p.forwarded:
@@ -166,6 +182,10 @@
 func (c *callStream) writeReplies() {
 	for {
 		select {
+		case <-c.session.Silenced():
+			if c.endRepeatable() {
+				return
+			}
 		case r := <-c.results.C():
 			if !c.writeReply(r) {
 				// This also ends the read of the next call.
@@ -178,12 +198,21 @@
 	}
 }
 
+// endRepeatable ends the stream if its call may be repeated, and reports whether it did. The peer is silent, and the
+// daemon there gives such a call up as well.
+func (c *callStream) endRepeatable() bool {
+	if c.kept.Load() || len(c.current) == 0 {
+		return false
+	}
+	// This ends the read of the next call, which cancels the call in progress.
+	return c.stream.SetReadDeadline(time.Unix(1, 0)) == nil
+}
+
 // writeReply writes the reply to the call in progress and reports whether the stream may carry another call.
 func (c *callStream) writeReply(r call.Result) bool {
 	select {
 	case p := <-c.current:
-		defer c.session.EndRequest()
-		defer c.bodyMemory.Release(p.reservedBytes)
+		defer c.end(p)
 		if answered, ok := r.Outcome.(call.Answered); ok {
 			c.bodyMemory.AcquireOverLimit(len(answered.Body))
 			defer c.bodyMemory.Release(len(answered.Body))
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -52,6 +52,8 @@
 	hello codec.Hello
 	// pinging is true while a ping is in progress.
 	pinging bool
+	// silent is true while a ping is overdue.
+	silent bool
 }
 
 // New starts a task that listens for peers at an address. It receives messages from inbox.
@@ -107,9 +109,20 @@
 	case sessionOpened:
 		t.sessions[m.session] = &peerSession{hello: m.hello}
 		t.server.report(PeerConnected{Hello: m.hello, From: remoteAddr(m.session)})
-	case pingAnswered:
+	case pingOverdue:
+		p, ok := t.sessions[m.session]
+		if !ok || !p.pinging {
+			return
+		}
+		if !p.silent {
+			p.silent = true
+			event.PeerSilent.Log("peer", m.session.RemoteAddr(), "vm", p.hello.VM, "kept", m.session.HasKeptCalls(time.Now()))
+		}
+		endSilent(m.session)
+	case pingEnded:
 		if p, ok := t.sessions[m.session]; ok {
 			p.pinging = false
+			p.silent = p.silent && m.err != nil
 		}
 	case sessionClosed:
 		delete(t.sessions, m.session)
@@ -134,20 +147,37 @@
 // checkSessions closes inactive sessions and pings peers that are silent while a request is in progress.
 func (t *Task) checkSessions() {
 	for s, p := range t.sessions {
-		silent := time.Since(s.LastReceived())
+		now := time.Now()
+		silent := now.Sub(s.LastReceived())
 		switch {
+		case p.silent:
+			endSilent(s)
+			if !p.pinging {
+				p.pinging = true
+				t.startPing(s)
+			}
 		case silent > inactivityTimeout:
 			event.PeerSilent.Log("peer", s.RemoteAddr(), "vm", p.hello.VM, "silent", silent)
 			s.Close()
 		case s.ActiveRequests() > 0 && silent > pingAfter && !p.pinging:
 			p.pinging = true
-			t.startPing(s, p.hello)
+			t.startPing(s)
 		}
 	}
 }
 
-// startPing pings a peer in a new goroutine and closes the session if no answer arrives in time.
-func (t *Task) startPing(s *link.Session, hello codec.Hello) {
+// endSilent closes the session of a silent peer, unless calls are in progress that may not be repeated. Those continue
+// until their deadline, since the peer waits for their replies as well; the others end.
+func endSilent(s *link.Session) {
+	if s.HasKeptCalls(time.Now()) {
+		s.EndRepeatableCalls()
+		return
+	}
+	s.Close()
+}
+
+// startPing pings a peer in a new goroutine and reports when the answer is overdue and when the ping has ended.
+func (t *Task) startPing(s *link.Session) {
 	answered := make(chan error, 1)
 	go func() {
 		_, err := s.Ping()
@@ -156,14 +186,12 @@
 	go func() {
 		select {
 		case err := <-answered:
-			if err == nil {
-				t.inbox.Put(pingAnswered{s}, t.Stopping())
-				return
-			}
+			t.inbox.Put(pingEnded{s, err}, t.Stopping())
+			return
 		case <-time.After(pingTimeout):
 		}
-		event.PeerSilent.Log("peer", s.RemoteAddr(), "vm", hello.VM)
-		s.Close()
+		t.inbox.Put(pingOverdue{s}, t.Stopping())
+		t.inbox.Put(pingEnded{s, <-answered}, t.Stopping())
 	}()
 }
 
--- a/internal/task/listen/message.go
+++ b/internal/task/listen/message.go
@@ -28,11 +28,18 @@
 // A sessionClosed reports that an accepted session has ended.
 type sessionClosed struct{ session *link.Session }
 
-// A pingAnswered reports that the peer has answered a ping.
-type pingAnswered struct{ session *link.Session }
+// A pingOverdue reports that the peer has not answered a ping within pingTimeout.
+type pingOverdue struct{ session *link.Session }
+
+// A pingEnded reports that the peer has answered a ping, or that the ping has failed.
+type pingEnded struct {
+	session *link.Session
+	err     error
+}
 
 func (Broadcast) message()     {}
-func (pingAnswered) message()  {}
+func (pingOverdue) message()   {}
+func (pingEnded) message()     {}
 func (sessionOpened) message() {}
 func (sessionClosed) message() {}
 
