Tell busy links from dead ones

Cause: a ping waits behind the bodies of the same connection. Uploads that took a link for longer than 300 ms made both ends close it as silent, although bytes were moving: pings, parts of messages and writes had fixed time limits that did not know what else was sent.

Change: a ping that was not answered in time waits further while the kernel of the peer acknowledges bytes in front of it (TCP_INFO), for one timeout after it was acknowledged itself, and while many bytes arrive in front of its answer (PingCheck). A peer whose process is frozen, or that sends without receiving, is found as before. Reads of a message go on while the connection receives many bytes. The limit of 1 s for a write in yamux, which ended sessions and calls that only waited, is 10 s; silent peers are found much earlier by their pings. At most 64 KiB wait unsent in the kernel, which took up to 4 MB before. Streams are opened outside the loop of the link, which must not wait for a busy connection. A Hello may take 3 s, but messages do not wait longer than before for it. The stop of the listener waits for its notices no longer than its bound.

--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -11,6 +11,7 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/wire/codec"
@@ -19,6 +20,8 @@
 const (
 	dialTimeout        = 500 * time.Millisecond
 	defaultIdleTimeout = 60 * time.Second
+	// refuseInterval is how often messages to a peer that is late with its Hello are refused.
+	refuseInterval = 50 * time.Millisecond
 	// maxCalls limits the calls in flight on one link, and with them its streams and goroutines.
 	maxCalls = 1024
 )
@@ -50,7 +53,8 @@
 	// waitingSince is when a call was last sent while no other call was in flight.
 	waitingSince time.Time
 	// pingSent is when the pending ping was sent, or zero.
-	pingSent time.Time
+	pingSent  time.Time
+	pingCheck PingCheck
 }
 
 // An Option sets a property of a Task.
@@ -118,7 +122,7 @@
 		t.refuseQueued(errors.New("the daemon is stopping"))
 		return nil
 	}
-	if err := t.dial(); err != nil {
+	if err := t.awaitDial(); err != nil {
 		t.reportLost(err.Error())
 		t.refuseQueued(err)
 		return err
@@ -164,6 +168,31 @@
 	t.report(PeerLost{Peer: t.peer, Reason: reason})
 }
 
+// awaitDial dials. Messages that arrive meanwhile wait, but no longer than helloTimeout for the Hello of the peer.
+func (t *Task) awaitDial() error {
+	ended := make(chan error, 1)
+	go func() {
+		err := error(errPanicked)
+		guard.Run("dial of a peer", func() { err = t.dial() })
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(dialTimeout + helloTimeout):
+	}
+	late := errors.Errorf("peer %s has not sent its Hello yet", t.peer)
+	t.reportLost(late.Error())
+	for {
+		t.refuseQueued(late)
+		select {
+		case err := <-ended:
+			return err
+		case <-time.After(refuseInterval):
+		}
+	}
+}
+
 func (t *Task) dial() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -184,6 +213,8 @@
 		c.Close()
 		return errors.Trace(err)
 	}
+	abort := context.AfterFunc(ctx, func() { s.Close() })
+	defer abort()
 	if t.peerHello, err = s.InitiateHello(t.hello()); err != nil {
 		s.Close()
 		if errors.Is(err, ErrProtocolVersion) {
@@ -211,11 +242,9 @@
 			p.stream.closeSoon()
 		}
 	case Exchange:
-		t.openExchange(m)
+		startExchange(t, m)
 	case Notify:
-		if s, err := t.session.OpenStream(); err == nil {
-			startNotify(t, m, s)
-		}
+		startNotify(t, m)
 	case callEnded:
 		t.finishCall(m)
 	case pinged:
@@ -234,12 +263,7 @@
 	}
 	s := t.streams.take()
 	if s == nil {
-		opened, err := t.session.OpenStream()
-		if err != nil {
-			t.refuse(m, errs.PeerUnreachable, err)
-			return
-		}
-		s = newCallStream(opened)
+		s = newCallStream()
 		startCallStream(t, s)
 	}
 	if len(t.calls) == 0 {
@@ -296,15 +320,6 @@
 	}
 }
 
-func (t *Task) openExchange(m Exchange) {
-	s, err := t.session.OpenStream()
-	if err != nil {
-		m.Reply.TryPut(Answer{Err: errors.Annotate(err, "open stream")})
-		return
-	}
-	startExchange(t, m, s)
-}
-
 func (t *Task) refuse(m Send, kind errs.Kind, err error) {
 	r := refusal(kind, err)
 	r.Attempt = m.ID
--- a/internal/task/link/pool.go
+++ b/internal/task/link/pool.go
@@ -18,14 +18,24 @@
 	MaxKeptBuffer = 16 << 10
 )
 
-// A callStream is a stream for one call at a time. Its goroutine reads from calls, to which only the task writes.
+// A callStream is a stream for one call at a time. Its goroutine opens it, since that may wait on a busy connection, and
+// reads from calls, to which only the task writes.
 type callStream struct {
 	*yamux.Stream
-	calls chan *pendingCall
+	// opened is closed when Stream is set or could not be opened.
+	opened chan struct{}
+	calls  chan *pendingCall
 }
 
-func newCallStream(s *yamux.Stream) *callStream {
-	return &callStream{Stream: s, calls: make(chan *pendingCall, 1)}
+func newCallStream() *callStream {
+	return &callStream{opened: make(chan struct{}), calls: make(chan *pendingCall, 1)}
+}
+
+func (s *callStream) open(session *Session) error {
+	defer close(s.opened)
+	var err error
+	s.Stream, err = session.OpenStream()
+	return errors.Trace(err)
 }
 
 // next waits for the next call. It returns false when there will be none.
@@ -46,7 +56,12 @@
 
 // closeSoon closes the stream in a goroutine, since the close waits until the connection takes its frame.
 func (s *callStream) closeSoon() {
-	go func() { s.Close() }()
+	go func() {
+		<-s.opened
+		if s.Stream != nil {
+			s.Close()
+		}
+	}()
 }
 
 // pastDeadline is a deadline in the past.
--- a/internal/task/link/session.go
+++ b/internal/task/link/session.go
@@ -13,15 +13,20 @@
 	"jacinthcross/internal/wire/codec"
 )
 
-// Limits of a session. writeTimeout ends a write when the peer reads nothing.
+// Limits of a session. writeTimeout ends a write that waits for others on a busy connection. When the peer reads nothing,
+// the task that owns the session ends it much earlier.
 const (
 	maxStreamWindow = 1 << 20
-	writeTimeout    = time.Second
+	writeTimeout    = MaxTransferTime
 	acceptBacklog   = 1024
 )
 
-// HelloTimeout limits the exchange of Hello messages at the start of a connection.
-const HelloTimeout = time.Second
+// Messages to a peer that has not sent its Hello within helloTimeout are refused. The connection stays for maxHelloTime,
+// since the Hello may wait behind bodies on other connections over the same network link.
+const (
+	helloTimeout = time.Second
+	maxHelloTime = 3 * time.Second
+)
 
 // maxHelloSize limits the size of a Hello in bytes. Nothing larger is read from a peer before it has sent its Hello.
 const maxHelloSize = 4096
@@ -82,10 +87,17 @@
 	return s.Session.OpenStream()
 }
 
-// GoAway tells the peer to open no more streams. From then on no calls on open streams are accepted either.
-func (s *Session) GoAway() error {
+// GoAway tells the peer to open no more streams. From then on no calls on open streams are accepted either. The returned
+// channel is closed when the message was written or has failed, for which it may have to wait for other messages.
+func (s *Session) GoAway() <-chan struct{} {
 	s.goingAway.Store(true)
-	return s.Session.GoAway()
+	written := make(chan struct{})
+	go func() {
+		defer close(written)
+		// This fails only if the session ends.
+		_ = s.Session.GoAway()
+	}()
+	return written
 }
 
 // GoingAway reports whether GoAway was called.
@@ -116,6 +128,7 @@
 		if err := t.SetNoDelay(true); err != nil {
 			return nil, errors.Annotate(err, "set TCP_NODELAY")
 		}
+		limitUnsent(t)
 	}
 	conn := &frameConn{Conn: c, start: time.Now()}
 	open := yamux.Server
@@ -131,6 +144,12 @@
 	return session, nil
 }
 
+// Ping sends a ping and waits for its answer. One ping may be pending at a time.
+func (s *Session) Ping() (time.Duration, error) {
+	s.conn.pingEnd.Store(0)
+	return s.Session.Ping()
+}
+
 // LastReceived returns when the connection last received bytes.
 func (s *Session) LastReceived() time.Time {
 	return s.conn.start.Add(time.Duration(s.conn.received.Load()))
@@ -143,6 +162,11 @@
 	start time.Time
 	// received is the time of the last read that returned bytes, in nanoseconds after start.
 	received atomic.Int64
+	// receivedBytes and written count the bytes read and written.
+	receivedBytes atomic.Int64
+	written       atomic.Int64
+	// pingEnd is the number of bytes written up to the end of the last ping, or 0 if it was not written yet.
+	pingEnd atomic.Int64
 	// pendingHeader holds a frame header whose body is the next write. Only the sending goroutine of yamux writes.
 	pendingHeader []byte
 }
@@ -152,6 +176,7 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.received.Store(int64(time.Since(c.start)))
+		c.receivedBytes.Add(int64(n))
 	}
 	return n, err
 }
@@ -160,8 +185,12 @@
 const (
 	frameHeaderSize   = 12
 	frameTypeOffset   = 1
+	frameFlagsOffset  = 2
 	frameLengthOffset = 8
 	dataFrame         = 0
+	pingFrame         = 2
+	// pingRequest is the flag of a ping that is no answer.
+	pingRequest = 1
 	// maxCoalescedBody is the largest body in bytes that is copied behind its header.
 	maxCoalescedBody = 64 << 10
 )
@@ -173,13 +202,13 @@
 		header := c.pendingHeader
 		c.pendingHeader = c.pendingHeader[:0]
 		if len(b) > maxCoalescedBody {
-			if _, err := c.Conn.Write(header); err != nil {
+			if _, err := c.write(header); err != nil {
 				return 0, err
 			}
-			return c.Conn.Write(b)
+			return c.write(b)
 		}
 		c.pendingHeader = append(header, b...)
-		n, err := c.Conn.Write(c.pendingHeader)
+		n, err := c.write(c.pendingHeader)
 		c.pendingHeader = c.pendingHeader[:0]
 		return max(0, n-frameHeaderSize), err
 	}
@@ -187,7 +216,17 @@
 		c.pendingHeader = append(c.pendingHeader, b...)
 		return len(b), nil
 	}
-	return c.Conn.Write(b)
+	n, err := c.write(b)
+	if len(b) == frameHeaderSize && b[frameTypeOffset] == pingFrame && b[frameFlagsOffset+1]&pingRequest != 0 {
+		c.pingEnd.Store(c.written.Load())
+	}
+	return n, err
+}
+
+func (c *frameConn) write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
 }
 
 // InitiateHello exchanges Hello messages on the first stream, as the side that dialled.
@@ -197,7 +236,7 @@
 		return codec.Hello{}, errors.Annotate(err, "open first stream")
 	}
 	defer stream.Close()
-	if err := stream.SetDeadline(time.Now().Add(HelloTimeout)); err != nil {
+	if err := stream.SetDeadline(time.Now().Add(maxHelloTime)); err != nil {
 		return codec.Hello{}, errors.Trace(err)
 	}
 	if _, err := codec.Write(stream, own, time.Now()); err != nil {
@@ -209,7 +248,7 @@
 // AcceptHello exchanges Hello messages on the first stream, as the side that accepted. It sends its Hello even when the
 // peer's version differs, so that both sides can report the mismatch.
 func (s *Session) AcceptHello(own codec.Hello) (codec.Hello, error) {
-	timer := time.AfterFunc(HelloTimeout, func() { s.Close() })
+	timer := time.AfterFunc(maxHelloTime, func() { s.Close() })
 	defer timer.Stop()
 	stream, err := s.AcceptStream()
 	if err != nil {
--- a/internal/task/link/silence.go
+++ b/internal/task/link/silence.go
@@ -35,21 +35,22 @@
 		return true
 	}
 	t.pingSent = now
+	t.pingCheck = NewPingCheck(t.session.Progress())
 	startPing(t)
 	t.silenceTimer.Reset(pingTimeout)
 	return true
 }
 
-// checkPing reports whether to keep waiting for the answer to a ping after pingTimeout. Received bytes other than that
-// answer do not count, since the peer may send without receiving. After a pause of this process the answer may
-// wait in the mailbox behind the timer, so a check that runs late restarts the timeout.
+// checkPing reports whether to keep waiting for the answer to a ping after pingTimeout, which it does while the
+// connection is busy. After a pause of this process the answer may wait in the mailbox behind the timer, so a check that
+// runs late restarts the timeout.
 func (t *Task) checkPing(now time.Time) bool {
-	if elapsed := now.Sub(t.pingSent); elapsed > 2*pingTimeout {
-		t.pingSent = now
-		t.silenceTimer.Reset(pingTimeout)
-		return true
+	if late := now.Sub(t.pingSent) > 2*pingTimeout; !t.pingCheck.IsBusy(t.session.Progress()) && !late {
+		return false
 	}
-	return false
+	t.pingSent = now
+	t.silenceTimer.Reset(pingTimeout)
+	return true
 }
 
 // errSilent is the error of calls that are given up because the peer is silent.
--- a/internal/task/link/stream.go
+++ b/internal/task/link/stream.go
@@ -43,14 +43,21 @@
 // the task has ended.
 func startCallStream(t *Task, s *callStream) {
 	go func() {
-		defer s.Close()
+		openErr := s.open(t.session)
+		if openErr == nil {
+			defer s.Close()
+		}
 		for used := false; ; used = true {
 			p, ok := s.next(t)
 			if !ok {
 				return
 			}
+			unusable := openErr
 			if used && !s.reusable() {
-				p.answer(t, refusal(errs.PeerUnreachable, errors.Errorf("stream to peer %s is closed or holds unexpected bytes; the call was not sent", t.peer)))
+				unusable = errors.Errorf("stream to peer %s is closed or holds unexpected bytes; the call was not sent", t.peer)
+			}
+			if unusable != nil {
+				p.answer(t, refusal(errs.PeerUnreachable, unusable))
 				t.inbox.Put(callEnded{p, false}, t.Done())
 				return
 			}
@@ -95,19 +102,17 @@
 }
 
 // startExchange starts the goroutine that sends one control message and reads its answer.
-func startExchange(t *Task, m Exchange, s *yamux.Stream) {
+func startExchange(t *Task, m Exchange) {
 	go func() {
-		defer s.Close()
-		answer, err := exchange(t, m, s)
+		answer, err := exchange(t, m)
 		m.Reply.TryPut(Answer{Message: answer, Err: err})
 	}()
 }
 
 // startNotify starts the goroutine that sends one message and waits until the peer has read it.
-func startNotify(t *Task, m Notify, s *yamux.Stream) {
+func startNotify(t *Task, m Notify) {
 	go func() {
-		defer s.Close()
-		_, _ = exchange(t, Exchange{Message: m.Message}, s)
+		_, _ = exchange(t, Exchange{Message: m.Message})
 	}()
 }
 
@@ -123,7 +128,12 @@
 // errPanicked is the error of a call or message whose handler panicked.
 const errPanicked = errors.ConstError("the daemon failed while it handled the message of a peer: see the HandlerPanicked event in the log")
 
-func exchange(t *Task, m Exchange, s *yamux.Stream) (answer codec.Message, err error) {
+func exchange(t *Task, m Exchange) (answer codec.Message, err error) {
+	s, err := t.session.OpenStream()
+	if err != nil {
+		return nil, errors.Annotate(err, "open stream")
+	}
+	defer s.Close()
 	err = errPanicked
 	guard.Run("message of a peer", func() { answer, err = sendMessage(t, m, s) })
 	return answer, err
@@ -135,37 +145,58 @@
 		timeout = m.Timeout
 	}
 	now := time.Now()
-	if err := s.SetDeadline(now.Add(timeout)); err != nil {
+	if err := s.SetWriteDeadline(now.Add(timeout)); err != nil {
 		return nil, errors.Annotate(err, "set deadline")
 	}
 	if _, err := codec.Write(s, m.Message, now); err != nil {
 		return nil, errors.Trace(err)
 	}
-	answer, _, err := codec.Read(NewProgressReader(s, exchangeTimeout), t.maxSize, time.Now)
+	// On a busy connection the write takes a part of the timeout.
+	if err := s.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, errors.Annotate(err, "set deadline")
+	}
+	answer, _, err := codec.Read(NewProgressReader(t.session, s, exchangeTimeout), t.maxSize, time.Now)
 	return answer, errors.Trace(err)
 }
 
-// A ProgressReader reads from a stream. Each read that returns bytes moves the read deadline of the stream, so that the
-// time allowed for a message grows with its size and with what else is sent over the link.
+// A ProgressReader reads from a stream. Each read that returns bytes moves the read deadline of the stream, and so does
+// a busy connection, so that the time allowed for a message grows with its size and with what else is sent over the link.
 type ProgressReader struct {
+	session *Session
 	stream  *yamux.Stream
 	timeout time.Duration
-	// limit is the latest deadline, or zero before the first bytes.
+	// limit is the latest deadline, or zero before the first bytes or the first timeout.
 	limit time.Time
+	// received counts the bytes that the connection had received when the deadline was last set.
+	received int64
 }
 
 // NewProgressReader returns a ProgressReader for one message. timeout is the longest time without bytes after the first
 // ones.
-func NewProgressReader(s *yamux.Stream, timeout time.Duration) *ProgressReader {
-	return &ProgressReader{stream: s, timeout: timeout}
+func NewProgressReader(session *Session, s *yamux.Stream, timeout time.Duration) *ProgressReader {
+	return &ProgressReader{session: session, stream: s, timeout: timeout, received: session.conn.receivedBytes.Load()}
 }
 
 // Read implements io.Reader.
 func (r *ProgressReader) Read(b []byte) (int, error) {
-	n, err := r.stream.Read(b)
-	if n == 0 {
+	for {
+		n, err := r.stream.Read(b)
+		before := r.received
+		r.received = r.session.conn.receivedBytes.Load()
+		switch {
+		case n > 0:
+			if extendErr := r.extend(); extendErr != nil && err == nil {
+				err = extendErr
+			}
+		case errors.Is(err, yamux.ErrTimeout) && r.received-before >= busyBytes && r.extend() == nil && time.Now().Before(r.limit):
+			continue
+		}
 		return n, err
 	}
+}
+
+// extend moves the read deadline of the stream.
+func (r *ProgressReader) extend() error {
 	now := time.Now()
 	if r.limit.IsZero() {
 		r.limit = now.Add(MaxTransferTime)
@@ -174,8 +205,5 @@
 	if deadline.After(r.limit) {
 		deadline = r.limit
 	}
-	if deadlineErr := r.stream.SetReadDeadline(deadline); deadlineErr != nil && err == nil {
-		err = errors.Trace(deadlineErr)
-	}
-	return n, err
+	return errors.Trace(r.stream.SetReadDeadline(deadline))
 }
--- a/internal/task/listen/calls.go
+++ b/internal/task/listen/calls.go
@@ -88,7 +88,7 @@
 			return
 		}
 		c.forward(p, local.Run{ID: p.id, Target: m.Target, Request: m.Request, Reply: c.results})
-		next, nextExact, err := c.readMessage(c.stream, time.Time{})
+		next, nextExact, err := c.readMessage(c.session, c.stream, time.Time{})
 		if err != nil {
 			// The peer closes streams that it no longer needs.
 			return
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -178,17 +179,20 @@
 
 // startPing pings a peer in a new goroutine and reports when the answer is overdue and when the ping has ended.
 func (t *Task) startPing(s *link.Session) {
-	answered := make(chan error, 1)
+	answered, check := make(chan error, 1), link.NewPingCheck(s.Progress())
 	go func() {
 		_, err := s.Ping()
 		answered <- err
 	}()
 	go func() {
-		select {
-		case err := <-answered:
-			t.inbox.Put(pingEnded{s, err}, t.Stopping())
-			return
-		case <-time.After(pingTimeout):
+		for busy := true; busy; {
+			select {
+			case err := <-answered:
+				t.inbox.Put(pingEnded{s, err}, t.Stopping())
+				return
+			case <-time.After(pingTimeout):
+				busy = check.IsBusy(s.Progress())
+			}
 		}
 		t.inbox.Put(pingOverdue{s}, t.Stopping())
 		t.inbox.Put(pingEnded{s, <-answered}, t.Stopping())
@@ -263,11 +267,20 @@
 
 // stopSessions waits for the requests in progress, so that their replies reach the peers, and closes the sessions.
 func (t *Task) stopSessions() {
+	deadline := time.Now().Add(stopTimeout)
+	timeout, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	var written []<-chan struct{}
 	for s := range t.sessions {
-		// This stops the session from accepting streams. It fails only if the session has already ended.
-		_ = s.GoAway()
+		// This stops the session from accepting streams.
+		written = append(written, s.GoAway())
+	}
+	for _, c := range written {
+		select {
+		case <-c:
+		case <-timeout.Done():
+		}
 	}
-	deadline := time.Now().Add(stopTimeout)
 	for s := range t.sessions {
 		for s.ActiveRequests() > 0 && time.Now().Before(deadline) {
 			time.Sleep(stopPollInterval)
--- a/internal/task/listen/message.go
+++ b/internal/task/listen/message.go
@@ -28,7 +28,7 @@
 // A sessionClosed reports that an accepted session has ended.
 type sessionClosed struct{ session *link.Session }
 
-// A pingOverdue reports that the peer has not answered a ping within pingTimeout.
+// A pingOverdue reports that the peer has not answered a ping within pingTimeout and that the connection is not busy.
 type pingOverdue struct{ session *link.Session }
 
 // A pingEnded reports that the peer has answered a ping, or that the ping has failed.
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -105,7 +105,7 @@
 // serveStream serves a stream, for which BeginRequest has been called, and calls EndRequest when the request is over. A
 // stream carries either successive calls or a single message of another kind.
 func (s *Server) serveStream(session *link.Session, stream *yamux.Stream) {
-	m, exact, err := s.readMessage(stream, time.Now().Add(readTimeout))
+	m, exact, err := s.readMessage(session, stream, time.Now().Add(readTimeout))
 	if err != nil {
 		session.EndRequest()
 		event.PeerMessageRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
@@ -123,12 +123,12 @@
 
 // readMessage reads a message, whose first byte must arrive before the deadline. A zero deadline means no limit.
 // exact reports whether the arrival time of the message is known exactly, which it is not after a process pause.
-func (s *Server) readMessage(stream *yamux.Stream, deadline time.Time) (m codec.Message, exact bool, err error) {
+func (s *Server) readMessage(session *link.Session, stream *yamux.Stream, deadline time.Time) (m codec.Message, exact bool, err error) {
 	if err := stream.SetReadDeadline(deadline); err != nil {
 		return nil, false, errors.Trace(err)
 	}
 	exact = true
-	m, n, err := codec.Read(link.NewProgressReader(stream, readTimeout), s.maxMessageSize, func() (arrived time.Time) {
+	m, n, err := codec.Read(link.NewProgressReader(session, stream, readTimeout), s.maxMessageSize, func() (arrived time.Time) {
 		arrived, exact = s.arrivalTime(time.Now())
 		return arrived
 	})
