Send calls with large bodies over a connection of their own

Cause: small calls, pings and control messages waited behind the bodies of the same connection, and a body that the kernel had taken went on after its caller had left.

Change: a call with a body above 16 KiB goes over a second link to the peer, which is opened on first use, with the same port and Hello, and closed when idle. The Hello says so (Bulk), and the accepting end sends no broadcasts on it. Peers of the version before treat it as one more connection, so codec.Protocol stays. Answers come back on the stream of their call.

--- a/internal/super/daemon/busy_test.go
+++ b/internal/super/daemon/busy_test.go
@@ -7,6 +7,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"jacinthcross/internal/base/call"
+	"jacinthcross/internal/task/dialer"
+	"jacinthcross/internal/task/link"
 )
 
 // TestBusyLinkIsNotDead guards against connections that are closed as silent although they are only busy with bodies.
@@ -55,3 +57,45 @@
 		})
 	}
 }
+
+// TestSmallCallsPassLargeBodies guards against small calls that wait behind the bodies of others.
+func TestSmallCallsPassLargeBodies(t *testing.T) {
+	const size, uploads, small = 600_000, 4, 20
+	p := newPeer(t, hello())
+	go func() { p.answerAll() }()
+	proxy := newLossyProxy(t, p.task.Addr())
+	proxy.rate.Store(uploads * size * 5 / 12)
+	d := newTestDialer(t)
+	large := map[call.ID]bool{}
+	for range uploads {
+		large[d.sendRequest(proxy.addr(), call.Request{Body: make([]byte, size), Deadline: time.Now().Add(testTimeout)})] = true
+	}
+	for range small {
+		id := d.send(proxy.addr(), "small")
+		r := receive(t, d.results.C())
+		qt.Assert(t, r.Attempt, qt.Equals, id, qt.Commentf("large: %v", large[r.Attempt]))
+	}
+	for range uploads {
+		r := receive(t, d.results.C())
+		_, ok := r.Outcome.(call.Answered)
+		qt.Assert(t, ok && large[r.Attempt], qt.IsTrue, qt.Commentf("%#v", r.Outcome))
+	}
+}
+
+// TestCancelledBodyIsNotSent guards against a body that takes the link after its caller has left.
+func TestCancelledBodyIsNotSent(t *testing.T) {
+	const size, rate = 1_000_000, 1_000_000
+	p := newPeer(t, hello())
+	proxy := newLossyProxy(t, p.task.Addr())
+	proxy.rate.Store(rate)
+	d := newTestDialer(t)
+	id := d.sendRequest(proxy.addr(), call.Request{Body: make([]byte, size), Deadline: time.Now().Add(testTimeout)})
+	for until := time.Now().Add(testTimeout); proxy.bytes.Load() < size/20; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(until), qt.IsTrue)
+	}
+	d.inbox.TryPut(dialer.Message{Peer: proxy.addr(), Message: link.Cancel{ID: id}})
+	// The whole body would take one second.
+	time.Sleep(2 * time.Second)
+	qt.Assert(t, proxy.bytes.Load() < size/2, qt.IsTrue, qt.Commentf("%d bytes of %d were sent", proxy.bytes.Load(), size))
+	qt.Assert(t, len(p.calls), qt.Equals, 0)
+}
--- a/internal/task/dialer/backoff.go
+++ b/internal/task/dialer/backoff.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 	"time"
 )
 
@@ -17,7 +16,7 @@
 
 // A backoff delays the dials of peers that have failed. It is owned by the task and not safe for concurrent use.
 type backoff struct {
-	peers map[netip.AddrPort]failure
+	peers map[linkKey]failure
 	// random returns a factor in [0, 1) for the jitter.
 	random func() float64
 }
@@ -28,16 +27,16 @@
 }
 
 func newBackoff() *backoff {
-	return &backoff{peers: map[netip.AddrPort]failure{}, random: rand.Float64}
+	return &backoff{peers: map[linkKey]failure{}, random: rand.Float64}
 }
 
 // wait returns the time until the peer may be dialled.
-func (b *backoff) wait(peer netip.AddrPort, now time.Time) time.Duration {
+func (b *backoff) wait(peer linkKey, now time.Time) time.Duration {
 	return max(0, b.peers[peer].until.Sub(now))
 }
 
 // recordFailure records that a dial failed or, when opened is true, that a connection was short-lived.
-func (b *backoff) recordFailure(peer netip.AddrPort, opened bool, now time.Time) {
+func (b *backoff) recordFailure(peer linkKey, opened bool, now time.Time) {
 	f := b.peers[peer]
 	f.count++
 	if opened && f.count == 1 {
@@ -51,7 +50,7 @@
 }
 
 // recordSuccess records that a connection was stable.
-func (b *backoff) recordSuccess(peer netip.AddrPort) { delete(b.peers, peer) }
+func (b *backoff) recordSuccess(peer linkKey) { delete(b.peers, peer) }
 
 // prune drops peers whose delay ended long ago, so that the size of the map is bounded by the peers in use.
 func (b *backoff) prune(now time.Time) {
--- a/internal/task/dialer/dialer.go
+++ b/internal/task/dialer/dialer.go
@@ -35,7 +35,7 @@
 	changed chan *linkEntry
 	// returned receives the messages that a retired link has not sent.
 	returned chan Message
-	links    map[netip.AddrPort]*linkEntry
+	links    map[linkKey]*linkEntry
 	// retired holds the links to silent peers that wait for the replies to calls that may not be repeated. Each of them
 	// ends at the deadline of its last call, which limits their number.
 	retired map[netip.AddrPort][]*linkEntry
@@ -43,8 +43,20 @@
 	options []link.Option
 }
 
-type linkEntry struct {
+// A linkKey identifies a link. Calls with large bodies use a link of their own, so that nothing else waits behind them.
+type linkKey struct {
 	peer netip.AddrPort
+	bulk bool
+}
+
+// keyFor returns the link for a message to a peer.
+func keyFor(peer netip.AddrPort, m link.Message) linkKey {
+	s, ok := m.(link.Send)
+	return linkKey{peer, ok && len(s.Request.Body) > link.MaxSmallBody}
+}
+
+type linkEntry struct {
+	linkKey
 	task *link.Task
 	box  *mail.Box[link.Message]
 	// dialAt is when the link dials or dialled.
@@ -67,7 +79,7 @@
 		changed:  make(chan *linkEntry),
 		returned: make(chan Message),
 		retired:  map[netip.AddrPort][]*linkEntry{},
-		links:    map[netip.AddrPort]*linkEntry{},
+		links:    map[linkKey]*linkEntry{},
 		backoff:  newBackoff(),
 	}
 	for _, o := range options {
@@ -108,9 +120,10 @@
 		t.cancel(m.Peer, c)
 		return
 	}
-	e, ok := t.current(m.Peer)
+	key := keyFor(m.Peer, m.Message)
+	e, ok := t.current(key)
 	if !ok {
-		e = t.startLink(m.Peer, t.backoff.wait(m.Peer, time.Now()))
+		e = t.startLink(key, t.backoff.wait(key, time.Now()))
 	}
 	if wait := time.Until(e.dialAt); wait > 0 && !waitsForDial(m.Message) {
 		t.refuseWithRetry(m.Message, errs.PeerUnreachable, wait, "peer "+m.Peer.String()+" is unreachable; next dial in "+wait.String())
@@ -121,20 +134,22 @@
 	}
 }
 
-// current returns the link that sends new messages to a peer, if there is one.
-func (t *Task) current(peer netip.AddrPort) (*linkEntry, bool) {
-	e, ok := t.links[peer]
+// current returns the link that sends new messages, if there is one.
+func (t *Task) current(key linkKey) (*linkEntry, bool) {
+	e, ok := t.links[key]
 	if ok && (isClosed(e.task.Done()) || isClosed(e.task.Retired())) {
 		t.update(e)
-		e, ok = t.links[peer]
+		e, ok = t.links[key]
 	}
 	return e, ok
 }
 
-// cancel cancels a call on the current link to a peer.
+// cancel cancels a call on the current links to a peer.
 func (t *Task) cancel(peer netip.AddrPort, m link.Cancel) {
-	if e, ok := t.current(peer); ok {
-		e.box.TryPut(m)
+	for _, bulk := range []bool{false, true} {
+		if e, ok := t.current(linkKey{peer, bulk}); ok {
+			e.box.TryPut(m)
+		}
 	}
 }
 
@@ -155,7 +170,7 @@
 }
 
 func (t *Task) notify(peer netip.AddrPort, m link.Notify, oneLink bool) {
-	if e, ok := t.links[peer]; ok {
+	if e, ok := t.links[linkKey{peer: peer}]; ok {
 		e.box.TryPut(m)
 		return
 	}
@@ -163,6 +178,9 @@
 		return
 	}
 	for _, e := range t.links {
+		if e.bulk {
+			continue
+		}
 		e.box.TryPut(m)
 		if oneLink {
 			// The iteration order of a map is random.
@@ -171,18 +189,21 @@
 	}
 }
 
-// startLink starts the link to a peer, which dials after delay.
-func (t *Task) startLink(peer netip.AddrPort, delay time.Duration) *linkEntry {
+// startLink starts a link, which dials after delay.
+func (t *Task) startLink(key linkKey, delay time.Duration) *linkEntry {
 	box := mail.NewBox[link.Message](linkMailboxSize)
 	options := append(slices.Clip(t.options), link.WithDialDelay(delay),
 		link.WithReturnFunc(func(m link.Message, stopping <-chan struct{}) {
 			select {
-			case t.returned <- Message{Peer: peer, Message: m}:
+			case t.returned <- Message{Peer: key.peer, Message: m}:
 			case <-stopping:
 			}
 		}))
-	e := &linkEntry{peer: peer, box: box, task: link.New(peer, box, options...), dialAt: time.Now().Add(delay)}
-	t.links[peer] = e
+	if key.bulk {
+		options = append(options, link.WithBulk())
+	}
+	e := &linkEntry{linkKey: key, box: box, task: link.New(key.peer, box, options...), dialAt: time.Now().Add(delay)}
+	t.links[key] = e
 	notify := func() {
 		select {
 		case t.changed <- e:
@@ -206,7 +227,7 @@
 // otherwise.
 func (t *Task) update(e *linkEntry) {
 	ended := isClosed(e.task.Done())
-	if t.links[e.peer] == e {
+	if t.links[e.linkKey] == e {
 		t.supersede(e, ended)
 	}
 	if !ended {
@@ -230,13 +251,13 @@
 
 // supersede removes a link from the links that send new messages, and records whether its connection was stable.
 func (t *Task) supersede(e *linkEntry, ended bool) {
-	delete(t.links, e.peer)
+	delete(t.links, e.linkKey)
 	now := time.Now()
 	opened := !ended || e.task.Err() == nil
 	if opened && now.Sub(e.dialAt) >= stableTime {
-		t.backoff.recordSuccess(e.peer)
+		t.backoff.recordSuccess(e.linkKey)
 	} else {
-		t.backoff.recordFailure(e.peer, opened, now)
+		t.backoff.recordFailure(e.linkKey, opened, now)
 	}
 	if !ended {
 		t.retired[e.peer] = append(t.retired[e.peer], e)
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -22,6 +22,8 @@
 	defaultIdleTimeout = 60 * time.Second
 	// refuseInterval is how often messages to a peer that is late with its Hello are refused.
 	refuseInterval = 50 * time.Millisecond
+	// MaxSmallBody is the size in bytes of the largest body that is sent beside other messages, in 13 ms at 10 Mbit/s.
+	MaxSmallBody = 16 << 10
 	// maxCalls limits the calls in flight on one link, and with them its streams and goroutines.
 	maxCalls = 1024
 )
@@ -33,6 +35,7 @@
 	inbox       *mail.Box[Message]
 	maxSize     int
 	idleTimeout time.Duration
+	bulk        bool
 	dialDelay   time.Duration
 	serve       func(*Session)
 	hello       func() codec.Hello
@@ -78,6 +81,9 @@
 // WithReportFunc sets the function that is called with reports on the peer. It must not block.
 func WithReportFunc(report func(Report)) Option { return func(t *Task) { t.report = report } }
 
+// WithBulk makes the connection one for calls with large bodies.
+func WithBulk() Option { return func(t *Task) { t.bulk = true } }
+
 // WithReturnFunc sets the function that takes the calls, exchanges and cancellations that reach the task after it was
 // retired. It may wait until stopping is closed.
 func WithReturnFunc(f func(m Message, stopping <-chan struct{})) Option {
@@ -215,7 +221,9 @@
 	}
 	abort := context.AfterFunc(ctx, func() { s.Close() })
 	defer abort()
-	if t.peerHello, err = s.InitiateHello(t.hello()); err != nil {
+	own, dialled := t.hello(), time.Now()
+	own.Bulk = t.bulk
+	if t.peerHello, err = s.InitiateHello(own); err != nil {
 		s.Close()
 		if errors.Is(err, ErrProtocolVersion) {
 			event.PeerVersionMismatch.Log("peer", t.peer, "error", err.Error())
@@ -225,7 +233,12 @@
 	t.session = s
 	go func() { t.serve(s) }()
 	event.LinkOpened.Log("peer", t.peer, "vm", t.peerHello.VM)
-	t.report(PeerAlive{Peer: t.peer, Hello: t.peerHello})
+	alive := PeerAlive{Peer: t.peer, Hello: t.peerHello}
+	if t.bulk {
+		// The reports that a new connection causes are sent on the other one.
+		alive.RoundTrip = time.Since(dialled)
+	}
+	t.report(alive)
 	return nil
 }
 
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -68,7 +68,8 @@
 type PeerAlive struct {
 	Peer  netip.AddrPort
 	Hello codec.Hello
-	// RoundTrip is the time that the ping took, or 0 if the connection has just been opened.
+	// RoundTrip is the time that the ping took, or 0 if the connection has just been opened and is not one for large
+	// bodies.
 	RoundTrip time.Duration
 }
 
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// maxSessions limits the accepted sessions. A daemon opens one connection to each peer that it uses, and any daemon
-	// in the fleet may call any other. The largest fleet has 1,800 daemons: 150 in each of twelve data centres.
+	// maxSessions limits the accepted sessions. A daemon opens one connection to each peer that it uses, and another one
+	// for large bodies, and any daemon in the fleet may call any other. The largest fleet has 1,800 daemons: 150 in each of
+	// twelve data centres.
 	maxSessions = 4096
 	// inactivityTimeout closes an accepted session without traffic. The dialling end closes an idle connection after
 	// 60 s, so after a longer silence the peer must have disappeared without closing it.
@@ -109,6 +110,9 @@
 	switch m := m.(type) {
 	case sessionOpened:
 		t.sessions[m.session] = &peerSession{hello: m.hello}
+		if m.hello.Bulk {
+			return
+		}
 		t.server.report(PeerConnected{Hello: m.hello, From: remoteAddr(m.session)})
 	case pingOverdue:
 		p, ok := t.sessions[m.session]
@@ -134,7 +138,7 @@
 
 func (t *Task) broadcast(m Broadcast) {
 	for s, p := range t.sessions {
-		if m.To != "" && m.To != p.hello.VM {
+		if p.hello.Bulk || m.To != "" && m.To != p.hello.VM {
 			continue
 		}
 		startBroadcast(s, m.Message)
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -167,7 +167,7 @@
 		return codec.Done{}
 	// A Call does not get here, since serveStream handles it. A peer must not send the others as the first message of a
 	// stream. It gets an empty Done, so that it does not wait for an answer.
-	case codec.Hello, codec.Done, codec.Call, codec.Reply, codec.LoadReply, codec.ChangesReply:
+	case codec.Hello, codec.Done, codec.Call, codec.BodyRequest, codec.RequestBody, codec.Reply, codec.LoadReply, codec.ChangesReply:
 		return codec.Done{}
 	}
 	return nil
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -28,13 +28,18 @@
 		InFlight: 1, Queued: 2, Limit: 3, QueueDelay: 4, Latency: 5, Incarnation: incarnation, Epoch: 6, Head: head, Draining: true, Down: true, Slowness: 5, ExpectedSlowDuration: 6, UntilWarm: 7,
 	}
 	return []codec.Message{
-		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true, Daemon: netip.MustParseAddrPort("127.0.0.1:7000")},
+		codec.Hello{Protocol: codec.Protocol, VM: "vm", DataCentre: "dc", Incarnation: incarnation, Head: head, Draining: true, Daemon: netip.MustParseAddrPort("127.0.0.1:7000"), Bulk: true, RequestsBodies: true},
 		codec.Call{Target: "target", Number: 9, Request: call.Request{
 			ID: "request", Route: "route", Origin: "origin", SoftDeadline: now.Add(-time.Second), HoldUntil: now.Add(time.Millisecond), RetriedByCaller: true, CallerCannotRetry: true, UsualLatency: time.Millisecond, MinOtherSlowness: 2,
 			Service: "service", Method: "POST", URI: "/a?b", Header: fields, Body: []byte("body"),
 			Caller: netip.MustParseAddr("2001:db8::1"), Deadline: now.Add(time.Second), Rank: ident.Normal,
 			Depth: 2, RetryAllowance: 1, Key: "key", Idempotent: true,
 		}},
+		codec.Call{Target: "target", Number: 9, BodySize: 100_000, Digest: ident.Digest{6}, Request: call.Request{
+			Header: fields, Deadline: now.Add(time.Second), Rank: ident.Normal, Caller: netip.MustParseAddr("2001:db8::1"), Key: "key",
+		}},
+		codec.BodyRequest{Number: 9},
+		codec.RequestBody{Number: 9, Body: []byte("body")},
 		codec.Reply{Number: 9, Result: call.Result{Load: load, RetriesUsed: 1, Sent: true, Outcome: call.Answered{Status: 201, Header: fields, Body: []byte("body"), Replayed: true}}},
 		codec.Reply{Result: call.Result{Load: load, Outcome: call.Refused{Kind: errs.Busy, RetryAfter: time.Second, Detail: "detail"}}},
 		codec.Reply{Result: call.Result{Load: load, Outcome: call.Unknown{Kind: errs.AnswerCut, Detail: "detail"}}},
@@ -111,7 +116,7 @@
 }
 
 func BenchmarkCodec(b *testing.B) {
-	for _, m := range messages()[1:3] {
+	for _, m := range []codec.Message{messages()[1], messages()[5]} {
 		b.Run(nameOf(m), func(b *testing.B) {
 			b.ReportAllocs()
 			for range b.N {
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -1,6 +1,7 @@
 package codec
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -21,6 +22,10 @@
 		return decodeHello(b.Hello)
 	case *peerpb.Envelope_CallRequest:
 		return decodeCall(b.CallRequest, now)
+	case *peerpb.Envelope_BodyRequest:
+		return BodyRequest{Number: b.BodyRequest.GetNumber()}, nil
+	case *peerpb.Envelope_RequestBody:
+		return RequestBody{Number: b.RequestBody.GetNumber(), Body: b.RequestBody.GetBody()}, nil
 	case *peerpb.Envelope_CallReply:
 		return decodeReply(b.CallReply)
 	case *peerpb.Envelope_LoadRequest:
@@ -59,7 +64,7 @@
 	}
 	m := Hello{
 		Protocol: int(p.GetProtocol()), VM: ident.VM(p.GetVM()), DataCentre: ident.DataCentre(p.GetDataCentre()),
-		Incarnation: i, Head: h, Draining: p.GetDraining(),
+		Incarnation: i, Head: h, Draining: p.GetDraining(), Bulk: p.GetBulk(), RequestsBodies: p.GetRequestsBodies(),
 	}
 	if b := p.GetDaemon(); len(b) > 0 {
 		if err := m.Daemon.UnmarshalBinary(b); err != nil {
@@ -76,13 +81,21 @@
 	}
 	// An invalid caller address is treated as unknown, since it only selects a retry budget.
 	caller, _ := netip.AddrFromSlice(p.GetCaller())
-	m := Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), Request: call.Request{
+	if p.GetBodyBytes() > math.MaxInt32 {
+		return nil, errors.NotValidf("body of %d bytes", p.GetBodyBytes())
+	}
+	m := Call{Target: ident.Target(p.GetTarget()), Number: p.GetNumber(), BodySize: int(p.GetBodyBytes()), Request: call.Request{
 		ID: p.GetRequestID(), Route: ident.Route(p.GetRoute()), Origin: ident.Service(p.GetOrigin()), RetriedByCaller: p.GetReturned(), CallerCannotRetry: p.GetFinal(), UsualLatency: time.Duration(p.GetUsualNanoseconds()), MinOtherSlowness: p.GetElsewhere(),
 		Service: ident.Service(p.GetService()), Method: p.GetMethod(), URI: p.GetURI(),
 		Header: decodeFields(p.GetHeader()), Body: p.GetBody(), Caller: caller,
 		Deadline: now.Add(time.Duration(p.GetRemainingNanoseconds())), Rank: rank,
 		Depth: int(p.GetDepth()), RetryAllowance: int(p.GetAllowance()), Key: p.GetKey(), Idempotent: p.GetIdempotent(),
 	}}
+	if b := p.GetDigest(); len(b) > 0 {
+		if m.Digest, err = decodeDigest(b); err != nil {
+			return nil, err
+		}
+	}
 	if p.ToAimNanoseconds != nil {
 		m.Request.SoftDeadline = now.Add(time.Duration(p.GetToAimNanoseconds()))
 	}
--- a/internal/wire/codec/encode.go
+++ b/internal/wire/codec/encode.go
@@ -17,7 +17,12 @@
 		return &peerpb.Envelope{Body: &peerpb.Envelope_Hello{Hello: &peerpb.Hello{
 			Protocol: uint32(m.Protocol), VM: string(m.VM), DataCentre: string(m.DataCentre),
 			Incarnation: m.Incarnation[:], Head: encodeHead(m.Head), Draining: m.Draining, Daemon: encodeAddress(m.Daemon),
+			Bulk: m.Bulk, RequestsBodies: m.RequestsBodies,
 		}}}
+	case BodyRequest:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_BodyRequest{BodyRequest: &peerpb.BodyRequest{Number: m.Number}}}
+	case RequestBody:
+		return &peerpb.Envelope{Body: &peerpb.Envelope_RequestBody{RequestBody: &peerpb.RequestBody{Number: m.Number, Body: m.Body}}}
 	case Call:
 		return &peerpb.Envelope{Body: &peerpb.Envelope_CallRequest{CallRequest: encodeCall(m, now)}}
 	case Reply:
@@ -54,7 +59,10 @@
 		Header: encodeFields(r.Header), Body: r.Body, Caller: r.Caller.AsSlice(),
 		RemainingNanoseconds: int64(r.Deadline.Sub(now)), Rank: string(r.Rank),
 		Depth: uint32(r.Depth), Allowance: uint32(r.RetryAllowance), Key: r.Key, Idempotent: r.Idempotent,
-		Number: m.Number,
+		Number: m.Number, BodyBytes: uint64(m.BodySize),
+	}
+	if m.Digest != (ident.Digest{}) {
+		p.Digest = m.Digest[:]
 	}
 	if !r.SoftDeadline.IsZero() {
 		p.ToAimNanoseconds = proto.Int64(int64(r.SoftDeadline.Sub(now)))
--- a/internal/wire/codec/message.go
+++ b/internal/wire/codec/message.go
@@ -31,6 +31,10 @@
 	Draining bool
 	// Daemon is the address on which the sender listens for peers, or the zero AddrPort if the message has none.
 	Daemon netip.AddrPort
+	// Bulk is true on a connection that carries only calls with large bodies.
+	Bulk bool
+	// RequestsBodies is true if the sender sends a BodyRequest for the body of a call that comes without it.
+	RequestsBodies bool
 }
 
 // A Call asks the daemon beside a target to run a request on the target.
@@ -39,6 +43,19 @@
 	Request call.Request
 	// Number identifies the call. The reply has the same number.
 	Number uint64
+	// BodySize is the size of the body if Request does not have it. The body follows after a BodyRequest.
+	BodySize int
+	// Digest is the digest of the request with its body. It is set if BodySize and Request.Key are.
+	Digest ident.Digest
+}
+
+// A BodyRequest asks for the body of the call with a number, for which the target has room.
+type BodyRequest struct{ Number uint64 }
+
+// A RequestBody is the body of the call with a number.
+type RequestBody struct {
+	Number uint64
+	Body   []byte
 }
 
 // A Reply answers a Call.
@@ -105,6 +122,8 @@
 
 func (Hello) message()          {}
 func (Call) message()           {}
+func (BodyRequest) message()    {}
+func (RequestBody) message()    {}
 func (Reply) message()          {}
 func (LoadRequest) message()    {}
 func (LoadReply) message()      {}
