Send a large body only when its target has room

Cause: the body of a call was sent before the daemon beside the target decided on the call, so that each refusal cost 60 to 360 kB on links of 10 Mbit/s.

Change: a call with a body above 16 KiB is sent without it. The daemon beside the target decides as before, and requests the body when the call may start and the memory for the body is reserved. The call holds its slot until the body is in, for 500 ms at most without a part of it and until the deadline at most; then it is refused as Busy, not run, so that another target gets it. Only a whole body is dispatched, also while the daemon or the target drains. A call whose connection fails before the last part of its body was sent is refused as not run (PeerUnreachable) instead of unknown, and the last part is not sent afterwards; from that part on, a call that may not be repeated keeps its connection. A call with a key carries the digest of its request, for the ledger.

The accepting end announces this in its Hello (RequestsBodies). Peers of the version before get whole calls and send them, so codec.Protocol stays.

Events: BodyRequested, BodyNotSent and BodyFailed, counted like all others.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -38,6 +38,7 @@
 	PeerVersionMismatch            = Event{3004, "PeerVersionMismatch", Error}
 	PeerDraining                   = Event{3005, "PeerDraining", Info}
 	PeerSilent                     = Event{3006, "PeerSilent", Warning} // nothing was received from a peer for too long
+	BodyFailed                     = Event{3007, "BodyFailed", Warning} // a body that a target's daemon requested did not arrive
 	TargetAdded                    = Event{4001, "TargetAdded", Info}
 	TargetWithdrawn                = Event{4002, "TargetWithdrawn", Info}
 	TargetConnectionsNotClosed     = Event{4003, "TargetConnectionsNotClosed", Warning}
@@ -56,6 +57,8 @@
 	CallBounced                    = Event{5007, "CallBounced", Decision}         // the entry daemon redirects a call that a target's daemon refused; the rest of the code calls this a redirect
 	CallRefused                    = Event{5008, "CallRefused", Decision}         // a target's daemon refused a call
 	CallInFlightAtCrash            = Event{5009, "CallInFlightAtCrash", Info}     // not rate-limited: a crash has at most as many lines as the target has slots
+	BodyRequested                  = Event{5010, "BodyRequested", Decision}       // a target's daemon requested the body of a call that may start
+	BodyNotSent                    = Event{5011, "BodyNotSent", Decision}         // a call was answered before its body was requested
 )
 
 // All returns all events.
@@ -65,9 +68,10 @@
 		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable,
 		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge, ConfigPartUnusable,
-		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
+		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent, BodyFailed,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed, CrashReportsReceived, CrashEvidenceDropped, CrashSuspect,
 		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced, CallRefused, CallInFlightAtCrash,
+		BodyRequested, BodyNotSent,
 	}
 }
--- a/internal/super/daemon/busy_test.go
+++ b/internal/super/daemon/busy_test.go
@@ -82,6 +82,13 @@
 	}
 }
 
+func waitForBytes(t *testing.T, proxy *lossyProxy, n int64) {
+	t.Helper()
+	for until := time.Now().Add(testTimeout); proxy.bytes.Load() < n; time.Sleep(time.Millisecond) {
+		qt.Assert(t, time.Now().Before(until), qt.IsTrue)
+	}
+}
+
 // TestCancelledBodyIsNotSent guards against a body that takes the link after its caller has left.
 func TestCancelledBodyIsNotSent(t *testing.T) {
 	const size, rate = 1_000_000, 1_000_000
@@ -90,9 +97,7 @@
 	proxy.rate.Store(rate)
 	d := newTestDialer(t)
 	id := d.sendRequest(proxy.addr(), call.Request{Body: make([]byte, size), Deadline: time.Now().Add(testTimeout)})
-	for until := time.Now().Add(testTimeout); proxy.bytes.Load() < size/20; time.Sleep(time.Millisecond) {
-		qt.Assert(t, time.Now().Before(until), qt.IsTrue)
-	}
+	waitForBytes(t, proxy, size/20)
 	d.inbox.TryPut(dialer.Message{Peer: proxy.addr(), Message: link.Cancel{ID: id}})
 	// The whole body would take one second.
 	time.Sleep(2 * time.Second)
--- a/internal/super/daemon/link_test.go
+++ b/internal/super/daemon/link_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,12 +33,16 @@
 	inbox   *mail.Box[listen.Message]
 	calls   chan local.Run
 	cancels chan local.Cancel
-	reports chan listen.Report
+	// If holdBodies is set, the test requests the bodies, which arrive in bodies.
+	holdBodies atomic.Bool
+	bodies     chan local.BodyReceived
+	reports    chan listen.Report
 }
 
 func newPeer(t testing.TB, hello codec.Hello) *peer {
 	p := &peer{
 		inbox: mail.NewBox[listen.Message](16), calls: make(chan local.Run, 1024), cancels: make(chan local.Cancel, 1024),
+		bodies:  make(chan local.BodyReceived, 16),
 		reports: make(chan listen.Report, 1024),
 	}
 	inbox := mail.NewBox[local.Message](1024)
@@ -48,12 +53,26 @@
 	p.task, err = listen.New(netip.MustParseAddrPort("127.0.0.1:0"), server, p.inbox)
 	qt.Assert(t, err, qt.IsNil)
 	go func() {
+		pending := map[call.ID]local.Run{}
 		for {
 			select {
 			case m := <-inbox.C():
 				switch m := m.(type) {
 				case local.Run:
-					p.calls <- m
+					if m.Pending == nil || p.holdBodies.Load() {
+						p.calls <- m
+						continue
+					}
+					pending[m.ID] = m
+					m.Pending.Requests.TryPut(m.ID)
+				case local.BodyReceived:
+					if p.holdBodies.Load() {
+						p.bodies <- m
+						continue
+					}
+					r := pending[m.ID]
+					r.Request.Body = m.Body
+					p.calls <- r
 				case local.Cancel:
 					p.cancels <- m
 				}
--- a/internal/task/link/progress.go
+++ b/internal/task/link/progress.go
@@ -17,7 +17,7 @@
 	PingAcknowledged bool
 }
 
-// busyBytes is the least number of bytes received between two checks that counts as a busy connection. Pings and small
+// busyBytes is the least number of bytes between two checks that counts as a busy connection. Pings and small
 // messages stay below it, so that a peer that sends but does not receive is not taken for a busy one.
 const busyBytes = 4 << 10
 
@@ -25,23 +25,26 @@
 // waits behind other bytes. It is used at the end of each ping timeout.
 type PingCheck struct {
 	last Progress
-	// waits is true if the ping had not been acknowledged at the last check.
-	waits bool
+	// waits is true if the ping had not been acknowledged at the last check, and extended is true if the timeout was
+	// extended after it was.
+	waits, extended bool
 }
 
 // NewPingCheck returns the check of a ping that is sent at a Progress.
 func NewPingCheck(at Progress) PingCheck { return PingCheck{last: at} }
 
 // IsBusy reports whether to wait for another ping timeout. A ping that has not reached the peer waits as long as bytes
-// do. From when it has, the peer has one timeout to answer. This detects a peer whose process is frozen while its kernel
-// still acknowledges bytes. After that, only many bytes from the peer may delay the answer.
+// do. From when it has, a peer that gets many bytes has one more timeout to answer, since some may wait on the way behind
+// their acknowledgement. This detects a peer whose process is frozen while its kernel still acknowledges bytes. After
+// that, only many bytes from the peer may delay the answer.
 func (c *PingCheck) IsBusy(now Progress) bool {
 	last, waited := c.last, c.waits
 	c.last, c.waits = now, !now.PingAcknowledged
 	switch {
 	case c.waits:
 		return now.Acknowledged > last.Acknowledged
-	case waited:
+	case !c.extended && (waited || now.Acknowledged-last.Acknowledged >= busyBytes):
+		c.extended = true
 		return true
 	}
 	return now.Received-last.Received >= busyBytes
--- a/internal/task/link/progress_test.go
+++ b/internal/task/link/progress_test.go
@@ -23,6 +23,7 @@
 		{"ping behind an upload", []Progress{at(0, 1e5, false), at(0, 2e5, false), at(0, 3e5, false)}, 3},
 		{"upload that stops", []Progress{at(0, 1e5, false), at(0, 1e5, false)}, 1},
 		{"frozen peer whose kernel acknowledges", []Progress{at(0, 1e5, false), at(0, 2e5, true), at(0, 3e5, true)}, 2},
+		{"upload that is acknowledged on the way", []Progress{at(0, 1e5, true), at(0, 2e5, true)}, 1},
 		{"answer behind a download", []Progress{at(1e5, 12, true), at(2e5, 12, true)}, 2},
 		{"peer that sends pings but does not receive", []Progress{at(100, 12, true)}, 0},
 	} {
--- a/internal/task/link/silence.go
+++ b/internal/task/link/silence.go
@@ -6,7 +6,6 @@
 	"github.com/juju/errors"
 
 	"jacinthcross/internal/base/call"
-	"jacinthcross/internal/base/errs"
 )
 
 // While calls are in flight, a ping is sent after silenceTimeout without received bytes, and the connection is closed
@@ -70,12 +69,12 @@
 }
 
 // retire gives up the connection to a silent peer and reports whether the task goes on for calls that may not be
-// repeated. Such a call may still succeed at the peer, so it waits for its reply until its deadline. The other calls
-// are answered now, so that they are sent again.
+// repeated. Such a call may still succeed at the peer, so it waits for its reply until its deadline. The other calls,
+// and those that were not sent whole, are answered now, so that they are sent again.
 func (t *Task) retire() bool {
 	t.reportLost(errSilent.Error())
 	for id, p := range t.calls {
-		if p.Request.IsRepeatable() {
+		if p.abandon() || p.Request.IsRepeatable() {
 			t.giveUp(id, p)
 		}
 	}
@@ -87,11 +86,11 @@
 	return true
 }
 
-// giveUp answers a call as lost and closes its stream, which cancels the call at the peer when the connection works
+// giveUp answers a call as failed and closes its stream, which cancels the call at the peer when the connection works
 // again.
 func (t *Task) giveUp(id call.ID, p *pendingCall) {
 	delete(t.calls, id)
-	p.answer(t, call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: errSilent.Error()}})
+	p.answer(t, p.failure(errSilent))
 	p.stream.closeSoon()
 }
 
--- a/internal/task/link/stream.go
+++ b/internal/task/link/stream.go
@@ -29,6 +29,8 @@
 	Send
 	stream   *callStream
 	answered atomic.Bool
+	// state is a sendState.
+	state atomic.Int32
 }
 
 func (p *pendingCall) answer(t *Task, r call.Result) {
@@ -61,46 +63,20 @@
 				t.inbox.Put(callEnded{p, false}, t.Done())
 				return
 			}
-			r, err := call.Result{}, error(errPanicked)
-			guard.Run("call of a peer", func() { r, err = sendCall(t, p.Send, s) })
+			r, reusable, err := call.Result{}, false, error(errPanicked)
+			guard.Run("call of a peer", func() { r, reusable, err = sendCall(t, p) })
 			if err != nil {
-				r.Outcome = call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}
+				r = p.failure(err)
 			}
 			p.answer(t, r)
-			t.inbox.Put(callEnded{p, err == nil}, t.Done())
-			if err != nil {
+			t.inbox.Put(callEnded{p, reusable}, t.Done())
+			if !reusable {
 				return
 			}
 		}
 	}()
 }
 
-// sendCall sends a call and reads its reply. After an error the stream must not be used for another call.
-func sendCall(t *Task, m Send, s *callStream) (call.Result, error) {
-	if err := s.SetDeadline(m.Request.Deadline.Add(replyGrace)); err != nil {
-		return call.Result{}, errors.Trace(err)
-	}
-	number := uint64(m.ID)
-	if _, err := codec.Write(s, codec.Call{Target: m.Target, Request: m.Request, Number: number}, time.Now()); err != nil {
-		return call.Result{}, err
-	}
-	answer, n, err := codec.Read(s, t.maxSize, time.Now)
-	if err != nil {
-		return call.Result{}, err
-	}
-	if n > MaxKeptBuffer {
-		s.Shrink()
-	}
-	reply, ok := answer.(codec.Reply)
-	if !ok {
-		return call.Result{}, errors.Errorf("peer %s answered a call with %T", t.peer, answer)
-	}
-	if reply.Number != number {
-		return call.Result{}, errors.Errorf("peer %s answered call %d with the reply to call %d", t.peer, number, reply.Number)
-	}
-	return reply.Result, nil
-}
-
 // startExchange starts the goroutine that sends one control message and reads its answer.
 func startExchange(t *Task, m Exchange) {
 	go func() {
@@ -165,6 +141,8 @@
 	session *Session
 	stream  *yamux.Stream
 	timeout time.Duration
+	// limits returns other limits if it is not nil.
+	limits func() (time.Duration, time.Time)
 	// limit is the latest deadline, or zero before the first bytes or the first timeout.
 	limit time.Time
 	// received counts the bytes that the connection had received when the deadline was last set.
@@ -177,6 +155,10 @@
 	return &ProgressReader{session: session, stream: s, timeout: timeout, received: session.conn.receivedBytes.Load()}
 }
 
+// SetLimits sets a function that returns the longest time without bytes after the first ones, and when the message must
+// have been read. A zero time stands for MaxTransferTime after the first bytes.
+func (r *ProgressReader) SetLimits(limits func() (time.Duration, time.Time)) { r.limits = limits }
+
 // Read implements io.Reader.
 func (r *ProgressReader) Read(b []byte) (int, error) {
 	for {
@@ -201,7 +183,14 @@
 	if r.limit.IsZero() {
 		r.limit = now.Add(MaxTransferTime)
 	}
-	deadline := now.Add(r.timeout)
+	timeout := r.timeout
+	if r.limits != nil {
+		var limit time.Time
+		if timeout, limit = r.limits(); !limit.IsZero() {
+			r.limit = limit
+		}
+	}
+	deadline := now.Add(timeout)
 	if deadline.After(r.limit) {
 		deadline = r.limit
 	}
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -249,7 +249,9 @@
 		return
 	}
 	defer s.Close()
-	hello, err := s.AcceptHello(t.server.hello())
+	own := t.server.hello()
+	own.RequestsBodies = true
+	hello, err := s.AcceptHello(own)
 	if err != nil {
 		logHelloError(c, err)
 		return
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -122,13 +122,20 @@
 }
 
 // readMessage reads a message, whose first byte must arrive before the deadline. A zero deadline means no limit.
-// exact reports whether the arrival time of the message is known exactly, which it is not after a process pause.
-func (s *Server) readMessage(session *link.Session, stream *yamux.Stream, deadline time.Time) (m codec.Message, exact bool, err error) {
+// exact reports whether the arrival time of the message is known exactly, which it is not after a process pause. The
+// functions in prepare are called after the deadline is set and before the read.
+func (s *Server) readMessage(session *link.Session, stream *yamux.Stream, deadline time.Time, prepare ...func(*link.ProgressReader) error) (m codec.Message, exact bool, err error) {
 	if err := stream.SetReadDeadline(deadline); err != nil {
 		return nil, false, errors.Trace(err)
 	}
 	exact = true
-	m, n, err := codec.Read(link.NewProgressReader(session, stream, readTimeout), s.maxMessageSize, func() (arrived time.Time) {
+	reader := link.NewProgressReader(session, stream, readTimeout)
+	for _, f := range prepare {
+		if err := f(reader); err != nil {
+			return nil, false, err
+		}
+	}
+	m, n, err := codec.Read(reader, s.maxMessageSize, func() (arrived time.Time) {
 		arrived, exact = s.arrivalTime(time.Now())
 		return arrived
 	})
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -235,6 +235,10 @@
 		t.handleRun(m)
 	case Cancel:
 		t.handleCancel(m.ID)
+	case BodyReceived:
+		t.handleBodyReceived(m)
+	case BodyFailed:
+		t.handleBodyFailed(m)
 	case callResult:
 		t.handleResult(m)
 	case connClosed:
--- a/internal/task/local/message.go
+++ b/internal/task/local/message.go
@@ -21,6 +21,8 @@
 	Target  ident.Target
 	Request call.Request
 	Reply   *mail.Box[call.Result]
+	// Pending is set if the body of the request is still at the sender.
+	Pending *PendingBody
 }
 
 // A Cancel reports that the caller no longer waits for the call.
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -37,6 +37,9 @@
 	inFlight int
 	// suspect is true if the request was suspected of crashing targets when the call was dispatched.
 	suspect bool
+	// awaitsBody is true while the call holds a slot until its body arrives, and hadRoom after the body has arrived.
+	awaitsBody bool
+	hadRoom    bool
 }
 
 func (r *activeCall) finishedCall(now time.Time) admit.FinishedCall {
@@ -67,6 +70,9 @@
 	}
 	now := t.clock.Now()
 	r := &activeCall{Run: m, gate: t.gate, arrivedAt: now}
+	if m.Pending != nil {
+		r.cachedDigest = m.Pending.Digest
+	}
 	if m.Request.Key != "" {
 		if !t.beginKey(r) {
 			return
@@ -144,12 +150,15 @@
 	switch {
 	case !t.hasTarget:
 		return errs.Withdrawn, true
-	case t.draining, t.target.Draining:
+	case (t.draining || t.target.Draining) && !r.hadRoom:
 		return errs.Draining, true
 	case t.down:
 		return errs.TargetDown, true
 	case t.replaced:
 		return errs.TargetReplaced, true
+	case !r.hasDigest():
+		// The evidence against the request is checked when its body is there.
+		return "", false
 	case t.mayCrash(now) && t.isQuarantined(r.digest(), now):
 		return errs.Quarantined, true
 	case !t.mayTry(r, now):
@@ -169,6 +178,10 @@
 		t.refuse(r, kind)
 		return
 	}
+	if r.Pending != nil {
+		t.requestBody(r, now)
+		return
+	}
 	r.suspect = t.isSuspect(r, now)
 	if r.suspect && t.runsSuspect(now) {
 		r.gate.Done(admit.Failed, admit.FinishedCall{}, now)
@@ -266,6 +279,10 @@
 			// An isolated call returns to its router, which may find a target that runs no suspect.
 			kind = errs.Busy
 		}
+		if r.awaitsBody {
+			t.refuseAwaiting(r, call.Refused{Kind: kind, RetryAfter: errs.ResponseFor(kind).RetryAfter})
+			return
+		}
 		t.refuse(r, kind)
 		return
 	}
@@ -296,6 +313,8 @@
 	switch {
 	case !ok:
 		return
+	case r.Pending != nil:
+		t.cancelPending(r)
 	case r.conn == nil && len(t.joinedCalls[r.key]) > 0:
 		// A resend of the same key is waiting for the outcome.
 	case r.conn == nil:
