--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/juju/errors"
@@ -38,6 +39,7 @@
 	probes       metric.Int64Counter
 	controlBytes metric.Int64Counter
 	events       metric.Int64Counter
+	bodyBytes    metric.Int64UpDownCounter
 	attributes   attributeCache
 }
 
@@ -65,6 +67,12 @@
 	m.durations, err = b.meter.Float64Histogram("jacinthcross.call.duration",
 		metric.WithDescription("duration of calls that entered at this daemon, by service"),
 		metric.WithUnit("s"), metric.WithExplicitBucketBoundaries(durationBounds...))
+	var bodyErr error
+	m.bodyBytes, bodyErr = b.meter.Int64UpDownCounter("jacinthcross.body.bytes.waiting",
+		metric.WithDescription("bytes of large bodies that wait to be sent to a peer, by peer"))
+	if bodyErr != nil {
+		b.err = bodyErr
+	}
 	if b.err != nil || err != nil {
 		return nil, errors.Annotate(errors.Errorf("counters: %v, call duration histogram: %v", b.err, err), "create metrics")
 	}
@@ -114,6 +122,11 @@
 	addWithAttribute(m.controlBytes, "direction", string(d), int64(bytes))
 }
 
+// RecordWaitingBody adds to the bytes of large bodies that wait to be sent to a peer, or subtracts from them.
+func (m *Meter) RecordWaitingBody(peer netip.AddrPort, bytes int) {
+	m.bodyBytes.Add(context.Background(), int64(bytes), metric.WithAttributes(attribute.String("peer", peer.String())))
+}
+
 // RecordEvent counts a log event.
 func (m *Meter) RecordEvent(name string) { addWithAttribute(m.events, "name", name, 1) }
 
--- a/internal/base/meter/meter_test.go
+++ b/internal/base/meter/meter_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"reflect"
 	"regexp"
@@ -30,6 +31,7 @@
 	{"RecordProbe", func(m *meter.Meter) { m.RecordProbe() }},
 	{"RecordRefusal", func(m *meter.Meter) { m.RecordRefusal(errs.Busy) }},
 	{"RecordRetry", func(m *meter.Meter) { m.RecordRetry("LinkLost") }},
+	{"RecordWaitingBody", func(m *meter.Meter) { m.RecordWaitingBody(netip.MustParseAddrPort("127.0.0.1:7000"), 1) }},
 }
 
 // TestPageListsAllMetrics guards against a metrics reference whose names, types or labels differ from /metrics.
--- a/internal/super/daemon/body_test.go
+++ b/internal/super/daemon/body_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/netip"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,7 +18,8 @@
 )
 
 // TestBodyOnRequest guards against bodies that are sent for refused calls, and against calls that end as unknown although
-// the target's daemon has not got their whole body, or as not run although it has.
+// the target's daemon has not got their whole body, or as not run although it has. Also guards against bodies that stay
+// counted as waiting.
 func TestBodyOnRequest(t *testing.T) {
 	const size = 200_000
 	for _, test := range []struct {
@@ -67,13 +69,20 @@
 			p.holdBodies.Store(true)
 			proxy := newLossyProxy(t, p.task.Addr())
 			proxy.rate.Store(test.rate)
-			d := newTestDialer(t)
+			var waiting, most atomic.Int64
+			d := newTestDialer(t, link.WithWaitingFunc(func(_ netip.AddrPort, bytes int) {
+				most.Store(max(most.Load(), waiting.Add(int64(bytes))))
+			}))
 			id := d.sendRequest(proxy.addr(), call.Request{Body: make([]byte, size), Deadline: time.Now().Add(testTimeout)})
 			test.play(t, p, proxy, receive(t, p.calls))
 			r := receive(t, d.results.C())
 			qt.Assert(t, r.Attempt, qt.Equals, id)
 			qt.Assert(t, outcomeText(r.Outcome), qt.Equals, test.want)
 			qt.Assert(t, proxy.bytes.Load() <= test.maxBytes, qt.IsTrue, qt.Commentf("%d bytes", proxy.bytes.Load()))
+			for until := time.Now().Add(testTimeout); waiting.Load() != 0; time.Sleep(time.Millisecond) {
+				qt.Assert(t, time.Now().Before(until), qt.IsTrue, qt.Commentf("%d bytes are counted as waiting", waiting.Load()))
+			}
+			qt.Assert(t, most.Load(), qt.Equals, int64(size))
 		})
 	}
 }
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -109,7 +109,7 @@
 		// The log field keeps the former name of the package, so that log queries still match.
 		{Name: "links", Start: func() (tree.Task, error) {
 			return dialer.New(st.dialer, dialer.WithLinkOptions(
-				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHelloFunc(hello), link.WithReportFunc(st.onLinkReport),
+				link.WithMaxSize(s.MaxBody+messageOverhead), link.WithHelloFunc(hello), link.WithReportFunc(st.onLinkReport), link.WithWaitingFunc(m.RecordWaitingBody),
 				link.WithServeFunc(func(session *link.Session) { server.ServeSession(session) }),
 			)), nil
 		}},
--- a/internal/task/link/body.go
+++ b/internal/task/link/body.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"sync"
 	"time"
 
 	"github.com/juju/errors"
@@ -50,17 +51,28 @@
 	return w.stream.Write(b)
 }
 
-// startBody starts the goroutine that sends the body of a call on its stream. The returned channel receives the error.
-func startBody(p *pendingCall, number uint64) <-chan error {
+// startBody starts the goroutine that sends the body of a call on its stream and then calls done. The returned channel
+// receives the error.
+func startBody(p *pendingCall, number uint64, done func()) <-chan error {
 	ended := make(chan error, 1)
 	go func() {
 		m, now := codec.RequestBody{Number: number, Body: p.Request.Body}, time.Now()
 		_, err := codec.Write(&bodyWriter{p, codec.EncodedSize(m, now)}, m, now)
+		done()
 		ended <- err
 	}()
 	return ended
 }
 
+// countWaiting counts a large body until the returned function is called.
+func (t *Task) countWaiting(size int) (sent func()) {
+	if size <= MaxSmallBody {
+		return func() {}
+	}
+	t.onWaiting(t.peer, size)
+	return sync.OnceFunc(func() { t.onWaiting(t.peer, -size) })
+}
+
 // sendCall sends a call and reads its reply. A large body is sent when the peer requests it. After an error, or if
 // reusable is false, the stream must not be used for another call.
 func sendCall(t *Task, p *pendingCall) (r call.Result, reusable bool, err error) {
@@ -68,6 +80,8 @@
 	if err := s.SetDeadline(p.Request.Deadline.Add(replyGrace)); err != nil {
 		return call.Result{}, false, errors.Trace(err)
 	}
+	sent := t.countWaiting(len(p.Request.Body))
+	defer sent()
 	m := codec.Call{Target: p.Target, Request: p.Request, Number: uint64(p.ID)}
 	if len(m.Request.Body) > MaxSmallBody && t.peerHello.RequestsBodies {
 		m.BodySize = len(m.Request.Body)
@@ -81,6 +95,9 @@
 	if _, err := codec.Write(s, m, time.Now()); err != nil {
 		return call.Result{}, false, err
 	}
+	if m.BodySize == 0 {
+		sent()
+	}
 	var body <-chan error
 	for {
 		answer, n, err := codec.Read(s, t.maxSize, time.Now)
@@ -95,7 +112,7 @@
 			if m.BodySize == 0 || body != nil || answer.Number != m.Number {
 				return call.Result{}, false, errors.Errorf("peer %s requested a body that it must not request", t.peer)
 			}
-			body = startBody(p, m.Number)
+			body = startBody(p, m.Number, sent)
 		case codec.Reply:
 			if answer.Number != m.Number {
 				return call.Result{}, false, errors.Errorf("peer %s answered call %d with the reply to call %d", t.peer, m.Number, answer.Number)
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -40,6 +40,7 @@
 	serve       func(*Session)
 	hello       func() codec.Hello
 	report      func(Report)
+	onWaiting   func(peer netip.AddrPort, bytes int)
 	session     *Session
 	peerHello   codec.Hello
 	calls       map[call.ID]*pendingCall
@@ -81,6 +82,11 @@
 // WithReportFunc sets the function that is called with reports on the peer. It must not block.
 func WithReportFunc(report func(Report)) Option { return func(t *Task) { t.report = report } }
 
+// WithWaitingFunc sets the function that is called with the change of the bytes of large bodies that wait to be sent.
+func WithWaitingFunc(f func(peer netip.AddrPort, bytes int)) Option {
+	return func(t *Task) { t.onWaiting = f }
+}
+
 // WithBulk makes the connection one for calls with large bodies.
 func WithBulk() Option { return func(t *Task) { t.bulk = true } }
 
@@ -102,6 +108,7 @@
 		serve:         func(*Session) {},
 		hello:         func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
 		report:        func(Report) {},
+		onWaiting:     func(netip.AddrPort, int) {},
 		returnMessage: func(Message, <-chan struct{}) {},
 		calls:         map[call.ID]*pendingCall{},
 		retired:       make(chan struct{}),
