--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -190,12 +190,15 @@
 	}()
 	go func() {
 		for busy := true; busy; {
+			since := time.Now()
 			select {
 			case err := <-answered:
 				t.inbox.Put(pingEnded{s, err}, t.Stopping())
 				return
 			case <-time.After(pingTimeout):
-				busy = check.IsBusy(s.Progress())
+				// After a pause of this process, the answer may wait in the socket.
+				late := time.Since(since) > 2*pingTimeout
+				busy = check.IsBusy(s.Progress()) || late
 			}
 		}
 		t.inbox.Put(pingOverdue{s}, t.Stopping())
