Test large calls with a key between two daemons

Guards against a second run, and against sending the body again for a call that has run: the ledger decides by the digest that comes with the call.

--- a/internal/super/daemon/body_test.go
+++ b/internal/super/daemon/body_test.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"net"
+	"net/http"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -134,3 +136,32 @@
 	qt.Assert(t, len(receive(t, calls).Request.Body), qt.Equals, size)
 	qt.Assert(t, outcomeText(receive(t, d.results.C()).Outcome), qt.Equals, "answered 200")
 }
+
+// TestLargeCallsWithAKey guards against a second run of a call whose body is sent on request, and against a body that is
+// sent for a call that has run before.
+func TestLargeCallsWithAKey(t *testing.T) {
+	const size = 300_000
+	nodes := cluster(t, 2, 0)
+	entry, remote := nodes[0], nodes[1]
+	before := remote.target.runs.Load()
+	key, body := entry.key(t), strings.Repeat("x", size)
+	for _, test := range []struct {
+		name, body string
+		status     int
+		maxBytes   int64
+	}{
+		{"first", body, 200, 2 * size},
+		{"again", body, 200, size / 10},
+		{"with another body", body[1:] + "y", 422, size / 10},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			bytes := remote.proxy.bytes.Load()
+			r, err := entry.call(http.MethodPost, key, test.body)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, r.status, qt.Equals, test.status, qt.Commentf("%+v", r))
+			sent := remote.proxy.bytes.Load() - bytes
+			qt.Assert(t, sent <= test.maxBytes, qt.IsTrue, qt.Commentf("%d bytes", sent))
+			qt.Assert(t, remote.target.runs.Load()-before, qt.Equals, int64(1))
+		})
+	}
+}
