Test a peer whose Hello is late

Guards against giving up the connection after a second, and against calls that wait for it longer than before.

--- a/internal/super/daemon/proxy_test.go
+++ b/internal/super/daemon/proxy_test.go
@@ -23,7 +23,9 @@
 	bytes    atomic.Int64
 	accepted atomic.Int64
 	// rate limits the bytes per second of each connection and direction, or is 0 for no limit.
-	rate        atomic.Int64
+	rate atomic.Int64
+	// delay is how long the first bytes of each connection wait.
+	delay       atomic.Int64
 	mutex       sync.Mutex
 	connections []*proxiedConn
 }
@@ -112,7 +114,10 @@
 			}
 		}
 	}
-	go func() { copyBytes(server, client, &c.dropToServer) }()
+	go func() {
+		time.Sleep(time.Duration(p.delay.Load()))
+		copyBytes(server, client, &c.dropToServer)
+	}()
 	go func() { copyBytes(client, server, &c.dropToClient) }()
 }
 
--- a/internal/super/daemon/silent_test.go
+++ b/internal/super/daemon/silent_test.go
@@ -80,3 +80,25 @@
 		})
 	}
 }
+
+// TestLateHello guards against a connection that is given up while the Hello of the peer waits behind other bytes, and
+// against calls that wait for it.
+func TestLateHello(t *testing.T) {
+	p := newPeer(t, hello())
+	go func() { p.answerAll() }()
+	proxy := newLossyProxy(t, p.task.Addr())
+	proxy.delay.Store(int64(2 * time.Second))
+	d := newTestDialer(t)
+	d.send(proxy.addr(), "first")
+	refused, ok := receive(t, d.results.C()).Outcome.(call.Refused)
+	qt.Assert(t, ok && refused.Kind == errs.PeerUnreachable, qt.IsTrue, qt.Commentf("%#v", refused))
+	for {
+		if _, ok := receive(t, d.reports).(link.PeerAlive); ok {
+			break
+		}
+	}
+	d.send(proxy.addr(), "second")
+	_, ok = receive(t, d.results.C()).Outcome.(call.Answered)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, proxy.accepted.Load(), qt.Equals, int64(1))
+}
