Let only the link for small messages report a lost peer

Cause: a connection for large bodies that could not be opened over a full network link, or went silent, reported the peer as unreachable for all calls.

Change: such a link does not report it. When it fails, the dialer opens the other link unless there is one, which then tells whether the peer is there.

--- a/internal/super/daemon/body_test.go
+++ b/internal/super/daemon/body_test.go
@@ -165,3 +165,40 @@
 		})
 	}
 }
+
+// TestLostBulkLink guards against a peer that is reported as lost although only its connection for large bodies is silent,
+// and against a lost peer that is not reported because it only gets calls with large bodies.
+func TestLostBulkLink(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		gone bool
+	}{{"silent connection", false}, {"lost peer", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			p := newPeer(t, hello())
+			p.holdBodies.Store(true)
+			proxy := newLossyProxy(t, p.task.Addr())
+			if test.gone {
+				proxy.stop()
+			}
+			d := newTestDialer(t)
+			d.sendRequest(proxy.addr(), call.Request{Body: make([]byte, 50_000), Deadline: time.Now().Add(testTimeout)})
+			if !test.gone {
+				receive(t, p.calls)
+				t.Cleanup(proxy.hold())
+			}
+			qt.Assert(t, outcomeText(receive(t, d.results.C()).Outcome), qt.Equals, "refused PeerUnreachable")
+			for {
+				switch r := receive(t, d.reports).(type) {
+				case link.PeerLost:
+					qt.Assert(t, test.gone, qt.IsTrue, qt.Commentf("%+v", r))
+					return
+				case link.PeerAlive:
+					if !test.gone && r.RoundTrip == 0 {
+						// The link for small messages works.
+						return
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/task/dialer/dialer.go
+++ b/internal/task/dialer/dialer.go
@@ -262,6 +262,18 @@
 	if !ended {
 		t.retired[e.peer] = append(t.retired[e.peer], e)
 	}
+	if e.bulk && e.task.Lost() {
+		t.checkPeer(e.peer, now)
+	}
+}
+
+// checkPeer opens the link for small messages to a peer to which the other one has failed, since only that link reports
+// a lost peer: a connection for large bodies can fail because others fill the network link.
+func (t *Task) checkPeer(peer netip.AddrPort, now time.Time) {
+	key := linkKey{peer: peer}
+	if _, ok := t.current(key); !ok {
+		t.startLink(key, t.backoff.wait(key, now))
+	}
 }
 
 // forwardUnsent forwards a message that an ended or retired link did not send to a new link, or refuses it if err, the
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -46,6 +46,7 @@
 	calls       map[call.ID]*pendingCall
 	// retired is closed when the peer is silent and only the calls in flight keep the connection.
 	retired       chan struct{}
+	lost          bool
 	returnMessage func(m Message, stopping <-chan struct{})
 	streams       streamPool
 	// trimTimer fires when idle streams have to be trimmed. It is armed only while there are any.
@@ -176,8 +177,17 @@
 	}
 }
 
+// Lost reports whether the connection could not be opened, has failed or went silent. It is valid from when the task was
+// retired or has ended.
+func (t *Task) Lost() bool { return t.lost }
+
 func (t *Task) reportLost(reason string) {
 	event.LinkFailed.Log("peer", t.peer, "error", reason)
+	t.lost = true
+	if t.bulk {
+		// The other link tells whether the peer is lost. The dialer opens it if there is none.
+		return
+	}
 	t.report(PeerLost{Peer: t.peer, Reason: reason})
 }
 
