Refuse a call whose body cannot be requested

Cause: a request that its stream could not take left the call with a slot until its deadline.

Change: the call is refused as Busy, not run. The test also checks that a body is requested once.

--- a/internal/task/local/pending.go
+++ b/internal/task/local/pending.go
@@ -43,11 +43,16 @@
 
 // requestBody requests the body of a call that may start.
 func (t *Task) requestBody(r *activeCall, now time.Time) {
+	if !r.Pending.Requests.TryPut(r.ID) {
+		// The stream has not taken the request for an earlier call yet.
+		r.gate.Done(admit.Failed, admit.FinishedCall{}, now)
+		t.refuse(r, errs.Busy)
+		return
+	}
 	r.awaitsBody = true
 	t.timers.Set(r.ID, r.Request.Deadline)
 	event.BodyRequested.Log("request", r.Request.ID, "target", r.Target, "bytes", r.Pending.Size, "waited", now.Sub(r.arrivedAt),
 		"left", r.Request.Deadline.Sub(now))
-	r.Pending.Requests.TryPut(r.ID)
 }
 
 // handleBodyReceived dispatches a call whose body is there. The call was admitted before, so it runs although the daemon
--- a/internal/task/local/pending_test.go
+++ b/internal/task/local/pending_test.go
@@ -72,6 +72,7 @@
 			test.end(f, id)
 			qt.Assert(t, summary(f.wait(reply)), qt.Equals, test.want)
 			qt.Assert(t, summary(f.do(call.Request{})), qt.Equals, test.next)
+			qt.Assert(t, len(requests.C()), qt.Equals, 0)
 			qt.Assert(t, target.runs.Load(), qt.Equals, test.runs)
 			qt.Assert(t, f.load().InFlight, qt.Equals, 0)
 		})
