--- a/internal/bench/soak/check_test.go
+++ b/internal/bench/soak/check_test.go
@@ -127,7 +127,7 @@
 			}
 			kinds[kindOf(s.Action)] = true
 		}
-		qt.Assert(t, slices.DeleteFunc(extended, func(s Step) bool { return kindOf(s.Action) == "EvacuateDataCentre" }), qt.DeepEquals, plan)
+		qt.Assert(t, slices.DeleteFunc(extended, func(s Step) bool { return kindOf(s.Action) == "EvacuateDataCentre" }), qt.DeepEquals, restores)
 	}
 	qt.Assert(t, kinds, qt.HasLen, 14)
 }
--- a/internal/super/daemon/link_test.go
+++ b/internal/super/daemon/link_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"runtime"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -31,12 +32,17 @@
 	task    *listen.Task
 	inbox   *mail.Box[listen.Message]
 	calls   chan local.Run
-	reports chan listen.Report
+	cancels chan local.Cancel
+	// If holdBodies is set, the test requests the bodies, which arrive in bodies.
+	holdBodies atomic.Bool
+	bodies     chan local.BodyReceived
+	reports    chan listen.Report
 }
 
 func newPeer(t testing.TB, hello codec.Hello) *peer {
 	p := &peer{
-		inbox: mail.NewBox[listen.Message](16), calls: make(chan local.Run, 1024),
+		inbox: mail.NewBox[listen.Message](16), calls: make(chan local.Run, 1024), cancels: make(chan local.Cancel, 1024),
+		bodies:  make(chan local.BodyReceived, 16),
 		reports: make(chan listen.Report, 1024),
 	}
 	inbox := mail.NewBox[local.Message](1024)
@@ -47,11 +53,28 @@
 	p.task, err = listen.New(netip.MustParseAddrPort("127.0.0.1:0"), server, p.inbox)
 	qt.Assert(t, err, qt.IsNil)
 	go func() {
+		pending := map[call.ID]local.Run{}
 		for {
 			select {
 			case m := <-inbox.C():
-				if r, ok := m.(local.Run); ok {
+				switch m := m.(type) {
+				case local.Run:
+					if m.Pending == nil || p.holdBodies.Load() {
+						p.calls <- m
+						continue
+					}
+					pending[m.ID] = m
+					m.Pending.Requests.TryPut(m.ID)
+				case local.BodyReceived:
+					if p.holdBodies.Load() {
+						p.bodies <- m
+						continue
+					}
+					r := pending[m.ID]
+					r.Request.Body = m.Body
 					p.calls <- r
+				case local.Cancel:
+					p.cancels <- m
 				}
 			case <-p.task.Done():
 				return
@@ -108,11 +131,15 @@
 	<-d.task.Done()
 }
 
+// send sends a call that may be repeated.
 func (d *testDialer) send(to netip.AddrPort, body string) call.ID {
+	return d.sendRequest(to, call.Request{Body: []byte(body), Deadline: time.Now().Add(testTimeout), Idempotent: true})
+}
+
+func (d *testDialer) sendRequest(to netip.AddrPort, r call.Request) call.ID {
 	id := call.NextID()
-	d.inbox.TryPut(dialer.Message{Peer: to, Message: link.Send{ID: id, Target: "target", Reply: d.results, Request: call.Request{
-		Rank: ident.Urgent, Body: []byte(body), Deadline: time.Now().Add(testTimeout),
-	}}})
+	r.Rank = ident.Urgent
+	d.inbox.TryPut(dialer.Message{Peer: to, Message: link.Send{ID: id, Target: "target", Reply: d.results, Request: r}})
 	return id
 }
 
--- a/internal/super/daemon/proxy_test.go
+++ b/internal/super/daemon/proxy_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -17,10 +18,14 @@
 // A lossyProxy forwards connections between daemons and can discard their bytes without closing them, as a failed
 // network path does.
 type lossyProxy struct {
-	listener    net.Listener
-	upstream    netip.AddrPort
-	bytes       atomic.Int64
-	accepted    atomic.Int64
+	listener net.Listener
+	upstream netip.AddrPort
+	bytes    atomic.Int64
+	accepted atomic.Int64
+	// rate limits the bytes per second of each connection and direction, or is 0 for no limit.
+	rate atomic.Int64
+	// delay is how long the first bytes of each connection wait.
+	delay       atomic.Int64
 	mutex       sync.Mutex
 	connections []*proxiedConn
 }
@@ -29,6 +34,8 @@
 type proxiedConn struct {
 	server, client             net.Conn
 	dropToServer, dropToClient atomic.Bool
+	// held delays the bytes in both directions while it is locked for writing.
+	held sync.RWMutex
 }
 
 func newLossyProxy(t testing.TB, upstream netip.AddrPort) *lossyProxy {
@@ -74,11 +81,19 @@
 	p.mutex.Lock()
 	p.connections = append(p.connections, c)
 	p.mutex.Unlock()
+	if p.rate.Load() > 0 {
+		// Otherwise the kernel of the proxy takes hundreds of kilobytes at once.
+		for _, end := range []net.Conn{client, server} {
+			_ = end.(*net.TCPConn).SetReadBuffer(64 << 10)
+		}
+	}
 	copyBytes := func(to, from net.Conn, drop *atomic.Bool) {
-		b := make([]byte, 64<<10)
+		b := make([]byte, 16<<10)
 		for {
 			n, err := from.Read(b)
 			if err != nil {
+				c.held.RLock()
+				defer c.held.RUnlock()
 				// While bytes are dropped, the close of the connection is not forwarded either.
 				if !drop.Load() {
 					to.Close()
@@ -87,13 +102,22 @@
 			}
 			if !drop.Load() {
 				p.bytes.Add(int64(n))
-				if _, err := to.Write(b[:n]); err != nil {
+				c.held.RLock()
+				_, err := to.Write(b[:n])
+				c.held.RUnlock()
+				if err != nil {
 					return
 				}
+				if rate := p.rate.Load(); rate > 0 {
+					time.Sleep(time.Duration(n) * time.Second / time.Duration(rate))
+				}
 			}
 		}
 	}
-	go func() { copyBytes(server, client, &c.dropToServer) }()
+	go func() {
+		time.Sleep(time.Duration(p.delay.Load()))
+		copyBytes(server, client, &c.dropToServer)
+	}()
 	go func() { copyBytes(client, server, &c.dropToClient) }()
 }
 
@@ -107,6 +131,22 @@
 	}
 }
 
+// hold delays the bytes of the currently open connections, and their ends, until the returned function is called. New
+// connections are not affected.
+func (p *lossyProxy) hold() (resume func()) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	held := slices.Clone(p.connections)
+	for _, c := range held {
+		c.held.Lock()
+	}
+	return sync.OnceFunc(func() {
+		for _, c := range held {
+			c.held.Unlock()
+		}
+	})
+}
+
 func (p *lossyProxy) addr() netip.AddrPort { return p.listener.Addr().(*net.TCPAddr).AddrPort() }
 
 // A fakeTarget is a target that answers each call after a service time and counts the calls it has run.
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -11,6 +11,7 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/guard"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/wire/codec"
@@ -19,17 +20,14 @@
 const (
 	dialTimeout        = 500 * time.Millisecond
 	defaultIdleTimeout = 60 * time.Second
+	// refuseInterval is how often messages to a peer that is late with its Hello are refused.
+	refuseInterval = 50 * time.Millisecond
+	// MaxSmallBody is the size in bytes of the largest body that is sent beside other messages, in 13 ms at 10 Mbit/s.
+	MaxSmallBody = 16 << 10
 	// maxCalls limits the calls in flight on one link, and with them its streams and goroutines.
 	maxCalls = 1024
 )
 
-// While calls are in flight, a ping is sent after silenceTimeout without received bytes, and the connection is closed
-// when the ping is not answered within pingTimeout.
-const (
-	silenceTimeout = 200 * time.Millisecond
-	pingTimeout    = 300 * time.Millisecond
-)
-
 // A Task owns the connection to one peer daemon.
 type Task struct {
 	*tree.Loop
@@ -37,14 +35,20 @@
 	inbox       *mail.Box[Message]
 	maxSize     int
 	idleTimeout time.Duration
+	bulk        bool
 	dialDelay   time.Duration
 	serve       func(*Session)
 	hello       func() codec.Hello
 	report      func(Report)
+	onWaiting   func(peer netip.AddrPort, bytes int)
 	session     *Session
 	peerHello   codec.Hello
-	calls       map[call.ID]*callStream
-	streams     streamPool
+	calls       map[call.ID]*pendingCall
+	// retired is closed when the peer is silent and only the calls in flight keep the connection.
+	retired       chan struct{}
+	lost          bool
+	returnMessage func(m Message, stopping <-chan struct{})
+	streams       streamPool
 	// trimTimer fires when idle streams have to be trimmed. It is armed only while there are any.
 	trimTimer *time.Timer
 	trimArmed bool
@@ -54,7 +58,8 @@
 	// waitingSince is when a call was last sent while no other call was in flight.
 	waitingSince time.Time
 	// pingSent is when the pending ping was sent, or zero.
-	pingSent time.Time
+	pingSent  time.Time
+	pingCheck PingCheck
 }
 
 // An Option sets a property of a Task.
@@ -78,21 +83,38 @@
 // WithReportFunc sets the function that is called with reports on the peer. It must not block.
 func WithReportFunc(report func(Report)) Option { return func(t *Task) { t.report = report } }
 
+// WithWaitingFunc sets the function that is called with the change of the bytes of large bodies that wait to be sent.
+func WithWaitingFunc(f func(peer netip.AddrPort, bytes int)) Option {
+	return func(t *Task) { t.onWaiting = f }
+}
+
+// WithBulk makes the connection one for calls with large bodies.
+func WithBulk() Option { return func(t *Task) { t.bulk = true } }
+
+// WithReturnFunc sets the function that takes the calls, exchanges and cancellations that reach the task after it was
+// retired. It may wait until stopping is closed.
+func WithReturnFunc(f func(m Message, stopping <-chan struct{})) Option {
+	return func(t *Task) { t.returnMessage = f }
+}
+
 // New starts the task that connects to the daemon at peer. After the task has ended, its Err is an error only if the
 // connection could not be opened. Messages that are then left in inbox were not sent.
 func New(peer netip.AddrPort, inbox *mail.Box[Message], options ...Option) *Task {
 	t := &Task{
-		Loop:         tree.NewLoop(),
-		peer:         peer,
-		inbox:        inbox,
-		maxSize:      9 << 20,
-		idleTimeout:  defaultIdleTimeout,
-		serve:        func(*Session) {},
-		hello:        func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
-		report:       func(Report) {},
-		calls:        map[call.ID]*callStream{},
-		silenceTimer: time.NewTimer(silenceTimeout),
-		trimTimer:    time.NewTimer(trimInterval),
+		Loop:          tree.NewLoop(),
+		peer:          peer,
+		inbox:         inbox,
+		maxSize:       9 << 20,
+		idleTimeout:   defaultIdleTimeout,
+		serve:         func(*Session) {},
+		hello:         func() codec.Hello { return codec.Hello{Protocol: codec.Protocol} },
+		report:        func(Report) {},
+		onWaiting:     func(netip.AddrPort, int) {},
+		returnMessage: func(Message, <-chan struct{}) {},
+		calls:         map[call.ID]*pendingCall{},
+		retired:       make(chan struct{}),
+		silenceTimer:  time.NewTimer(silenceTimeout),
+		trimTimer:     time.NewTimer(trimInterval),
 	}
 	t.silenceTimer.Stop()
 	t.trimTimer.Stop()
@@ -114,7 +136,7 @@
 		t.refuseQueued(errors.New("the daemon is stopping"))
 		return nil
 	}
-	if err := t.dial(); err != nil {
+	if err := t.awaitDial(); err != nil {
 		t.reportLost(err.Error())
 		t.refuseQueued(err)
 		return err
@@ -128,14 +150,17 @@
 			t.receive(m)
 			idle.Reset(t.idleTimeout)
 		case <-t.silenceTimer.C:
-			if !t.checkSilence(time.Now()) {
-				t.reportLost("the peer did not answer a ping")
+			if t.isRetired() {
+				t.expireCalls(time.Now())
+			} else if !t.checkSilence(time.Now()) && !t.retire() {
 				return nil
 			}
 		case <-t.trimTimer.C:
 			t.trimStreams()
 		case <-t.session.CloseChan():
-			t.reportLost("the peer closed the connection, or the connection failed")
+			if !t.isRetired() {
+				t.reportLost("the peer closed the connection, or the connection failed")
+			}
 			return nil
 		case <-idle.C:
 			if len(t.calls) == 0 {
@@ -146,14 +171,51 @@
 			t.refuseQueued(errors.New("the daemon is stopping"))
 			return nil
 		}
+		if t.isRetired() && len(t.calls) == 0 {
+			return nil
+		}
 	}
 }
 
+// Lost reports whether the connection could not be opened, has failed or went silent. It is valid from when the task was
+// retired or has ended.
+func (t *Task) Lost() bool { return t.lost }
+
 func (t *Task) reportLost(reason string) {
 	event.LinkFailed.Log("peer", t.peer, "error", reason)
+	t.lost = true
+	if t.bulk {
+		// The other link tells whether the peer is lost. The dialer opens it if there is none.
+		return
+	}
 	t.report(PeerLost{Peer: t.peer, Reason: reason})
 }
 
+// awaitDial dials. Messages that arrive meanwhile wait, but no longer than helloTimeout for the Hello of the peer.
+func (t *Task) awaitDial() error {
+	ended := make(chan error, 1)
+	go func() {
+		err := error(errPanicked)
+		guard.Run("dial of a peer", func() { err = t.dial() })
+		ended <- err
+	}()
+	select {
+	case err := <-ended:
+		return err
+	case <-time.After(dialTimeout + helloTimeout):
+	}
+	late := errors.Errorf("peer %s has not sent its Hello yet", t.peer)
+	t.reportLost(late.Error())
+	for {
+		t.refuseQueued(late)
+		select {
+		case err := <-ended:
+			return err
+		case <-time.After(refuseInterval):
+		}
+	}
+}
+
 func (t *Task) dial() error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -174,7 +236,11 @@
 		c.Close()
 		return errors.Trace(err)
 	}
-	if t.peerHello, err = s.InitiateHello(t.hello()); err != nil {
+	abort := context.AfterFunc(ctx, func() { s.Close() })
+	defer abort()
+	own, dialled := t.hello(), time.Now()
+	own.Bulk = t.bulk
+	if t.peerHello, err = s.InitiateHello(own); err != nil {
 		s.Close()
 		if errors.Is(err, ErrProtocolVersion) {
 			event.PeerVersionMismatch.Log("peer", t.peer, "error", err.Error())
@@ -184,25 +250,31 @@
 	t.session = s
 	go func() { t.serve(s) }()
 	event.LinkOpened.Log("peer", t.peer, "vm", t.peerHello.VM)
-	t.report(PeerAlive{Peer: t.peer, Hello: t.peerHello})
+	alive := PeerAlive{Peer: t.peer, Hello: t.peerHello}
+	if t.bulk {
+		// The reports that a new connection causes are sent on the other one.
+		alive.RoundTrip = time.Since(dialled)
+	}
+	t.report(alive)
 	return nil
 }
 
 func (t *Task) receive(m Message) {
+	if t.isRetired() && t.returned(m) {
+		return
+	}
 	switch m := m.(type) {
 	case Send:
 		t.send(m)
 	case Cancel:
-		if s, ok := t.calls[m.ID]; ok {
+		if p, ok := t.calls[m.ID]; ok {
 			delete(t.calls, m.ID)
-			s.Close()
+			p.stream.closeSoon()
 		}
 	case Exchange:
-		t.openExchange(m)
+		startExchange(t, m)
 	case Notify:
-		if s, err := t.session.OpenStream(); err == nil {
-			startNotify(t, m, s)
-		}
+		startNotify(t, m)
 	case callEnded:
 		t.finishCall(m)
 	case pinged:
@@ -221,30 +293,44 @@
 	}
 	s := t.streams.take()
 	if s == nil {
-		opened, err := t.session.OpenStream()
-		if err != nil {
-			t.refuse(m, errs.PeerUnreachable, err)
-			return
-		}
-		s = newCallStream(opened)
+		s = newCallStream()
 		startCallStream(t, s)
 	}
 	if len(t.calls) == 0 {
 		t.waitingSince = time.Now()
 	}
-	t.calls[m.ID] = s
+	p := &pendingCall{Send: m, stream: s}
+	t.calls[m.ID] = p
 	if !t.silenceArmed {
 		t.silenceArmed = true
 		t.silenceTimer.Reset(silenceTimeout)
 	}
-	s.calls <- m
+	s.calls <- p
+}
+
+// returned returns a message for the peer that a retired connection does not send, and reports whether it did. A
+// cancellation of a call that is not in flight here may follow a call that was returned.
+func (t *Task) returned(m Message) bool {
+	switch m := m.(type) {
+	case Send, Exchange:
+	case Cancel:
+		if _, ok := t.calls[m.ID]; ok {
+			return false
+		}
+	case Notify:
+		return true
+	case callEnded, pinged:
+		return false
+	}
+	t.returnMessage(m, t.Stopping())
+	return true
 }
 
 // finishCall keeps the stream of an ended call for another call. It closes the stream of a cancelled call, which
 // is no longer in calls, and a stream that cannot be reused.
 func (t *Task) finishCall(m callEnded) {
-	_, inFlight := t.calls[m.id]
-	delete(t.calls, m.id)
+	_, inFlight := t.calls[m.ID]
+	delete(t.calls, m.ID)
 	if !inFlight || !m.reusable {
 		close(m.stream.calls)
 		return
@@ -264,55 +350,14 @@
 	}
 }
 
-// checkSilence checks the connection when the silence timer fires, arms the timer for the next check, and reports
-// whether to keep the connection.
-func (t *Task) checkSilence(now time.Time) bool {
-	if !t.pingSent.IsZero() {
-		return t.checkPing(now)
-	}
-	if len(t.calls) == 0 {
-		t.silenceArmed = false
-		return true
-	}
-	since := t.session.LastReceived()
-	if t.waitingSince.After(since) {
-		since = t.waitingSince
-	}
-	if remaining := silenceTimeout - now.Sub(since); remaining > 0 {
-		t.silenceTimer.Reset(remaining)
-		return true
-	}
-	t.pingSent = now
-	startPing(t)
-	t.silenceTimer.Reset(pingTimeout)
-	return true
-}
-
-// checkPing reports whether to keep waiting for the answer to a ping after pingTimeout. Received bytes other than that
-// answer do not count, since the peer may send without receiving. After a pause of this process the answer may
-// wait in the mailbox behind the timer, so a check that runs late restarts the timeout.
-func (t *Task) checkPing(now time.Time) bool {
-	if elapsed := now.Sub(t.pingSent); elapsed > 2*pingTimeout {
-		t.pingSent = now
-		t.silenceTimer.Reset(pingTimeout)
-		return true
-	}
-	return false
-}
-
-func (t *Task) openExchange(m Exchange) {
-	s, err := t.session.OpenStream()
-	if err != nil {
-		m.Reply.TryPut(Answer{Err: errors.Annotate(err, "open stream")})
-		return
-	}
-	startExchange(t, m, s)
+func (t *Task) refuse(m Send, kind errs.Kind, err error) {
+	r := refusal(kind, err)
+	r.Attempt = m.ID
+	m.Reply.Put(r, t.Stopping())
 }
 
-func (t *Task) refuse(m Send, kind errs.Kind, err error) {
-	m.Reply.Put(call.Result{Attempt: m.ID, Outcome: call.Refused{
-		Kind: kind, RetryAfter: errs.ResponseFor(kind).RetryAfter, Detail: err.Error(),
-	}}, t.Stopping())
+func refusal(kind errs.Kind, err error) call.Result {
+	return call.Result{Outcome: call.Refused{Kind: kind, RetryAfter: errs.ResponseFor(kind).RetryAfter, Detail: err.Error()}}
 }
 
 // refuseQueued refuses the messages in the inbox after a failed dial and when the task is stopped. After a lost or idle
--- a/internal/task/link/message.go
+++ b/internal/task/link/message.go
@@ -44,8 +44,7 @@
 
 // A callEnded says that a call has ended. reusable is true if its stream may be used for another call.
 type callEnded struct {
-	id       call.ID
-	stream   *callStream
+	*pendingCall
 	reusable bool
 }
 
@@ -69,7 +68,8 @@
 type PeerAlive struct {
 	Peer  netip.AddrPort
 	Hello codec.Hello
-	// RoundTrip is the time that the ping took, or 0 if the connection has just been opened.
+	// RoundTrip is the time that the ping took, or 0 if the connection has just been opened and is not one for large
+	// bodies.
 	RoundTrip time.Duration
 }
 
--- a/internal/task/link/stream.go
+++ b/internal/task/link/stream.go
@@ -1,6 +1,7 @@
 package link
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/hashicorp/yamux"
@@ -22,77 +23,72 @@
 	MaxTransferTime = 10 * time.Second
 )
 
+// A pendingCall is a call in flight. It is answered once: by the goroutine of its stream, or by the task if the peer is
+// silent and the goroutine may wait on the connection.
+type pendingCall struct {
+	Send
+	stream   *callStream
+	answered atomic.Bool
+	// state is a sendState.
+	state atomic.Int32
+}
+
+func (p *pendingCall) answer(t *Task, r call.Result) {
+	if p.answered.CompareAndSwap(false, true) {
+		r.Attempt = p.ID
+		p.Reply.Put(r, t.Stopping())
+	}
+}
+
 // startCallStream starts the goroutine that sends the calls of one stream. It ends when a call fails, which leaves the
 // stream in an unknown state, when the stream cannot be reused, when the task closes the channel of its calls, or when
 // the task has ended.
 func startCallStream(t *Task, s *callStream) {
 	go func() {
-		defer s.Close()
+		openErr := s.open(t.session)
+		if openErr == nil {
+			defer s.Close()
+		}
 		for used := false; ; used = true {
-			m, ok := s.next(t)
+			p, ok := s.next(t)
 			if !ok {
 				return
 			}
+			unusable := openErr
 			if used && !s.reusable() {
-				t.refuse(m, errs.PeerUnreachable, errors.Errorf("stream to peer %s is closed or holds unexpected bytes; the call was not sent", t.peer))
-				t.inbox.Put(callEnded{m.ID, s, false}, t.Done())
+				unusable = errors.Errorf("stream to peer %s is closed or holds unexpected bytes; the call was not sent", t.peer)
+			}
+			if unusable != nil {
+				p.answer(t, refusal(errs.PeerUnreachable, unusable))
+				t.inbox.Put(callEnded{p, false}, t.Done())
 				return
 			}
-			r, err := call.Result{}, error(errPanicked)
-			guard.Run("call of a peer", func() { r, err = sendCall(t, m, s) })
+			r, reusable, err := call.Result{}, false, error(errPanicked)
+			guard.Run("call of a peer", func() { r, reusable, err = sendCall(t, p) })
 			if err != nil {
-				r = call.Result{Outcome: call.Unknown{Kind: errs.PeerLost, Detail: err.Error()}}
+				r = p.failure(err)
 			}
-			r.Attempt = m.ID
-			m.Reply.Put(r, t.Stopping())
-			t.inbox.Put(callEnded{m.ID, s, err == nil}, t.Done())
-			if err != nil {
+			p.answer(t, r)
+			t.inbox.Put(callEnded{p, reusable}, t.Done())
+			if !reusable {
 				return
 			}
 		}
 	}()
 }
 
-// sendCall sends a call and reads its reply. After an error the stream must not be used for another call.
-func sendCall(t *Task, m Send, s *callStream) (call.Result, error) {
-	if err := s.SetDeadline(m.Request.Deadline.Add(replyGrace)); err != nil {
-		return call.Result{}, errors.Trace(err)
-	}
-	number := uint64(m.ID)
-	if _, err := codec.Write(s, codec.Call{Target: m.Target, Request: m.Request, Number: number}, time.Now()); err != nil {
-		return call.Result{}, err
-	}
-	answer, n, err := codec.Read(s, t.maxSize, time.Now)
-	if err != nil {
-		return call.Result{}, err
-	}
-	if n > MaxKeptBuffer {
-		s.Shrink()
-	}
-	reply, ok := answer.(codec.Reply)
-	if !ok {
-		return call.Result{}, errors.Errorf("peer %s answered a call with %T", t.peer, answer)
-	}
-	if reply.Number != number {
-		return call.Result{}, errors.Errorf("peer %s answered call %d with the reply to call %d", t.peer, number, reply.Number)
-	}
-	return reply.Result, nil
-}
-
 // startExchange starts the goroutine that sends one control message and reads its answer.
-func startExchange(t *Task, m Exchange, s *yamux.Stream) {
+func startExchange(t *Task, m Exchange) {
 	go func() {
-		defer s.Close()
-		answer, err := exchange(t, m, s)
+		answer, err := exchange(t, m)
 		m.Reply.TryPut(Answer{Message: answer, Err: err})
 	}()
 }
 
 // startNotify starts the goroutine that sends one message and waits until the peer has read it.
-func startNotify(t *Task, m Notify, s *yamux.Stream) {
+func startNotify(t *Task, m Notify) {
 	go func() {
-		defer s.Close()
-		_, _ = exchange(t, Exchange{Message: m.Message}, s)
+		_, _ = exchange(t, Exchange{Message: m.Message})
 	}()
 }
 
@@ -108,7 +104,12 @@
 // errPanicked is the error of a call or message whose handler panicked.
 const errPanicked = errors.ConstError("the daemon failed while it handled the message of a peer: see the HandlerPanicked event in the log")
 
-func exchange(t *Task, m Exchange, s *yamux.Stream) (answer codec.Message, err error) {
+func exchange(t *Task, m Exchange) (answer codec.Message, err error) {
+	s, err := t.session.OpenStream()
+	if err != nil {
+		return nil, errors.Annotate(err, "open stream")
+	}
+	defer s.Close()
 	err = errPanicked
 	guard.Run("message of a peer", func() { answer, err = sendMessage(t, m, s) })
 	return answer, err
@@ -120,47 +121,78 @@
 		timeout = m.Timeout
 	}
 	now := time.Now()
-	if err := s.SetDeadline(now.Add(timeout)); err != nil {
+	if err := s.SetWriteDeadline(now.Add(timeout)); err != nil {
 		return nil, errors.Annotate(err, "set deadline")
 	}
 	if _, err := codec.Write(s, m.Message, now); err != nil {
 		return nil, errors.Trace(err)
 	}
-	answer, _, err := codec.Read(NewProgressReader(s, exchangeTimeout), t.maxSize, time.Now)
+	// On a busy connection the write takes a part of the timeout.
+	if err := s.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return nil, errors.Annotate(err, "set deadline")
+	}
+	answer, _, err := codec.Read(NewProgressReader(t.session, s, exchangeTimeout), t.maxSize, time.Now)
 	return answer, errors.Trace(err)
 }
 
-// A ProgressReader reads from a stream. Each read that returns bytes moves the read deadline of the stream, so that the
-// time allowed for a message grows with its size and with what else is sent over the link.
+// A ProgressReader reads from a stream. Each read that returns bytes moves the read deadline of the stream, and so does
+// a busy connection, so that the time allowed for a message grows with its size and with what else is sent over the link.
 type ProgressReader struct {
+	session *Session
 	stream  *yamux.Stream
 	timeout time.Duration
-	// limit is the latest deadline, or zero before the first bytes.
+	// limits returns other limits if it is not nil.
+	limits func() (time.Duration, time.Time)
+	// limit is the latest deadline, or zero before the first bytes or the first timeout.
 	limit time.Time
+	// received counts the bytes that the connection had received when the deadline was last set.
+	received int64
 }
 
 // NewProgressReader returns a ProgressReader for one message. timeout is the longest time without bytes after the first
 // ones.
-func NewProgressReader(s *yamux.Stream, timeout time.Duration) *ProgressReader {
-	return &ProgressReader{stream: s, timeout: timeout}
+func NewProgressReader(session *Session, s *yamux.Stream, timeout time.Duration) *ProgressReader {
+	return &ProgressReader{session: session, stream: s, timeout: timeout, received: session.conn.receivedBytes.Load()}
 }
 
+// SetLimits sets a function that returns the longest time without bytes after the first ones, and when the message must
+// have been read. A zero time stands for MaxTransferTime after the first bytes.
+func (r *ProgressReader) SetLimits(limits func() (time.Duration, time.Time)) { r.limits = limits }
+
 // Read implements io.Reader.
 func (r *ProgressReader) Read(b []byte) (int, error) {
-	n, err := r.stream.Read(b)
-	if n == 0 {
+	for {
+		n, err := r.stream.Read(b)
+		before := r.received
+		r.received = r.session.conn.receivedBytes.Load()
+		switch {
+		case n > 0:
+			if extendErr := r.extend(); extendErr != nil && err == nil {
+				err = extendErr
+			}
+		case errors.Is(err, yamux.ErrTimeout) && r.received-before >= busyBytes && r.extend() == nil && time.Now().Before(r.limit):
+			continue
+		}
 		return n, err
 	}
+}
+
+// extend moves the read deadline of the stream.
+func (r *ProgressReader) extend() error {
 	now := time.Now()
 	if r.limit.IsZero() {
 		r.limit = now.Add(MaxTransferTime)
 	}
-	deadline := now.Add(r.timeout)
+	timeout := r.timeout
+	if r.limits != nil {
+		var limit time.Time
+		if timeout, limit = r.limits(); !limit.IsZero() {
+			r.limit = limit
+		}
+	}
+	deadline := now.Add(timeout)
 	if deadline.After(r.limit) {
 		deadline = r.limit
 	}
-	if deadlineErr := r.stream.SetReadDeadline(deadline); deadlineErr != nil && err == nil {
-		err = errors.Trace(deadlineErr)
-	}
-	return n, err
+	return errors.Trace(r.stream.SetReadDeadline(deadline))
 }
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -1,6 +1,7 @@
 package listen
 
 import (
+	"context"
 	"net"
 	"net/netip"
 	"sync"
@@ -18,8 +19,9 @@
 )
 
 const (
-	// maxSessions limits the accepted sessions. A daemon opens one connection to each peer that it uses, and any daemon
-	// in the fleet may call any other. The largest fleet has 1,800 daemons: 150 in each of twelve data centres.
+	// maxSessions limits the accepted sessions. A daemon opens one connection to each peer that it uses, and another one
+	// for large bodies, and any daemon in the fleet may call any other. The largest fleet has 1,800 daemons: 150 in each of
+	// twelve data centres.
 	maxSessions = 4096
 	// inactivityTimeout closes an accepted session without traffic. The dialling end closes an idle connection after
 	// 60 s, so after a longer silence the peer must have disappeared without closing it.
@@ -52,6 +54,8 @@
 	hello codec.Hello
 	// pinging is true while a ping is in progress.
 	pinging bool
+	// silent is true while a ping is overdue.
+	silent bool
 }
 
 // New starts a task that listens for peers at an address. It receives messages from inbox.
@@ -106,10 +110,24 @@
 	switch m := m.(type) {
 	case sessionOpened:
 		t.sessions[m.session] = &peerSession{hello: m.hello}
+		if m.hello.Bulk {
+			return
+		}
 		t.server.report(PeerConnected{Hello: m.hello, From: remoteAddr(m.session)})
-	case pingAnswered:
+	case pingOverdue:
+		p, ok := t.sessions[m.session]
+		if !ok || !p.pinging {
+			return
+		}
+		if !p.silent {
+			p.silent = true
+			event.PeerSilent.Log("peer", m.session.RemoteAddr(), "vm", p.hello.VM, "kept", m.session.HasKeptCalls(time.Now()))
+		}
+		endSilent(m.session)
+	case pingEnded:
 		if p, ok := t.sessions[m.session]; ok {
 			p.pinging = false
+			p.silent = p.silent && m.err != nil
 		}
 	case sessionClosed:
 		delete(t.sessions, m.session)
@@ -120,7 +138,7 @@
 
 func (t *Task) broadcast(m Broadcast) {
 	for s, p := range t.sessions {
-		if m.To != "" && m.To != p.hello.VM {
+		if p.hello.Bulk || m.To != "" && m.To != p.hello.VM {
 			continue
 		}
 		startBroadcast(s, m.Message)
@@ -134,36 +152,57 @@
 // checkSessions closes inactive sessions and pings peers that are silent while a request is in progress.
 func (t *Task) checkSessions() {
 	for s, p := range t.sessions {
-		silent := time.Since(s.LastReceived())
+		now := time.Now()
+		silent := now.Sub(s.LastReceived())
 		switch {
+		case p.silent:
+			endSilent(s)
+			if !p.pinging {
+				p.pinging = true
+				t.startPing(s)
+			}
 		case silent > inactivityTimeout:
 			event.PeerSilent.Log("peer", s.RemoteAddr(), "vm", p.hello.VM, "silent", silent)
 			s.Close()
 		case s.ActiveRequests() > 0 && silent > pingAfter && !p.pinging:
 			p.pinging = true
-			t.startPing(s, p.hello)
+			t.startPing(s)
 		}
 	}
 }
 
-// startPing pings a peer in a new goroutine and closes the session if no answer arrives in time.
-func (t *Task) startPing(s *link.Session, hello codec.Hello) {
-	answered := make(chan error, 1)
+// endSilent closes the session of a silent peer, unless calls are in progress that may not be repeated. Those continue
+// until their deadline, since the peer waits for their replies as well; the others end.
+func endSilent(s *link.Session) {
+	if s.HasKeptCalls(time.Now()) {
+		s.EndRepeatableCalls()
+		return
+	}
+	s.Close()
+}
+
+// startPing pings a peer in a new goroutine and reports when the answer is overdue and when the ping has ended.
+func (t *Task) startPing(s *link.Session) {
+	answered, check := make(chan error, 1), link.NewPingCheck(s.Progress())
 	go func() {
 		_, err := s.Ping()
 		answered <- err
 	}()
 	go func() {
-		select {
-		case err := <-answered:
-			if err == nil {
-				t.inbox.Put(pingAnswered{s}, t.Stopping())
+		for busy := true; busy; {
+			since := time.Now()
+			select {
+			case err := <-answered:
+				t.inbox.Put(pingEnded{s, err}, t.Stopping())
 				return
+			case <-time.After(pingTimeout):
+				// After a pause of this process, the answer may wait in the socket.
+				late := time.Since(since) > 2*pingTimeout
+				busy = check.IsBusy(s.Progress()) || late
 			}
-		case <-time.After(pingTimeout):
 		}
-		event.PeerSilent.Log("peer", s.RemoteAddr(), "vm", hello.VM)
-		s.Close()
+		t.inbox.Put(pingOverdue{s}, t.Stopping())
+		t.inbox.Put(pingEnded{s, <-answered}, t.Stopping())
 	}()
 }
 
@@ -213,7 +252,9 @@
 		return
 	}
 	defer s.Close()
-	hello, err := s.AcceptHello(t.server.hello())
+	own := t.server.hello()
+	own.RequestsBodies = true
+	hello, err := s.AcceptHello(own)
 	if err != nil {
 		logHelloError(c, err)
 		return
@@ -235,11 +276,20 @@
 
 // stopSessions waits for the requests in progress, so that their replies reach the peers, and closes the sessions.
 func (t *Task) stopSessions() {
+	deadline := time.Now().Add(stopTimeout)
+	timeout, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	var written []<-chan struct{}
 	for s := range t.sessions {
-		// This stops the session from accepting streams. It fails only if the session has already ended.
-		_ = s.GoAway()
+		// This stops the session from accepting streams.
+		written = append(written, s.GoAway())
+	}
+	for _, c := range written {
+		select {
+		case <-c:
+		case <-timeout.Done():
+		}
 	}
-	deadline := time.Now().Add(stopTimeout)
 	for s := range t.sessions {
 		for s.ActiveRequests() > 0 && time.Now().Before(deadline) {
 			time.Sleep(stopPollInterval)
--- a/internal/task/listen/serve.go
+++ b/internal/task/listen/serve.go
@@ -105,7 +105,7 @@
 // serveStream serves a stream, for which BeginRequest has been called, and calls EndRequest when the request is over. A
 // stream carries either successive calls or a single message of another kind.
 func (s *Server) serveStream(session *link.Session, stream *yamux.Stream) {
-	m, exact, err := s.readMessage(stream, time.Now().Add(readTimeout))
+	m, exact, err := s.readMessage(session, stream, time.Now().Add(readTimeout))
 	if err != nil {
 		session.EndRequest()
 		event.PeerMessageRefused.Log("peer", stream.RemoteAddr(), "error", err.Error())
@@ -122,13 +122,20 @@
 }
 
 // readMessage reads a message, whose first byte must arrive before the deadline. A zero deadline means no limit.
-// exact reports whether the arrival time of the message is known exactly, which it is not after a process pause.
-func (s *Server) readMessage(stream *yamux.Stream, deadline time.Time) (m codec.Message, exact bool, err error) {
+// exact reports whether the arrival time of the message is known exactly, which it is not after a process pause. The
+// functions in prepare are called after the deadline is set and before the read.
+func (s *Server) readMessage(session *link.Session, stream *yamux.Stream, deadline time.Time, prepare ...func(*link.ProgressReader) error) (m codec.Message, exact bool, err error) {
 	if err := stream.SetReadDeadline(deadline); err != nil {
 		return nil, false, errors.Trace(err)
 	}
 	exact = true
-	m, n, err := codec.Read(link.NewProgressReader(stream, readTimeout), s.maxMessageSize, func() (arrived time.Time) {
+	reader := link.NewProgressReader(session, stream, readTimeout)
+	for _, f := range prepare {
+		if err := f(reader); err != nil {
+			return nil, false, err
+		}
+	}
+	m, n, err := codec.Read(reader, s.maxMessageSize, func() (arrived time.Time) {
 		arrived, exact = s.arrivalTime(time.Now())
 		return arrived
 	})
@@ -167,7 +174,7 @@
 		return codec.Done{}
 	// A Call does not get here, since serveStream handles it. A peer must not send the others as the first message of a
 	// stream. It gets an empty Done, so that it does not wait for an answer.
-	case codec.Hello, codec.Done, codec.Call, codec.Reply, codec.LoadReply, codec.ChangesReply:
+	case codec.Hello, codec.Done, codec.Call, codec.BodyRequest, codec.RequestBody, codec.Reply, codec.LoadReply, codec.ChangesReply:
 		return codec.Done{}
 	}
 	return nil
