Limit the requests to cold targets beside the target

A cold target crashes above a certain rate of requests, becomes cold again and throws its load on the next one. The daemon beside the target now starts at most ColdRate requests in any second while the target is cold, by its health response, its entry or an observed start, and refuses calls that would start too late as TargetCold. A daemon that has just started asks the health path first. A crash above the rate counts against no request. Without a rate nothing changes.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -47,15 +47,18 @@
 	CrashReportsReceived           = Event{4007, "CrashReportsReceived", Info}
 	CrashEvidenceDropped           = Event{4008, "CrashEvidenceDropped", Warning} // the VM has a target of another service, so the evidence on requests of the former one was discarded
 	CrashSuspect                   = Event{4009, "CrashSuspect", Warning}         // what is known of a request that was in flight during several crashes has changed
-	CallSent                       = Event{5001, "CallSent", Decision}            // the entry daemon sent an attempt to a target's daemon
-	CallRetried                    = Event{5002, "CallRetried", Decision}         // the entry daemon retries a call
-	CallConcluded                  = Event{5003, "CallConcluded", Decision}       // the entry daemon has the final outcome of a call
-	CallQueued                     = Event{5004, "CallQueued", Decision}          // a target's daemon queued a call
-	CallDispatched                 = Event{5005, "CallDispatched", Decision}      // a target's daemon sent a call to the target
-	CallEnded                      = Event{5006, "CallEnded", Decision}           // a target's daemon got the outcome of a run
-	CallBounced                    = Event{5007, "CallBounced", Decision}         // the entry daemon redirects a call that a target's daemon refused; the rest of the code calls this a redirect
-	CallRefused                    = Event{5008, "CallRefused", Decision}         // a target's daemon refused a call
-	CallInFlightAtCrash            = Event{5009, "CallInFlightAtCrash", Info}     // not rate-limited: a crash has at most as many lines as the target has slots
+	TargetCold                     = Event{4010, "TargetCold", Info}
+	TargetWarm                     = Event{4011, "TargetWarm", Info}
+	ColdTargetCrashed              = Event{4012, "ColdTargetCrashed", Warning} // a cold target got more requests than it tolerates and crashed; the crash counts against none of them
+	CallSent                       = Event{5001, "CallSent", Decision}         // the entry daemon sent an attempt to a target's daemon
+	CallRetried                    = Event{5002, "CallRetried", Decision}      // the entry daemon retries a call
+	CallConcluded                  = Event{5003, "CallConcluded", Decision}    // the entry daemon has the final outcome of a call
+	CallQueued                     = Event{5004, "CallQueued", Decision}       // a target's daemon queued a call
+	CallDispatched                 = Event{5005, "CallDispatched", Decision}   // a target's daemon sent a call to the target
+	CallEnded                      = Event{5006, "CallEnded", Decision}        // a target's daemon got the outcome of a run
+	CallBounced                    = Event{5007, "CallBounced", Decision}      // the entry daemon redirects a call that a target's daemon refused; the rest of the code calls this a redirect
+	CallRefused                    = Event{5008, "CallRefused", Decision}      // a target's daemon refused a call
+	CallInFlightAtCrash            = Event{5009, "CallInFlightAtCrash", Info}  // not rate-limited: a crash has at most as many lines as the target has slots
 )
 
 // All returns all events.
@@ -68,6 +71,7 @@
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed,
 		TargetDown, TargetUp, TargetCrashed, CrashReportsReceived, CrashEvidenceDropped, CrashSuspect,
+		TargetCold, TargetWarm, ColdTargetCrashed,
 		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced, CallRefused, CallInFlightAtCrash,
 	}
 }
--- a/internal/policy/admit/admit.go
+++ b/internal/policy/admit/admit.go
@@ -8,6 +8,7 @@
 
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
+	"jacinthcross/internal/policy/warm"
 )
 
 const (
@@ -45,6 +46,8 @@
 	pendingDrops       []Action      // returned by the next call of Actions or Flush
 	nonEmptySince      time.Time     // when the queue became non-empty, valid only while it is
 	queueDelay         time.Duration
+	// starts limits the calls that start while the target is cold. It is nil without WithStartLimit.
+	starts *warm.Limiter
 }
 
 // An Option configures a Gate.
@@ -72,10 +75,10 @@
 	if g.missesDeadline(q, now) {
 		return Refuse{Kind: q.deadlineErrorKind(now)}
 	}
-	if g.inFlight < g.Limit() {
+	if g.mayStart(now) {
 		switch when := g.decideStart(q, now); {
 		case when == startNow && len(g.queue) == 0:
-			g.recordStart(0)
+			g.recordStart(0, now)
 			return Start{}
 		case when == startAfterMeasurement && q.dropAt.Before(now.Add(measureTimeout)):
 			q.dropAt = now.Add(measureTimeout)
@@ -83,6 +86,12 @@
 			return g.refuse(errs.TargetSlow, now)
 		}
 	}
+	if until, pending := g.starts.CheckPending(now); pending && q.dropAt.Before(until) {
+		q.dropAt = until
+	}
+	if g.isCold(now) && (!q.dropAt.After(now) || g.startsTooLateWhileCold(q, now) || len(g.queue) >= maxQueuedPerSlot*g.slots()) {
+		return Refuse{Kind: errs.TargetCold, RetryAfter: g.coldRetryAfter(q, now)}
+	}
 	if !q.dropAt.After(now) || g.inFlight >= g.Limit() && g.wouldStartTooLate(q, now) {
 		return g.refuse(errs.Overloaded, now)
 	}
@@ -189,8 +198,9 @@
 	return len(g.queue) > 0 && now.Sub(g.nonEmptySince) > overloadAfter
 }
 
-func (g *Gate) recordStart(waited time.Duration) {
+func (g *Gate) recordStart(waited time.Duration, now time.Time) {
 	g.inFlight++
+	g.starts.RecordSend(now)
 	g.queueDelay += time.Duration(queueDelaySmoothing * float64(waited-g.queueDelay))
 }
 
@@ -230,8 +240,9 @@
 // when a call could start but the slowness of the target is not known.
 func (g *Gate) Actions(now time.Time) []Action {
 	g.dropExpired(now)
+	g.dropLateWhileCold(now)
 	actions := g.takePendingDrops()
-	for g.inFlight < g.Limit() && len(g.queue) > 0 {
+	for len(g.queue) > 0 && g.mayStart(now) {
 		i, when := g.nextQueued(now)
 		switch when {
 		case startLater:
@@ -248,7 +259,7 @@
 			actions = append(actions, Drop{q.Call, q.deadlineErrorKind(now), 0})
 			continue
 		}
-		g.recordStart(now.Sub(q.arrivedAt))
+		g.recordStart(now.Sub(q.arrivedAt), now)
 		actions = append(actions, Dispatch{q.Call})
 	}
 	return actions
@@ -257,6 +268,7 @@
 // dropExpired drops the calls that have reached their maximum wait. While all slots are in use, it also drops the
 // calls that are too late to start and whose caller can still retry.
 func (g *Gate) dropExpired(now time.Time) {
+	cold := g.isCold(now)
 	g.dropWhere(now, func(q *queuedCall) errs.Kind {
 		switch {
 		case g.inFlight >= g.Limit() && q.serviceTime > 0 && q.missedLatestStart(now) && !q.RetriedByCaller && !q.CallerCannotRetry:
@@ -265,6 +277,8 @@
 			return ""
 		case !q.Deadline.After(now):
 			return errs.DeadlineExceeded
+		case cold:
+			return errs.TargetCold
 		// The call may not be redirected, so it has waited for its maximum time here.
 		case !q.redirectable():
 			return errs.QueueTimeout
@@ -333,6 +347,9 @@
 		}
 	}
 	if len(g.queue) > 0 && g.inFlight < g.Limit() {
+		if start := g.starts.StartTime(0, now); start.After(now) {
+			return earlier(next, start), true
+		}
 		if at := g.tracker.nextCheck(now); at.Before(next) {
 			next = at
 		}
@@ -349,6 +366,9 @@
 	if after == 0 {
 		return 0
 	}
+	if kind == errs.TargetCold {
+		return max(minRetryAfter, g.starts.StartTime(queued, now).Sub(now))
+	}
 	drainTime := g.MeanServiceTime() * time.Duration(queued) / time.Duration(g.Limit())
 	if !g.trustDeclaredSlots {
 		return after + drainTime
--- a/internal/policy/warm/warm.go
+++ b/internal/policy/warm/warm.go
@@ -199,7 +199,7 @@
 	if !l.Enabled() {
 		return time.Time{}
 	}
-	until := later(l.coldUntil, l.blockedUntil)
+	until := l.coldUntil
 	switch {
 	case l.checkStale(now) && l.checkRequestedAt.IsZero():
 		until = later(until, now.Add(checkTimeout))
@@ -224,6 +224,16 @@
 	return true
 }
 
+// CheckPending reports whether a check that was requested may soon tell that the target is warm, and until when it is
+// waited for.
+func (l *Limiter) CheckPending(now time.Time) (time.Time, bool) {
+	if !l.Enabled() || l.checkRequestedAt.IsZero() || l.Cold(now) && l.source != Assumed {
+		return time.Time{}, false
+	}
+	until := l.checkRequestedAt.Add(checkTimeout)
+	return until, until.After(now)
+}
+
 // MayStart reports whether a request may be sent now.
 func (l *Limiter) MayStart(now time.Time) bool { return !l.StartTime(0, now).After(now) }
 
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -281,7 +281,8 @@
 		local.WithCrashEvidenceFunc(func(e local.CrashEvidence) { st.sendCrashEvidence(s.VM, e) }),
 	}
 	if p.NoIdempotencyKeys {
-		options = append(options, local.WithoutInternalKeys(), local.WithDeclaredSlots(), local.WithMeasurementFunc(m.RecordProbe))
+		options = append(options, local.WithoutInternalKeys(), local.WithDeclaredSlots(), local.WithMeasurementFunc(m.RecordProbe),
+			local.WithColdBound(p.ColdOverage, p.ColdSlack))
 	} else {
 		options = append(options, local.WithUnconfirmedRelease())
 	}
--- a/internal/task/local/health.go
+++ b/internal/task/local/health.go
@@ -30,6 +30,11 @@
 	// total is the number of connections that were open just before the first of them was closed, without those that the
 	// task itself has closed since.
 	total int
+	// coldOverload is true if the target was cold and got more requests than it tolerates while cold.
+	coldOverload bool
+	// boundExceeded is true if it got more than the platform allows. sent is the number of requests in the last second.
+	boundExceeded bool
+	sent          int
 }
 
 // A targetConn is a *conn or a *monitorConn.
@@ -82,6 +87,8 @@
 		s.open[t.monitorConn] = true
 	}
 	s.total = len(s.open)
+	now := t.clock.Now()
+	s.coldOverload, s.boundExceeded, s.sent = t.coldLimit.ColdOverload(now), t.coldLimit.BoundExceeded(now), t.coldLimit.SentInLastSecond(now)
 	// The monitor connection may have been reset first in the same crash.
 	if t.monitorConn == nil && t.clock.Now().Sub(t.monitorClosedAt) <= maxResetDelay {
 		s.total++
@@ -116,6 +123,7 @@
 		t.markDown(m.err, now)
 	case t.down:
 		t.down, t.crashRecorded = false, false
+		t.recordStart(now)
 		event.TargetUp.Log("target", t.target.Name, "address", t.target.Address)
 		t.reportTarget(now)
 	case t.suspectedCrash != nil:
@@ -172,7 +180,15 @@
 	// While the target is down, more resets from the same crash may arrive.
 	t.crashRecorded = t.down
 	event.TargetCrashed.Log("target", t.target.Name, "inFlight", len(s.inFlight))
-	if t.crashThrottle.Allow(now) {
+	switch {
+	case s.coldOverload:
+		// The rate of the requests has caused the crash, so it counts against none of them.
+		event.ColdTargetCrashed.Log("target", t.target.Name, "sent", s.sent, "rate", t.release.Services[t.target.Service].ColdRate, "boundExceeded", s.boundExceeded)
+	case t.crashThrottle.Allow(now):
 		t.recordCrash(s.inFlight, now)
 	}
+	if !t.down {
+		// The target accepts connections again.
+		t.recordStart(now)
+	}
 }
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -16,6 +16,7 @@
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/policy/ledger"
 	"jacinthcross/internal/policy/pause"
+	"jacinthcross/internal/policy/warm"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/wire/header"
 )
@@ -52,6 +53,11 @@
 	drained     chan<- struct{}
 
 	gate          *admit.Gate
+	coldLimit     *warm.Limiter
+	cold          bool // the target was cold when that was last looked at
+	checking      bool // a health check for coldLimit has been requested and has not ended
+	coldOverage   float64
+	coldSlack     float64
 	ledger        *ledger.Ledger
 	crashes       *crash.Table
 	suspects      *crash.Registry
@@ -89,6 +95,7 @@
 	probeTimer          struct{}
 	suspectedCrashTimer struct{}
 	monitorTimer        struct{}
+	warmTimer           struct{}
 	resendTimer         struct{}
 )
 
@@ -142,6 +149,12 @@
 // WithLedgerLimits sets the limits of the idempotency key ledger.
 func WithLedgerLimits(l ledger.Limits) Option { return func(t *Task) { t.ledgerLimits = l } }
 
+// WithColdBound sets the number of requests that the platform allows a cold target in a second: the rate that it tolerates
+// (note.Service.ColdRate) times overage, plus slack.
+func WithColdBound(overage, slack float64) Option {
+	return func(t *Task) { t.coldOverage, t.coldSlack = overage, slack }
+}
+
 // WithMaxBody limits the size of a response body in bytes.
 func WithMaxBody(n int) Option { return func(t *Task) { t.bodies = newBodyReader(n) } }
 
@@ -157,6 +170,7 @@
 		onPause:          func(time.Duration) {},
 		onCrashEvidence:  func(CrashEvidence) {},
 		onTargetReport:   func(ident.Target, call.Load) {},
+		coldOverage:      1,
 		ledgerLimits:     ledger.Limits{EpochLength: 5 * time.Minute, MaxEntries: 100_000, MaxBytes: 16 << 20},
 		bodies:           newBodyReader(8 << 20),
 		dialect:          header.DefaultDialect(),
@@ -175,6 +189,7 @@
 	for _, o := range options {
 		o(t)
 	}
+	t.coldLimit = warm.New(warm.WithBound(t.coldOverage, t.coldSlack))
 	t.pauseDetector = pause.NewDetector(t.clock.Now())
 	go func() {
 		t.Run(t.loop)
@@ -215,6 +230,7 @@
 	t.onPause(gap)
 	// The target may have closed idle connections during the pause, and the messages about it may still be unread.
 	t.closeIdle(now)
+	t.coldLimit.Recheck()
 	if t.gate != nil {
 		t.ledger.AdvanceEpoch(now)
 		t.advanceGate(now)
@@ -226,6 +242,7 @@
 func (t *Task) handleSuspension(d time.Duration) {
 	t.onPause(d)
 	t.closeIdle(t.clock.Now())
+	t.coldLimit.Recheck()
 	t.refuseQueued(errs.Busy)
 }
 
@@ -287,6 +304,8 @@
 			}
 		case monitorTimer:
 			t.ensureMonitorConn(now)
+		case warmTimer:
+			t.noteColdState(now)
 		case resendTimer:
 			t.resendSuspects(now)
 		case call.ID:
@@ -302,6 +321,7 @@
 func (t *Task) load() call.Load {
 	l := call.Load{Incarnation: t.incarnation, Head: t.head, Draining: t.draining, Down: t.hasTarget && t.down}
 	if t.gate != nil {
+		l.UntilWarm = t.coldLimit.UntilWarm(t.clock.Now())
 		l.InFlight, l.Queued, l.Limit = t.gate.InFlight(), t.gate.Queued(), t.gate.Limit()
 		l.QueueDelay, l.Latency = t.gate.QueueDelay(), t.gate.MeanServiceTime()
 		l.Epoch = t.ledger.Epoch()
--- a/internal/task/local/measure.go
+++ b/internal/task/local/measure.go
@@ -45,14 +45,23 @@
 type measureResult interface{ measureResult() }
 
 // loadReported means that the target reported its load.
-type loadReported struct{ load call.TargetLoad }
+type loadReported struct {
+	load call.TargetLoad
+	coldTime
+}
 
 // loadMissing means that the response contains no load.
-type loadMissing struct{}
+type loadMissing struct{ coldTime }
 
 // noResponse means that no valid response arrived within the timeout.
 type noResponse struct{}
 
+// A coldTime is how long the target stays cold, if the response tells.
+type coldTime struct {
+	untilWarm time.Duration
+	known     bool
+}
+
 func (loadReported) measureResult() {}
 func (loadMissing) measureResult()  {}
 func (noResponse) measureResult()   {}
@@ -94,10 +103,12 @@
 	if err != nil {
 		return noResponse{}
 	}
+	var cold coldTime
+	cold.untilWarm, cold.known = c.dialect.UntilWarmOf(h)
 	if load, ok := c.dialect.TargetLoad(h); ok {
-		return loadReported{load}
+		return loadReported{load, cold}
 	}
-	return loadMissing{}
+	return loadMissing{cold}
 }
 
 func (c *loadClient) query(q measureRequest) (http.Header, error) {
@@ -163,6 +174,10 @@
 
 // measure starts a measurement of the target's load if the service has a health path.
 func (t *Task) measure() {
+	if t.checking {
+		// Its response contains the load as well.
+		return
+	}
 	if t.target.HealthPath == "" || !t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath}) {
 		// 0 means unknown.
 		t.gate.RecordSlowness(0, t.clock.Now())
@@ -175,19 +190,24 @@
 // for no measurement until the response to a call contains a load: a request to the health path may wait for a free
 // slot of the target, and each call would wait for that measurement.
 func (t *Task) handleMeasurement(m measurement) {
+	t.checking = false
 	if !t.hasTarget || m.target != t.target.Address {
 		return
 	}
 	now := t.clock.Now()
+	var cold coldTime
 	switch r := m.result.(type) {
 	case loadReported:
 		t.gate.RecordSlowness(r.load.Slowness, now)
+		cold = r.coldTime
 	case loadMissing:
 		// 0 means unknown.
 		t.gate.RecordSlowness(0, now)
+		cold = r.coldTime
 	case noResponse:
 		// 1 is the usual speed, so that calls do not wait for a target whose health path does not respond.
 		t.gate.RecordSlowness(1, now)
 	}
+	t.recordColdTime(cold, now)
 	t.advanceGate(now)
 }
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -10,6 +10,7 @@
 	"jacinthcross/internal/policy/admit"
 	"jacinthcross/internal/policy/crash"
 	"jacinthcross/internal/policy/ledger"
+	"jacinthcross/internal/policy/warm"
 )
 
 func (t *Task) setRelease(r *note.Release) {
@@ -23,6 +24,10 @@
 		t.withdrawTarget()
 		t.resetTargetState(target)
 	}
+	now := t.clock.Now()
+	service := r.Services[target.Service]
+	t.coldLimit.SetService(service.ColdRate, service.ColdStart, target.HealthPath != "", now)
+	t.coldLimit.RecordEntry(target.WarmAt, now)
 	moved := target.Address != t.target.Address
 	if !t.hasTarget {
 		event.TargetAdded.Log("target", target.Name, "address", target.Address)
@@ -33,17 +38,22 @@
 	}
 	if moved {
 		// One nanosecond later than now, so that connections that have just become idle are closed too.
-		t.closeIdle(t.clock.Now().Add(time.Nanosecond))
+		t.closeIdle(now.Add(time.Nanosecond))
 		t.down, t.crashRecorded, t.suspectedCrash = false, false, nil
 		t.timers.Remove(probeTimer{})
 		t.stopMonitoring()
-		t.reportTarget(t.clock.Now())
+		t.coldLimit.Recheck()
+		t.reportTarget(now)
 	} else if t.down {
 		t.probeConnection()
 	}
 	t.gate.SetSlots(target.Slots)
 	t.gate.SetColdUntil(target.WarmAt)
-	t.advanceGate(t.clock.Now())
+	if t.coldLimit.Source() == warm.Assumed {
+		t.checkColdState(now)
+	}
+	t.noteColdState(now)
+	t.advanceGate(now)
 }
 
 // resetTargetState replaces the state that is kept for the target. A new ledger does not know the keys of an earlier
@@ -52,9 +62,10 @@
 func (t *Task) resetTargetState(target note.Target) {
 	now := t.clock.Now()
 	if t.ledger != nil {
+		t.coldLimit.RecordStart(now)
 		t.incarnation = ident.NewIncarnation()
 	}
-	var options []admit.Option
+	options := []admit.Option{admit.WithStartLimit(t.coldLimit)}
 	if t.fixedSlots {
 		options = append(options, admit.WithDeclaredSlots())
 	}
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -90,6 +90,7 @@
 // admit asks the gate to admit a call.
 func (t *Task) admit(r *activeCall, now time.Time) {
 	q := &r.Request
+	t.checkColdState(now)
 	switch d := r.gate.Admit(admit.Arrival{
 		Call: r.ID, Rank: q.Rank, Deadline: q.Deadline, Route: q.Route, UsualLatency: q.UsualLatency, MinOtherSlowness: q.MinOtherSlowness, SoftDeadline: q.SoftDeadline, HoldUntil: q.HoldUntil, RetriedByCaller: q.RetriedByCaller, CallerCannotRetry: q.CallerCannotRetry,
 	}, now).(type) {
@@ -165,12 +166,14 @@
 		if !refused {
 			kind = errs.DeadlineExceeded
 		}
+		t.coldLimit.WithdrawSend()
 		r.gate.Done(admit.Failed, admit.FinishedCall{}, now)
 		t.refuse(r, kind)
 		return
 	}
 	r.suspect = t.isSuspect(r, now)
 	if r.suspect && t.runsSuspect(now) {
+		t.coldLimit.WithdrawSend()
 		r.gate.Done(admit.Failed, admit.FinishedCall{}, now)
 		t.isolate(r, now)
 		return
@@ -254,6 +257,10 @@
 	t.suspectCrash(c)
 	t.idle = slices.Delete(t.idle, i, i+1)
 	c.close()
+	if len(t.idle) == 0 {
+		// The target may have been replaced while it ran no call.
+		t.coldLimit.Recheck()
+	}
 }
 
 // handleDeadline ends a held or dispatched call whose deadline has passed, or an isolated call that may not wait any
--- a/internal/wire/header/dialect.go
+++ b/internal/wire/header/dialect.go
@@ -37,6 +37,8 @@
 	ResponseStamp string
 	// Load is the load of a target.
 	Load string
+	// UntilWarm is how long a target stays cold after its start, in milliseconds.
+	UntilWarm string
 	// Prefix marks further reserved fields: those whose names begin with it are forwarded neither from callers to
 	// targets nor from targets to callers. If it is empty, there are none.
 	Prefix string
@@ -75,7 +77,7 @@
 
 // ResponseFields returns the fields of a response that are forwarded to the caller.
 func (d *Dialect) ResponseFields(h http.Header) []call.Field {
-	return endToEnd(h, func(name string) bool { return name == d.Load || d.hasPrefix(name) })
+	return endToEnd(h, func(name string) bool { return name == d.Load || name == d.UntilWarm || d.hasPrefix(name) })
 }
 
 func (d *Dialect) hasPrefix(name string) bool {
--- a/internal/wire/header/dialect_test.go
+++ b/internal/wire/header/dialect_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
@@ -87,3 +88,29 @@
 	}
 	qt.Assert(t, header.DefaultDialect().ProvesNotRun(421, http.Header{}), qt.IsFalse)
 }
+
+// TestUntilWarm guards against taking a missing or invalid value for a warm target.
+func TestUntilWarm(t *testing.T) {
+	for _, test := range []struct {
+		field, value string
+		want         time.Duration
+		known        bool
+	}{
+		{"X-Cold", "1500", 1500 * time.Millisecond, true},
+		{"X-Cold", "0", 0, true},
+		{"X-Cold", " 0.5 ", 500 * time.Microsecond, true},
+		{"X-Cold", "", 0, false},
+		{"X-Cold", "-1", 0, false},
+		{"X-Cold", "NaN", 0, false},
+		{"X-Cold", "1e300", 0, false},
+		{"X-Cold", "soon", 0, false},
+		{"", "1500", 0, false},
+	} {
+		d := header.Dialect{UntilWarm: test.field}
+		h := http.Header{}
+		h.Set("X-Cold", test.value)
+		got, known := d.UntilWarmOf(h)
+		qt.Check(t, got, qt.Equals, test.want, qt.Commentf("%q", test.value))
+		qt.Check(t, known, qt.Equals, test.known, qt.Commentf("%q", test.value))
+	}
+}
--- a/internal/wire/header/load.go
+++ b/internal/wire/header/load.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"jacinthcross/internal/base/call"
 )
@@ -29,3 +30,19 @@
 	}
 	return call.TargetLoad{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2], Slowness: float64(numbers[3]) / 100}, true
 }
+
+// maxUntilWarm is the longest time for which a target may say that it stays cold. It takes seconds.
+const maxUntilWarm = time.Hour
+
+// UntilWarmOf parses how long a target stays cold from the response to a health check, and reports whether the response
+// has a valid value.
+func (d *Dialect) UntilWarmOf(h http.Header) (time.Duration, bool) {
+	if d.UntilWarm == "" {
+		return 0, false
+	}
+	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get(d.UntilWarm)), 64)
+	if err != nil || !(milliseconds >= 0 && milliseconds <= float64(maxUntilWarm.Milliseconds())) {
+		return 0, false
+	}
+	return time.Duration(milliseconds * float64(time.Millisecond)), true
+}
