Choose cold targets by the rate that they tolerate

Senders gave cold targets as many calls as warm ones, and tried up to seven of them one after the other although all were full. The routing table now learns from load reports and refusals which targets are cold and when they have room for a call of each rank. It prefers warm targets, uses cold ones in proportion, and the entry daemon refuses a call at once if all targets are cold and full. Services without a rate are not affected.

--- a/internal/policy/place/place.go
+++ b/internal/policy/place/place.go
@@ -5,6 +5,7 @@
 import (
 	"time"
 
+	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 )
 
@@ -66,3 +67,13 @@
 	}
 	return false
 }
+
+// StartsInTime reports whether a call that starts at the given time can end by its soft deadline, or by its deadline if
+// the soft deadline is not set or cannot be met any more.
+func StartsInTime(q *call.Request, start, now time.Time) bool {
+	end := q.Deadline
+	if q.SoftDeadline.After(now.Add(q.UsualLatency)) && q.SoftDeadline.Before(end) {
+		end = q.SoftDeadline
+	}
+	return !start.Add(q.UsualLatency).After(end)
+}
--- a/internal/policy/place/simulation_test.go
+++ b/internal/policy/place/simulation_test.go
@@ -283,13 +283,13 @@
 // send sends a call to the target that the daemon chooses.
 func (sm *simulation) send(pending *pendingCall) {
 	table := pending.entryTarget.tables[pending.class.service]
-	name, ok := table.PickForSize(pending.class.size, sm.now, pending.triedTargets)
+	name, ok := table.PickFor(route.Call{Size: pending.class.size}, sm.now, pending.triedTargets)
 	if sm.policies.random {
 		name = sm.randomTarget(pending.class.service)
 	}
 	if !ok && !pending.mayQueue {
 		pending.mayQueue, pending.triedTargets = true, nil
-		name, ok = table.PickForSize(pending.class.size, sm.now, nil)
+		name, ok = table.PickFor(route.Call{Size: pending.class.size}, sm.now, nil)
 	}
 	if !ok {
 		sm.refuse(pending)
--- a/internal/policy/retry/retry.go
+++ b/internal/policy/retry/retry.go
@@ -144,7 +144,7 @@
 // because it crashed that target may complete on others; they have their own evidence and refuse it if that suffices.
 func retryable(kind errs.Kind) bool {
 	switch kind {
-	case errs.Busy, errs.Overloaded, errs.QueueTimeout, errs.TargetShed, errs.TargetDown, errs.TargetReplaced, errs.TargetSlow,
+	case errs.Busy, errs.Overloaded, errs.QueueTimeout, errs.TargetShed, errs.TargetDown, errs.TargetReplaced, errs.TargetSlow, errs.TargetCold,
 		errs.PeerUnreachable, errs.Draining, errs.Withdrawn, errs.Unconfirmed, errs.LedgerFull,
 		errs.OwnerGone, errs.KeyExpired, errs.Quarantined:
 		return true
--- a/internal/policy/route/candidates.go
+++ b/internal/policy/route/candidates.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"time"
 
 	"jacinthcross/internal/base/ident"
 )
@@ -14,6 +15,10 @@
 	DataCentre ident.DataCentre
 	Region     ident.Region
 	Slots      int
+	// ColdRate is the number of requests per second that the target tolerates while it is cold, or 0 without a limit.
+	ColdRate float64
+	// WarmAt is the time at which the target is warm according to its entry, or zero.
+	WarmAt time.Time
 }
 
 const (
--- a/internal/policy/route/centre_test.go
+++ b/internal/policy/route/centre_test.go
@@ -47,7 +47,7 @@
 					table.RecordResult(c.Target, 0, Served{Latency: 250 * time.Millisecond, Load: call.Load{InFlight: inFlight, Limit: 6, Incarnation: ident.Incarnation{1}}}, now)
 				}
 			}
-			name, ok := table.PickForSize(test.size, now.Add(test.reportAge), nil)
+			name, ok := table.PickFor(Call{Size: test.size}, now.Add(test.reportAge), nil)
 			qt.Assert(t, ok, qt.IsTrue)
 			for _, c := range candidates {
 				if c.Target == name {
--- a/internal/policy/route/near.go
+++ b/internal/policy/route/near.go
@@ -53,6 +53,9 @@
 	if s.DataCentre != sc.dataCentre {
 		score += sc.remotePenalty
 	}
+	if s.isCold(sc.now) {
+		score += coldPenalty.Seconds()
+	}
 	if s.hasOverdueCall(sc.now) {
 		score += stragglerPenalty * serviceLatency
 	}
--- a/internal/policy/route/route.go
+++ b/internal/policy/route/route.go
@@ -117,33 +117,45 @@
 // UnknownSize is the size of a call whose route has had no answer yet.
 const UnknownSize = -1
 
+// A Call describes a call for which a target is chosen.
+type Call struct {
+	// Size is the usual number of bytes that calls of the route move to and from a target, or UnknownSize. The penalty of
+	// another data centre under ProfileNear depends on it.
+	Size int
+	Rank ident.Rank
+}
+
 // Pick chooses a target that is not excluded, for a call of unknown size.
 func (t *Table) Pick(now time.Time, excluded []ident.Target) (ident.Target, bool) {
-	return t.PickForSize(UnknownSize, now, excluded)
+	return t.PickFor(Call{Size: UnknownSize}, now, excluded)
 }
 
-// PickForSize chooses a target that is not excluded. size is the usual number of bytes that calls of the route move to
-// and from a target, on which the penalty of another data centre depends under ProfileNear. Draining targets are never
-// chosen. Ejected targets, and those that are down or whose VM is down, are chosen only if no other is left, since the
-// fault may then be on the daemon's side.
-func (t *Table) PickForSize(size int, now time.Time, excluded []ident.Target) (ident.Target, bool) {
-	var healthy, unhealthy []*candidateState
+// PickFor chooses a target that is not excluded. Draining targets are never chosen. Cold targets that have no room for
+// the call are chosen only if no other healthy one is left. Ejected targets, and those that are down or whose VM is down,
+// are chosen only if no other at all is left, since the fault may then be on the daemon's side.
+func (t *Table) PickFor(c Call, now time.Time, excluded []ident.Target) (ident.Target, bool) {
+	var healthy, full, unhealthy []*candidateState
 	for _, s := range t.states {
 		switch {
 		case s.draining || slices.Contains(excluded, s.Target):
 		case s.isDown() || s.isEjected(now):
 			unhealthy = append(unhealthy, s)
+		case s.isColdAndFull(c.Rank, now):
+			full = append(full, s)
 		default:
 			healthy = append(healthy, s)
 		}
 	}
+	if len(healthy) == 0 {
+		healthy = full
+	}
 	if len(healthy) == 0 {
 		healthy = unhealthy
 	}
 	if len(healthy) == 0 {
 		return "", false
 	}
-	return t.lowestScore(t.sample(healthy), size, now).Target, true
+	return t.lowestScore(t.sample(healthy), c.Size, now).Target, true
 }
 
 // sample moves a random sample of the states, of the size that the profile sets, to the front and returns it. If
@@ -296,6 +308,7 @@
 	clear(t.centreLoads)
 	for _, s := range t.states {
 		s.otherCalls, s.otherCallsAt, s.slowPeriod = 0, time.Time{}, slowPeriod{}
+		s.coldState = coldState{}
 		s.load.Down = false
 		s.consecutiveFailures, s.ejections, s.ejectedUntil = 0, 0, time.Time{}
 	}
--- a/internal/policy/route/score.go
+++ b/internal/policy/route/score.go
@@ -48,7 +48,8 @@
 	lastReport   time.Time
 	otherCallsAt time.Time
 	slowPeriod   slowPeriod
-	lastProbe    time.Time
+	coldState
+	lastProbe time.Time
 	// probes counts the probes since the target last reported that it accepts calls.
 	probes int
 	// latency is the smoothed latency in seconds, minus the extra round-trip time to its data centre (see extraRTT).
@@ -166,7 +167,7 @@
 
 // score returns the expected cost of sending the next call to a candidate, in seconds.
 func (sc scorer) score(s *candidateState) float64 {
-	limit := s.concurrencyLimit()
+	limit := sc.effectiveLimit(s)
 	if sc.profile == ProfileNear {
 		return sc.nearScore(s, limit)
 	}
@@ -288,6 +289,7 @@
 	if !s.draining && !load.Down {
 		s.probes = 0
 	}
+	s.applyColdTime(load.UntilWarm, now)
 	s.otherCalls = max(0, float64(load.InFlight+load.Queued-len(s.inFlight)))
 }
 
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -169,6 +169,9 @@
 	p, now := a.call, t.clock.Now()
 	t.settleAttempt(a, r)
 	t.recordAttemptResult(a, attemptResultOf(r, now.Sub(a.started)), now)
+	if refused, ok := r.Outcome.(call.Refused); ok && refused.Kind == errs.TargetCold {
+		t.table(p.Request.Service).RecordColdRefusal(a.target.Name, p.Request.Rank, refused.RetryAfter, now)
+	}
 	// Only the daemon beside the target reports an incarnation.
 	p.targetDaemonReplied = !r.Load.Incarnation.IsZero()
 	if r.Load.Head.Serial > t.release.Head.Serial {
--- a/internal/task/router/place.go
+++ b/internal/task/router/place.go
@@ -18,22 +18,53 @@
 func (t *Task) sendKeyless(p *pendingCall) {
 	now := t.clock.Now()
 	table := t.table(p.Request.Service)
-	size := t.usualSize(p)
-	name, ok := table.PickForSize(size, now, slices.Concat(p.tried, p.refusedBy))
+	p.Request.UsualLatency = t.routeLatencies.Of(p.Request.Route)
+	if t.placeWhileCold(p, table, now) {
+		return
+	}
+	c := route.Call{Size: t.usualSize(p), Rank: p.Request.Rank}
+	name, ok := table.PickFor(c, now, slices.Concat(p.tried, p.refusedBy))
 	if !ok && len(p.refusedBy) > 0 && !p.mayQueue {
 		p.mayQueue, p.refusedBy = true, nil
-		name, ok = table.PickForSize(size, now, p.tried)
+		name, ok = table.PickFor(c, now, p.tried)
 	}
 	if !ok && len(p.refusedBy) == 0 {
 		// All targets were tried. A failed one may still serve a call that can be repeated.
-		name, ok = table.PickForSize(size, now, nil)
+		name, ok = table.PickFor(c, now, nil)
 	}
 	if !ok {
 		t.conclude(p, t.finalRefusal(p))
 		return
 	}
+	t.sendKeylessTo(p, name, table, now)
+}
+
+// placeWhileCold decides on a call if all targets that have not refused it are cold and known to be full, and reports
+// whether it has. Trying them one after the other would cost messages and time and end in the same refusal.
+func (t *Task) placeWhileCold(p *pendingCall, table *route.Table, now time.Time) bool {
+	if p.mayQueue {
+		return false
+	}
+	if _, full := table.NextColdRoom(p.Request.Rank, now, slices.Concat(p.tried, p.refusedBy)); !full {
+		return false
+	}
+	room, full := table.NextColdRoom(p.Request.Rank, now, p.tried)
+	p.mayQueue, p.refusedBy = true, nil
+	if !full {
+		// A target that is not cold has refused the call. It may queue there.
+		return false
+	}
+	if place.StartsInTime(&p.Request, room.At, now) {
+		t.sendKeylessTo(p, room.Target, table, now)
+		return true
+	}
+	t.conclude(p, call.Refused{Kind: errs.TargetCold, RetryAfter: room.At.Sub(now), Detail: "all targets of service " + string(p.Request.Service) + " are cold and full"})
+	return true
+}
+
+// sendKeylessTo sends a call without a key to a target.
+func (t *Task) sendKeylessTo(p *pendingCall, name ident.Target, table *route.Table, now time.Time) {
 	target := t.release.Targets[name]
-	p.Request.UsualLatency = t.routeLatencies.Of(p.Request.Route)
 	p.Request.MinOtherSlowness = table.LowestSlownessExcept(name, now)
 	p.Request.HoldUntil = place.HoldUntil(place.Placement{
 		SoftDeadline: p.Request.SoftDeadline, UsualLatency: p.Request.UsualLatency, SameDataCentre: target.DataCentre == t.dataCentre, MayQueue: p.mayQueue,
--- a/internal/task/router/state.go
+++ b/internal/task/router/state.go
@@ -67,12 +67,14 @@
 
 func (t *Task) candidates(service ident.Service) []route.Candidate {
 	var candidates []route.Candidate
+	coldRate := t.release.Services[service].ColdRate
 	for _, target := range t.release.TargetsByService(service) {
 		if target.Draining {
 			continue
 		}
 		candidates = append(candidates, route.Candidate{
 			Target: target.Name, VM: target.VM, DataCentre: target.DataCentre, Region: target.Region, Slots: target.Slots,
+			ColdRate: coldRate, WarmAt: target.WarmAt,
 		})
 	}
 	return candidates
