--- a/internal/policy/warm/warm.go
+++ b/internal/policy/warm/warm.go
@@ -35,6 +35,9 @@
 	minAssumedTime = window
 	// CheckInterval is the time without a health check after which the state of a target is checked while it gets calls.
 	CheckInterval = time.Second
+	// entryTolerance is by how much the time in an entry may change without being news. Entries hold the remaining time,
+	// which is rounded and delayed on its way from daemon to daemon.
+	entryTolerance = 100 * time.Millisecond
 	// checkTimeout is how long requests are limited because of a check that is due. A target answers within about 1 ms.
 	checkTimeout = 100 * time.Millisecond
 )
@@ -114,15 +117,17 @@
 func (l *Limiter) recordCheck(now time.Time) { l.checkedAt, l.checkRequestedAt = now, time.Time{} }
 
 // RecordEntry records the time at which the target is warm according to its entry, or zero. Only a change counts, as the
-// same entry is read again with each change of others. Entries are written after a delay, and those of processes that
-// have crashed remain. An entry without a time is therefore no proof that the target is warm.
+// same entry is read again with each change of others. Entries are written and read after a delay, and those of
+// processes that have crashed remain. An entry without a time is therefore no proof that the target is warm, and one with
+// a time makes a check due.
 func (l *Limiter) RecordEntry(warmAt, now time.Time) {
-	if warmAt.Equal(l.warmAt) {
+	if warmAt.Sub(l.warmAt).Abs() <= entryTolerance {
 		return
 	}
 	l.warmAt = warmAt
 	if warmAt.After(now) {
 		l.coldUntil, l.source = warmAt, Entry
+		l.Recheck()
 	}
 }
 
