--- a/internal/policy/warm/warm.go
+++ b/internal/policy/warm/warm.go
@@ -38,6 +38,8 @@
 	// entryTolerance is by how much the time in an entry may change without being news. Entries hold the remaining time,
 	// which is rounded and delayed on its way from daemon to daemon.
 	entryTolerance = 100 * time.Millisecond
+	// minCheckInterval bounds the checks that are made earlier because of starts or closed connections.
+	minCheckInterval = 200 * time.Millisecond
 	// checkTimeout is how long requests are limited because of a check that is due. A target answers within about 1 ms.
 	checkTimeout = 100 * time.Millisecond
 )
@@ -61,6 +63,8 @@
 	// zero if that check has ended.
 	checkedAt        time.Time
 	checkRequestedAt time.Time
+	// lastRequestedAt is when the last health check was requested, whether or not it has ended.
+	lastRequestedAt time.Time
 	// neverChecked is set for targets without a health path.
 	neverChecked bool
 }
@@ -138,7 +142,8 @@
 	l.Recheck()
 }
 
-// Recheck makes a check of the target's state due at once.
+// Recheck makes a check of the target's state due at once, unless the last one was requested less than minCheckInterval
+// ago.
 func (l *Limiter) Recheck() { l.checkedAt, l.checkRequestedAt = time.Time{}, time.Time{} }
 
 // RecordSend records that a request was sent to the target.
@@ -223,10 +228,11 @@
 // RequestCheck reports whether the health path of the target should be requested now that it has a call, and if so
 // records that it is.
 func (l *Limiter) RequestCheck(now time.Time) bool {
-	if !l.Enabled() || !l.checkStale(now) || !l.checkRequestedAt.IsZero() && now.Sub(l.checkRequestedAt) < CheckInterval {
+	if !l.Enabled() || !l.checkStale(now) || now.Sub(l.lastRequestedAt) < minCheckInterval ||
+		!l.checkRequestedAt.IsZero() && now.Sub(l.checkRequestedAt) < CheckInterval {
 		return false
 	}
-	l.checkRequestedAt = now
+	l.checkRequestedAt, l.lastRequestedAt = now, now
 	return true
 }
 
