Make the tests of cold targets steady beside load

A target that starts again could not listen when a parallel test had taken its port, a state without a call was not checked again, and a request was stopped after two crashes, since few calls are in flight at a cold target; the test then expected a third one.

--- a/internal/task/local/cold_test.go
+++ b/internal/task/local/cold_test.go
@@ -17,6 +17,10 @@
 	"jacinthcross/internal/wire/header"
 )
 
+// coldTargetAddress is an address from which no connections are opened. They could take the port of a target that is to
+// start again.
+const coldTargetAddress = "127.0.0.77:0"
+
 // A coldTarget is a target that tells in its health responses for how many milliseconds it stays cold.
 type coldTarget struct {
 	*rawTarget
@@ -132,7 +136,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			target := newColdTarget(t, "127.0.0.1:0", test.untilWarm)
+			target := newColdTarget(t, coldTargetAddress, test.untilWarm)
 			f := startColdFixture(t, note.Target{Name: "b1", Address: target.address()}, test.rate)
 			test.prepare(f, target)
 			started := time.Now()
@@ -162,7 +166,7 @@
 			t.Parallel()
 			release := make(chan struct{})
 			var calls atomic.Int64
-			target := newRawTarget(t, "127.0.0.1:0", func(w net.Conn, r *http.Request, body []byte) bool {
+			target := newRawTarget(t, coldTargetAddress, func(w net.Conn, r *http.Request, body []byte) bool {
 				if r.URL.Path == "/health" {
 					<-release
 					if test.answers {
@@ -191,7 +195,7 @@
 // target is known that started after its daemon.
 func TestColdTargetStartsAfterItsDaemon(t *testing.T) {
 	t.Parallel()
-	target := newColdTarget(t, "127.0.0.1:0", 0)
+	target := newColdTarget(t, coldTargetAddress, 0)
 	target.crash()
 	f := startColdFixture(t, note.Target{Name: "b1", Address: target.address()}, 8)
 	f.waitUntil("it is down", func() bool { return f.load().Down })
@@ -211,7 +215,7 @@
 	}{{"limit", 8, 2, 5}, {"no limit", 0, 0, 1}} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
-			target := newColdTarget(t, "127.0.0.1:0", 0)
+			target := newColdTarget(t, coldTargetAddress, 0)
 			f := startColdFixture(t, note.Target{Name: "b1", Address: target.address()}, test.rate)
 			for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 				f.do(call.Request{})
@@ -249,7 +253,7 @@
 				}
 				return true
 			}
-			target := newRawTarget(t, "127.0.0.1:0", serve)
+			target := newRawTarget(t, coldTargetAddress, serve)
 			f := startColdFixture(t, note.Target{Name: "b1", Address: target.address()}, 8)
 			for crashes := 0; crashes < 3; crashes++ {
 				untilWarm.Store(0)
@@ -279,7 +283,7 @@
 				f.waitUntil("the target is up", func() bool { return !f.load().Down })
 			}
 			slow.Store(false)
-			f.waitUntil("the target is warm", func() bool { return f.load().UntilWarm == 0 })
+			f.waitUntil("the target is warm", func() bool { f.do(call.Request{}); return f.load().UntilWarm == 0 })
 			qt.Assert(t, summary(f.do(call.Request{URI: "/crash"})), qt.Equals, test.want)
 		})
 	}
