--- a/internal/policy/warm/collapse_test.go
+++ b/internal/policy/warm/collapse_test.go
@@ -1,9 +1,9 @@
 package warm_test
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -34,7 +34,7 @@
 type outage struct {
 	limited bool
 	now     time.Time
-	events  eventQueue
+	events  []event
 	random  *rand.Rand
 	targets []*coldTarget
 	senders []*route.Table
@@ -65,28 +65,20 @@
 }
 
 type event struct {
-	at  time.Time
-	seq int
-	do  func()
-}
-
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
-func (q *eventQueue) Pop() any {
-	last := (*q)[len(*q)-1]
-	*q = (*q)[:len(*q)-1]
-	return last
+	at time.Time
+	do func()
 }
 
+// after schedules an event. The events are kept in order of their times.
 func (o *outage) after(d time.Duration, do func()) {
-	o.lastID++
-	heap.Push(&o.events, event{o.now.Add(d), int(o.lastID), do})
+	at := o.now.Add(d)
+	i, _ := slices.BinarySearchFunc(o.events, at, func(e event, at time.Time) int {
+		if e.at.After(at) {
+			return 1
+		}
+		return -1
+	})
+	o.events = slices.Insert(o.events, i, event{at, do})
 }
 
 func (o *outage) second() int { return int(o.now.Sub(start) / time.Second) }
@@ -117,8 +109,8 @@
 	}
 	o.after(0, o.arrive)
 	for len(o.events) > 0 && o.second() < seconds {
-		e := heap.Pop(&o.events).(event)
-		o.now = e.at
+		e := o.events[0]
+		o.events, o.now = o.events[1:], e.at
 		e.do()
 	}
 	return o
--- a/internal/task/local/cold_test.go
+++ b/internal/task/local/cold_test.go
@@ -24,7 +24,7 @@
 // A coldTarget is a target that tells in its health responses for how many milliseconds it stays cold.
 type coldTarget struct {
 	*rawTarget
-	untilWarm, healthChecks, calls atomic.Int64
+	untilWarm, healthChecks atomic.Int64
 }
 
 func newColdTarget(t *testing.T, at string, untilWarm int64) *coldTarget {
@@ -36,7 +36,6 @@
 			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTest-Cold: %d\r\n\r\n", c.untilWarm.Load())
 			return true
 		}
-		c.calls.Add(1)
 		return answerOK(w, r, body)
 	})
 	return c
