Do not limit a warm target whose connections are closed often

A target that closes connections after some requests would have been limited as if it were cold for up to 0.2 s each time. Its state is now checked early only if it runs no call, and a check within the last 0.2 s counts as recent. The tests of cold targets pass.

--- a/internal/policy/warm/warm.go
+++ b/internal/policy/warm/warm.go
@@ -212,7 +212,7 @@
 	}
 	until := l.coldUntil
 	switch {
-	case l.checkStale(now) && l.checkRequestedAt.IsZero():
+	case l.checkRequestedAt.IsZero() && l.checkStale(now) && now.Sub(l.lastRequestedAt) >= minCheckInterval:
 		until = later(until, now.Add(checkTimeout))
 	case !l.checkRequestedAt.IsZero():
 		until = later(until, l.checkRequestedAt.Add(checkTimeout))
--- a/internal/task/local/run.go
+++ b/internal/task/local/run.go
@@ -257,7 +257,7 @@
 	t.suspectCrash(c)
 	t.idle = slices.Delete(t.idle, i, i+1)
 	c.close()
-	if len(t.idle) == 0 {
+	if len(t.idle) == 0 && t.gate.InFlight() == 0 {
 		// The target may have been replaced while it ran no call.
 		t.coldLimit.Recheck()
 	}
