Ignore health responses from before the start of a target

A check that was requested before the entry of a new process was read could be answered by the process before, and a cold target then counted as warm.

--- a/internal/task/local/cold.go
+++ b/internal/task/local/cold.go
@@ -14,19 +14,22 @@
 	}
 	t.checking = true
 	// If the mailbox is full, a measurement has been requested, and its response tells as much.
-	if t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath}) {
+	if t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath, now}) {
 		t.onMeasure()
 	}
 }
 
-// recordColdTime records what the response to a health check tells of the target's state.
-func (t *Task) recordColdTime(c coldTime, now time.Time) {
-	if !t.coldLimit.Enabled() {
+// recordColdTime records what the response to a health check tells of the target's state. The response to a check that
+// was requested before the target started may be that of the process before.
+func (t *Task) recordColdTime(c coldTime, requestedAt, now time.Time) {
+	switch {
+	case !t.coldLimit.Enabled():
 		return
-	}
-	if c.known {
+	case requestedAt.Before(t.targetStartedAt):
+		t.coldLimit.Recheck()
+	case c.known:
 		t.coldLimit.RecordHealth(c.untilWarm, now)
-	} else {
+	default:
 		t.coldLimit.RecordNoHealth(now)
 	}
 	t.noteColdState(now)
@@ -37,6 +40,7 @@
 	if !t.coldLimit.Enabled() {
 		return
 	}
+	t.targetStartedAt = now
 	t.coldLimit.RecordStart(now)
 	t.checkColdState(now)
 	t.noteColdState(now)
--- a/internal/task/local/cold_test.go
+++ b/internal/task/local/cold_test.go
@@ -270,7 +270,7 @@
 				for range test.before {
 					f.send(call.Request{URI: "/sound"})
 				}
-				f.inbox.Put(measurement{target.address(), loadMissing{coldTime{untilWarm: time.Minute, known: true}}}, nil)
+				f.inbox.Put(measurement{target.address(), loadMissing{coldTime{untilWarm: time.Minute, known: true}}, time.Now()}, nil)
 				f.waitUntil("the target is cold", func() bool { return f.load().UntilWarm > 0 })
 				if test.before == 0 {
 					time.Sleep(1100 * time.Millisecond) // crashes within half a second count as one
--- a/internal/task/local/local.go
+++ b/internal/task/local/local.go
@@ -52,16 +52,18 @@
 	draining    bool
 	drained     chan<- struct{}
 
-	gate          *admit.Gate
-	coldLimit     *warm.Limiter
-	cold          bool // the target was cold when that was last looked at
-	checking      bool // a health check for coldLimit has been requested and has not ended
-	coldOverage   float64
-	coldSlack     float64
-	ledger        *ledger.Ledger
-	crashes       *crash.Table
-	suspects      *crash.Registry
-	crashThrottle crash.Throttle
+	gate      *admit.Gate
+	coldLimit *warm.Limiter
+	cold      bool // the target was cold when that was last looked at
+	// targetStartedAt is when the last start of the target was observed, or zero.
+	targetStartedAt time.Time
+	checking        bool // a health check for coldLimit has been requested and has not ended
+	coldOverage     float64
+	coldSlack       float64
+	ledger          *ledger.Ledger
+	crashes         *crash.Table
+	suspects        *crash.Registry
+	crashThrottle   crash.Throttle
 	// suspectsChanged is when evidence on suspects was last sent to all peers.
 	suspectsChanged time.Time
 	calls           map[call.ID]*activeCall
--- a/internal/task/local/measure.go
+++ b/internal/task/local/measure.go
@@ -32,12 +32,14 @@
 type measureRequest struct {
 	target netip.AddrPort
 	path   string
+	at     time.Time // when it was requested
 }
 
-// A measurement is the result of a measureRequest.
+// A measurement is the result of a measureRequest. requestedAt is the time of the request.
 type measurement struct {
-	target netip.AddrPort
-	result measureResult
+	target      netip.AddrPort
+	result      measureResult
+	requestedAt time.Time
 }
 
 func (measurement) message() {}
@@ -78,7 +80,7 @@
 			case q := <-requests.C():
 				var m measureResult = noResponse{}
 				guard.Run("measurement of a target", func() { m = c.measure(q) })
-				taskInbox.Put(measurement{q.target, m}, done)
+				taskInbox.Put(measurement{q.target, m, q.at}, done)
 			case <-done:
 				return
 			}
@@ -183,7 +185,7 @@
 		// Its response contains the load as well.
 		return
 	}
-	if t.target.HealthPath == "" || !t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath}) {
+	if t.target.HealthPath == "" || !t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath, t.clock.Now()}) {
 		// 0 means unknown.
 		t.gate.RecordSlowness(0, t.clock.Now())
 		return
@@ -217,6 +219,6 @@
 			t.markDown(r.refused, now)
 		}
 	}
-	t.recordColdTime(cold, now)
+	t.recordColdTime(cold, m.requestedAt, now)
 	t.advanceGate(now)
 }
--- a/internal/task/local/measure_test.go
+++ b/internal/task/local/measure_test.go
@@ -97,7 +97,7 @@
 			fastest, reports := time.Minute, 0
 			for range 20 {
 				started := time.Now()
-				switch got := c.measure(measureRequest{target.address(), "/health"}).(type) {
+				switch got := c.measure(measureRequest{target.address(), "/health", time.Now()}).(type) {
 				case loadReported:
 					reports++
 					qt.Assert(t, got.load.Slowness, qt.Equals, float64(asked.Load()))
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -62,6 +62,7 @@
 func (t *Task) resetTargetState(target note.Target) {
 	now := t.clock.Now()
 	if t.ledger != nil {
+		t.targetStartedAt = now
 		t.coldLimit.RecordStart(now)
 		t.incarnation = ident.NewIncarnation()
 	}
