--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -52,7 +52,10 @@
 	CrashReportsReceived           = Event{4007, "CrashReportsReceived", Info}
 	CrashEvidenceDropped           = Event{4008, "CrashEvidenceDropped", Warning} // the VM has a target of another service, so the evidence on requests of the former one was discarded
 	CrashSuspect                   = Event{4009, "CrashSuspect", Warning}         // what is known of a request that was in flight during several crashes has changed
-	TargetEvacuated                = Event{4014, "TargetEvacuated", Info}         // the data centre of the target beside this daemon is evacuated
+	TargetCold                     = Event{4010, "TargetCold", Info}
+	TargetWarm                     = Event{4011, "TargetWarm", Info}
+	ColdTargetCrashed              = Event{4012, "ColdTargetCrashed", Warning} // a cold target got more requests than it tolerates and crashed; the crash counts against none of them
+	TargetEvacuated                = Event{4014, "TargetEvacuated", Info}      // the data centre of the target beside this daemon is evacuated
 	TargetRestored                 = Event{4015, "TargetRestored", Info}
 	CallSent                       = Event{5001, "CallSent", Decision}        // the entry daemon sent an attempt to a target's daemon
 	CallRetried                    = Event{5002, "CallRetried", Decision}     // the entry daemon retries a call
@@ -78,7 +81,7 @@
 		DataCentreEvacuated, DataCentreRestored, StoreRestored, StoreEraUnreadable,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent, BodyFailed,
 		TargetAdded, TargetWithdrawn, TargetConnectionsNotClosed, TargetDown, TargetUp, TargetCrashed, CrashReportsReceived,
-		CrashEvidenceDropped, CrashSuspect, TargetEvacuated, TargetRestored,
+		CrashEvidenceDropped, CrashSuspect, TargetCold, TargetWarm, ColdTargetCrashed, TargetEvacuated, TargetRestored,
 		CallSent, CallRetried, CallConcluded, CallQueued, CallDispatched, CallEnded, CallBounced, CallRefused,
 		CallInFlightAtCrash, BodyRequested, BodyNotSent, RetryWithheld,
 	}
--- a/internal/task/local/measure.go
+++ b/internal/task/local/measure.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"time"
 
 	"github.com/juju/errors"
@@ -31,12 +32,14 @@
 type measureRequest struct {
 	target netip.AddrPort
 	path   string
+	at     time.Time // when it was requested
 }
 
-// A measurement is the result of a measureRequest.
+// A measurement is the result of a measureRequest. requestedAt is the time of the request.
 type measurement struct {
-	target netip.AddrPort
-	result measureResult
+	target      netip.AddrPort
+	result      measureResult
+	requestedAt time.Time
 }
 
 func (measurement) message() {}
@@ -45,13 +48,23 @@
 type measureResult interface{ measureResult() }
 
 // loadReported means that the target reported its load.
-type loadReported struct{ load call.TargetLoad }
+type loadReported struct {
+	load call.TargetLoad
+	coldTime
+}
 
 // loadMissing means that the response contains no load.
-type loadMissing struct{}
+type loadMissing struct{ coldTime }
 
-// noResponse means that no valid response arrived within the timeout.
-type noResponse struct{}
+// noResponse means that no valid response arrived within the timeout. refused is the error if the target has refused the
+// connection, or nil.
+type noResponse struct{ refused error }
+
+// A coldTime is how long the target stays cold, if the response tells.
+type coldTime struct {
+	untilWarm time.Duration
+	known     bool
+}
 
 func (loadReported) measureResult() {}
 func (loadMissing) measureResult()  {}
@@ -67,7 +80,7 @@
 			case q := <-requests.C():
 				var m measureResult = noResponse{}
 				guard.Run("measurement of a target", func() { m = c.measure(q) })
-				taskInbox.Put(measurement{q.target, m}, done)
+				taskInbox.Put(measurement{q.target, m, q.at}, done)
 			case <-done:
 				return
 			}
@@ -91,13 +104,18 @@
 	if err != nil && reused {
 		h, err = c.query(q)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return noResponse{refused: err}
+	case err != nil:
 		return noResponse{}
 	}
+	var cold coldTime
+	cold.untilWarm, cold.known = c.dialect.UntilWarmOf(h)
 	if load, ok := c.dialect.TargetLoad(h); ok {
-		return loadReported{load}
+		return loadReported{load, cold}
 	}
-	return loadMissing{}
+	return loadMissing{cold}
 }
 
 func (c *loadClient) query(q measureRequest) (http.Header, error) {
@@ -163,7 +181,11 @@
 
 // measure starts a measurement of the target's load if the service has a health path.
 func (t *Task) measure() {
-	if t.target.HealthPath == "" || !t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath}) {
+	if t.checking {
+		// Its response contains the load as well.
+		return
+	}
+	if t.target.HealthPath == "" || !t.measureRequests.TryPut(measureRequest{t.target.Address, t.target.HealthPath, t.clock.Now()}) {
 		// 0 means unknown.
 		t.gate.RecordSlowness(0, t.clock.Now())
 		return
@@ -175,19 +197,28 @@
 // for no measurement until the response to a call contains a load: a request to the health path may wait for a free
 // slot of the target, and each call would wait for that measurement.
 func (t *Task) handleMeasurement(m measurement) {
+	t.checking = false
 	if !t.hasTarget || m.target != t.target.Address {
 		return
 	}
 	now := t.clock.Now()
+	var cold coldTime
 	switch r := m.result.(type) {
 	case loadReported:
 		t.gate.RecordSlowness(r.load.Slowness, now)
+		cold = r.coldTime
 	case loadMissing:
 		// 0 means unknown.
 		t.gate.RecordSlowness(0, now)
+		cold = r.coldTime
 	case noResponse:
 		// 1 is the usual speed, so that calls do not wait for a target whose health path does not respond.
 		t.gate.RecordSlowness(1, now)
+		if r.refused != nil && t.coldLimit.Enabled() && !t.down {
+			// The target is probed from now on, so that its start is observed even if it gets no calls.
+			t.markDown(r.refused, now)
+		}
 	}
+	t.recordColdTime(cold, m.requestedAt, now)
 	t.advanceGate(now)
 }
