Treat a response with a status outside 200 to 599 as failed

Cause: a status below 100 was skipped like an interim response. The bytes behind it, its own body included, were then taken for the response to the call, and a status line of 000 alone let the call wait for its deadline. 600 to 999 were passed on. Replies of peers were not checked, and the front wrote every status. A response with a status of 101 and the ID of another call was skipped, so that the bytes behind it answered the call. Errors of the HTTP parser quoted the bytes of the target in the response to the caller.

Change: only 100 and 102 to 199 are skipped. Any other status outside 200 to 599 ends the call as Unknown with AnswerCut, before its length or request ID is used, and the connection is closed. A reply of a peer with such a status is decoded as Unknown, without an error that would end the other calls of the session. The front checks each answer once more. The health path is read with the same rules. Errors of the parser are reported without their quotes.

--- a/internal/base/call/call.go
+++ b/internal/base/call/call.go
@@ -84,6 +84,17 @@
 	Replayed bool
 }
 
+// IsFinalStatus reports whether a status code is one of a final response.
+func IsFinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
+// Checked returns the outcome, or Unknown for an answer whose status is not one of a final response.
+func Checked(o Outcome) Outcome {
+	if a, ok := o.(Answered); ok && !IsFinalStatus(a.Status) {
+		return Unknown{Kind: errs.AnswerCut, Detail: "a final response cannot have the status " + strconv.Itoa(a.Status)}
+	}
+	return o
+}
+
 // Refused means that this attempt did not run.
 type Refused struct {
 	Kind       errs.Kind
--- a/internal/task/front/exchange.go
+++ b/internal/task/front/exchange.go
@@ -25,6 +25,7 @@
 
 // finish sets the outcome of an exchange.
 func (t *Task) finish(e *exchange, o call.Outcome) {
+	o = call.Checked(o)
 	e.outcome = o
 	if answered, ok := o.(call.Answered); ok {
 		e.heldBytes = len(answered.Body)
--- a/internal/task/front/reader_test.go
+++ b/internal/task/front/reader_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/task/front"
 	"jacinthcross/internal/task/router"
@@ -114,3 +116,24 @@
 		}
 	}
 }
+
+// Guards against writing a status that is not one of a final response, and against passing on its header or body.
+func TestInvalidStatusIsNotWritten(t *testing.T) {
+	for _, status := range []int{-200, 0, 1, 99, 100, 101, 199, 600, 999, 2000} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			f := startFixture(t)
+			c := dial(t, f)
+			c.send(getRequest)
+			s := nextMessage[router.Submit](t, f)
+			s.Reply.TryPut(router.Answer{ID: s.ID, Outcome: call.Answered{Status: status, Header: []call.Field{{Name: "Leaked", Value: "x"}}, Body: []byte("leaked")}})
+			r := c.response(http.MethodGet)
+			qt.Assert(t, r.status, qt.Equals, http.StatusBadGateway)
+			qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, string(errs.Unknown))
+			qt.Assert(t, r.header.Get("Leaked")+r.body, qt.Not(qt.Contains), "leaked")
+			qt.Assert(t, r.header.Get("Leaked"), qt.Equals, "")
+			c.send(getRequest)
+			reply(nextMessage[router.Submit](t, f), "next")
+			qt.Assert(t, c.response(http.MethodGet).body, qt.Equals, "next")
+		})
+	}
+}
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -181,17 +181,38 @@
 	}
 }
 
-// readFinal reads the final response, skipping interim ones. It returns 101 Switching Protocols, which no final
-// response follows.
+// readFinal reads the first response that is not an interim one. Its status may be invalid: a status below 100 is not
+// skipped, since what follows would be taken for the response to the call. Nor is 101 Switching Protocols, which no final
+// response follows. The status of such a response is invalid too.
 func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
 		r, err := http.ReadResponse(reader, request)
-		if err != nil || r.StatusCode >= http.StatusOK || r.StatusCode == http.StatusSwitchingProtocols {
-			return r, err
+		if err != nil {
+			return nil, withoutText(err)
+		}
+		if !isInterim(r.StatusCode) {
+			return r, nil
 		}
 	}
 }
 
+// errMalformed is the error of a response whose status line or header cannot be parsed.
+const errMalformed = errors.ConstError("the status line or the header of the response is malformed")
+
+// withoutText replaces the errors of the HTTP parser, which quote bytes of the response, since the error is reported to
+// the caller.
+func withoutText(err error) error {
+	var n net.Error
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &n) {
+		return err
+	}
+	return errMalformed
+}
+
+func isInterim(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
+
 // errPanicked is the error of a call whose response made its handler panic.
 const errPanicked = errors.ConstError("the daemon failed while it read the response of the target: see the HandlerPanicked event in the log")
 
@@ -206,6 +227,10 @@
 		if err != nil {
 			return c.newResult(j, nil, err, false)
 		}
+		if !call.IsFinalStatus(r.StatusCode) {
+			// Neither the end of such a response nor its request ID is relied on, so nothing behind it is read.
+			return c.newResult(j, r, nil, false)
+		}
 		// The method matters only for calls that use roundTrip (see mayOmitBody), so GET stands for any method here.
 		if c.isFramed(http.MethodGet, r) {
 			limited.N = math.MaxInt64
--- a/internal/task/local/measure.go
+++ b/internal/task/local/measure.go
@@ -135,10 +135,13 @@
 		return nil, errors.Trace(err)
 	}
 	c.limited.N = maxHealthHeader + maxHealthBody
-	r, err := http.ReadResponse(c.reader, nil)
+	r, err := readFinal(c.reader, nil)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
+	if !call.IsFinalStatus(r.StatusCode) {
+		return nil, errors.NotValidf("status %q of the health path", r.Status)
+	}
 	r.Body = io.NopCloser(r.Body) // closing the original body would read the rest of it
 	defer r.Body.Close()
 	if r.ContentLength < 0 || r.ContentLength > maxHealthBody || r.Close {
--- a/internal/task/local/response.go
+++ b/internal/task/local/response.go
@@ -23,6 +23,8 @@
 		m.outcome, m.dialFailed = call.Refused{Kind: errs.TargetDown, Detail: err.Error()}, true
 	case err != nil:
 		m.outcome, m.connLost = call.Unknown{Kind: errs.TargetFailed, Detail: fmt.Sprintf("target %s: %v", c.target, err)}, true
+	case !call.IsFinalStatus(response.StatusCode):
+		m.outcome = call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("target %s: a final response cannot have the status %d", c.target, response.StatusCode)}
 	default:
 		m.outcome = c.checkResponse(j, response)
 		m.load, m.hasLoad = c.dialect.TargetLoad(response.Header)
@@ -38,7 +40,7 @@
 func (c *conn) checkResponse(j job, r *http.Response) call.Outcome {
 	// Without framing, a truncated or empty body cannot be told from a complete body: the HTTP parser reports no error.
 	if !c.isFramed(j.request.Method, r) {
-		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("target %s: the end of the response is unknown: it has neither Content-Length nor chunked encoding, or it switches protocols", c.target)}
+		return call.Unknown{Kind: errs.AnswerCut, Detail: fmt.Sprintf("target %s: the end of the response is unknown: it has neither Content-Length nor chunked encoding", c.target)}
 	}
 	if c.isForOtherCall(j, r) {
 		return call.Unknown{Kind: errs.AnswerForeign, Detail: fmt.Sprintf("target %s: the response belongs to request %q", c.target, r.Header.Get(c.dialect.RequestID))}
@@ -98,10 +100,6 @@
 
 // isFramed reports whether the response shows where it ends.
 func (c *conn) isFramed(method string, r *http.Response) bool {
-	// After 101 Switching Protocols no final response follows.
-	if r.StatusCode < http.StatusOK {
-		return false
-	}
 	// net/http moves the encoding to TransferEncoding; other HTTP parsers leave it in the header.
 	chunked := slices.Contains(r.TransferEncoding, "chunked") || strings.EqualFold(r.Header.Get("Transfer-Encoding"), "chunked")
 	return hasNoBody(method, r) || r.ContentLength >= 0 || chunked || c.dialect.AllowBodyUntilClose
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -133,3 +133,20 @@
 	}
 	return "reply"
 }
+
+// Guards against an answer of a peer whose status is not one of a final response. The call may have run, so its outcome is
+// unknown. The message is not an error, which would end all calls of the session.
+func TestInvalidStatusOfAPeer(t *testing.T) {
+	for _, status := range []int{-200, 0, 1, 99, 100, 101, 199, 600, 999, 2000} {
+		var b bytes.Buffer
+		_, err := codec.Write(&b, codec.Reply{Number: 9, Result: call.Result{Sent: true, Outcome: call.Answered{Status: status, Body: []byte("body")}}}, now)
+		qt.Assert(t, err, qt.IsNil)
+		got, _, err := codec.Read(&b, 1<<20, time.Now)
+		qt.Assert(t, err, qt.IsNil)
+		r, ok := got.(codec.Reply)
+		qt.Assert(t, ok, qt.IsTrue)
+		o, ok := r.Result.Outcome.(call.Unknown)
+		qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%d: %#v", status, r.Result.Outcome))
+		qt.Assert(t, o.Kind, qt.Equals, errs.AnswerCut)
+	}
+}
--- a/internal/wire/codec/decode.go
+++ b/internal/wire/codec/decode.go
@@ -114,6 +114,7 @@
 	default:
 		return nil, errors.NotValidf("call reply without an outcome")
 	}
+	r.Outcome = call.Checked(r.Outcome)
 	return Reply{Result: r, Number: p.GetNumber()}, nil
 }
 
