Keep memory and descriptors from untrusted clients

Cause: chunks and headers that had not ended were held outside the account of memory, and the HTTP library copied an incomplete body with each read. The readiness and admin addresses kept bodies and headers of any size, and any number of connections for 120 s. Connections of callers and peers had limits above the descriptors of the VMs. Messages of peers were given memory by their announced length.

Change: the front decodes bodies itself, with memory that grows with the bytes received, and counts headers, requests sent ahead and responses in one account. When memory or connections run short, the task closes idle connections, then those without progress, slow ones and the largest (policy/evict), never one with a call in flight, and refuses what still does not fit as not run. Bodies above 64 KiB leave an eighth of the account to others. The readiness and admin addresses use the server of the standard library with limits for headers, times and connections, and refuse bodies. The descriptors are divided between callers, peers and operators. Settings: MaxConnections, MinBytesPerSecond, MaxDescriptors, MemoryMB; the template sets the last two from the VM. The event LimitReached and the metric jacinthcross_limits_total tell when a limit is reached. A large body is written to the target without a copy, so that one of 64 MiB fits on a VM of 184 MB.

--- a/internal/base/event/list.go
+++ b/internal/base/event/list.go
@@ -18,6 +18,7 @@
 	PartStopped                    = Event{1012, "PartStopped", Info}      // one group of tasks has stopped during shutdown
 	HandlerPanicked                = Event{1013, "HandlerPanicked", Error} // a handler of bytes from outside panicked; its connection is closed
 	BoundsInForce                  = Event{1014, "BoundsInForce", Info}    // the limits that the platform sets for this daemon
+	LimitReached                   = Event{1015, "LimitReached", Warning}  // clients reached a limit; logged at most once a second for each limit
 	ReleaseInForce                 = Event{2001, "ReleaseInForce", Info}
 	NoteRefused                    = Event{2002, "NoteRefused", Error} // a release note was refused; logged once for each mistake in it
 	ConfigurationServiceUnreadable = Event{2003, "ConfigurationServiceUnreadable", Warning}
@@ -62,7 +63,7 @@
 func All() []Event {
 	return []Event{
 		DaemonStarted, DrainStarted, DaemonStopped, TaskFailed, LogLinesDropped, SettingsReloaded, SettingsRefused, SettingsNeedRestart, MachineSuspended,
-		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce,
+		DrainTimedOut, StopTimedOut, PartStopped, HandlerPanicked, BoundsInForce, LimitReached,
 		ReleaseInForce, NoteRefused, ConfigurationServiceUnreadable, NoteAccepted, NoteConflict, VMListUnreadable,
 		StoreLost, StoreRegained, StoreHistoryGone, EntryUnusable, ConfigUnusable, StoreDuty, StoreChangesTooLarge, ConfigPartUnusable,
 		LinkOpened, LinkFailed, PeerMessageRefused, PeerVersionMismatch, PeerDraining, PeerSilent,
--- a/internal/base/form/form.go
+++ b/internal/base/form/form.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -176,6 +177,28 @@
 	if !ok {
 		return fallback
 	}
+	return t.inRange(key, v, low, high, fallback)
+}
+
+// IntText is like Int for a key whose value may also be a text, as templates write it. An empty text counts as missing.
+func (t *Table) IntText(key string, low, high, fallback int64) int64 {
+	if _, isText := t.values[key].(string); !isText {
+		return t.Int(key, low, high, fallback)
+	}
+	text := t.String(key)
+	if text == "" {
+		return fallback
+	}
+	v, err := strconv.ParseInt(text, 10, 64)
+	if err != nil {
+		t.AddMistake(key, "is %q, want an integer", text)
+		return fallback
+	}
+	return t.inRange(key, v, low, high, fallback)
+}
+
+// inRange returns an integer from low to high, or fallback.
+func (t *Table) inRange(key string, v, low, high, fallback int64) int64 {
 	if v < low || v > high {
 		if high == math.MaxInt64 {
 			t.AddMistake(key, "is %d, want at least %d", v, low)
--- a/internal/base/meter/meter.go
+++ b/internal/base/meter/meter.go
@@ -38,6 +38,7 @@
 	probes       metric.Int64Counter
 	controlBytes metric.Int64Counter
 	events       metric.Int64Counter
+	limits       metric.Int64Counter
 	attributes   attributeCache
 }
 
@@ -60,6 +61,7 @@
 		hedges:       b.counter("jacinthcross.hedges", "hedged attempts, by whether the hedge won"),
 		probes:       b.counter("jacinthcross.probes", "probes of load"),
 		controlBytes: b.counter("jacinthcross.control.bytes", "bytes of control messages, by direction"),
+		limits:       b.counter("jacinthcross.limits", "connections closed and requests refused because clients reached a limit, by limit"),
 		events:       b.counter("jacinthcross.events", "log events of the process, by name"),
 	}
 	m.durations, err = b.meter.Float64Histogram("jacinthcross.call.duration",
@@ -114,6 +116,9 @@
 	addWithAttribute(m.controlBytes, "direction", string(d), int64(bytes))
 }
 
+// RecordLimit counts connections that were closed, or requests or connections that were refused, because of a limit.
+func (m *Meter) RecordLimit(name string, n int) { addWithAttribute(m.limits, "limit", name, int64(n)) }
+
 // RecordEvent counts a log event.
 func (m *Meter) RecordEvent(name string) { addWithAttribute(m.events, "name", name, 1) }
 
--- a/internal/base/meter/meter_test.go
+++ b/internal/base/meter/meter_test.go
@@ -27,6 +27,7 @@
 	{"RecordControlBytes", func(m *meter.Meter) { m.RecordControlBytes(meter.Sent, 1) }},
 	{"RecordEvent", func(m *meter.Meter) { m.RecordEvent("DaemonStarted") }},
 	{"RecordHedge", func(m *meter.Meter) { m.RecordHedge(true) }},
+	{"RecordLimit", func(m *meter.Meter) { m.RecordLimit("MaxConnections", 1) }},
 	{"RecordProbe", func(m *meter.Meter) { m.RecordProbe() }},
 	{"RecordRefusal", func(m *meter.Meter) { m.RecordRefusal(errs.Busy) }},
 	{"RecordRetry", func(m *meter.Meter) { m.RecordRetry("LinkLost") }},
--- a/internal/base/quota/quota.go
+++ b/internal/base/quota/quota.go
@@ -28,6 +28,9 @@
 	return q.used
 }
 
+// Limit returns the limit of the Quota in bytes.
+func (q *Quota) Limit() int { return q.limit }
+
 // NewAccount returns an Account for one task. It reserves no bytes.
 func (q *Quota) NewAccount() *Account { return &Account{quota: q} }
 
@@ -49,6 +52,22 @@
 	return true
 }
 
+// TryAcquireLeaving takes n bytes if at least rest bytes are left afterwards. own is what the same body has taken before. If
+// others use less than rest, it may take all of the limit, so that the rest that is kept for others makes no body
+// impossible.
+func (a *Account) TryAcquireLeaving(n, rest, own int) bool {
+	a.quota.mu.Lock()
+	defer a.quota.mu.Unlock()
+	if a.quota.used-own < rest {
+		rest = 0
+	}
+	if a.closed || a.quota.used+n > a.quota.limit-rest {
+		return false
+	}
+	a.adjust(n)
+	return true
+}
+
 // AcquireOverLimit takes n bytes for a response, even above the limit, since a call that has run must be answered.
 func (a *Account) AcquireOverLimit(n int) {
 	a.quota.mu.Lock()
--- a/internal/bench/crowd/crowd_test.go
+++ b/internal/bench/crowd/crowd_test.go
@@ -1,10 +1,14 @@
 package crowd
 
 import (
+	"bufio"
 	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -125,3 +129,52 @@
 	}
 	return err
 }
+
+// Guards against limits that refuse a single request inside the limits of the docs in calm, and against one that takes more
+// than the memory of the smallest VM leaves to the daemon.
+func TestLegalRequests(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes, whose memory the race detector multiplies")
+	}
+	const (
+		largest    = 64 << 20
+		maxMemory  = 160 << 20
+		withBodies = "MaxBody = 67108864\nMaxBodyMemory = 67108864\nMaxHeader = 16384\nMemoryMB = 184"
+	)
+	x := strings.Repeat("x", 1<<20)
+	tests := []struct {
+		name  string
+		crowd Crowd
+	}{
+		{"largest body", Crowd{Text: func(p string) string {
+			return post(p, "Content-Length: 67108864\r\n") + strings.Repeat(x, largest>>20)
+		}}},
+		{"largest body in small pieces", Crowd{Piece: 4096, Text: func(p string) string {
+			return post(p, "Content-Length: 67108864\r\n") + strings.Repeat(x, largest>>20)
+		}}},
+		{"largest body in chunks", Crowd{Text: func(p string) string {
+			return post(p, chunked) + strings.Repeat("100000\r\n"+x+"\r\n", largest>>20) + "0\r\n\r\n"
+		}}},
+		{"largest header", Crowd{Text: func(p string) string { return get(p, shortFields(16_200)) }}},
+		{"slow", Crowd{Slow: true, Piece: 2, Text: func(p string) string { return post(p, "Content-Length: 40\r\n") + x[:40] }}},
+	}
+	n, err := StartNode(os.Args[0], t.TempDir(), withBodies)
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(n.Stop)
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			used := n.Watch()
+			c, err := net.Dial("tcp", n.Callers().String())
+			qt.Assert(t, err, qt.IsNil)
+			defer c.Close()
+			qt.Assert(t, c.SetDeadline(time.Now().Add(20*time.Second)), qt.IsNil)
+			test.crowd.send(context.Background(), c, test.crowd.Text("/upload/x"))
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			qt.Assert(t, err, qt.IsNil)
+			defer r.Body.Close()
+			qt.Check(t, r.StatusCode, qt.Equals, http.StatusOK)
+			bytes := used().Bytes
+			qt.Check(t, bytes <= maxMemory, qt.IsTrue, qt.Commentf("%d MiB in use", bytes>>20))
+		})
+	}
+}
--- a/internal/bench/crowd/node.go
+++ b/internal/bench/crowd/node.go
@@ -64,6 +64,9 @@
 	n.site.PublishConfig([]string{"catalogue"}, fake.Route{
 		Name: "read", Host: "shop.example", Prefix: "/read/", Timeout: time.Second, TargetLatency: 500 * time.Millisecond, Priority: 1, Attempts: 2,
 		Weights: map[string]int{"catalogue": 1},
+	}, fake.Route{
+		Name: "upload", Host: "shop.example", Prefix: "/upload/", Timeout: 10 * time.Second, TargetLatency: 5 * time.Second, Priority: 1, Attempts: 1,
+		Weights: map[string]int{"catalogue": 1},
 	})
 	s := n.vm.Settings
 	store, ok := s.Source.(conf.StoreSource)
--- a/internal/cli/conf/conf.go
+++ b/internal/cli/conf/conf.go
@@ -39,6 +39,15 @@
 	MaxHeader int
 	// MaxBodyMemory limits the total size in bytes of the bodies of all requests and responses in flight.
 	MaxBodyMemory int
+	// MaxConnections limits the open connections of callers. 0 means the part of the descriptors that is meant for them.
+	MaxConnections int
+	// MinBytesPerSecond is the rate below which the request of a caller may be given up when memory or connections are
+	// short.
+	MinBytesPerSecond int
+	// MaxDescriptors limits the descriptors of the process. 0 means the limit of the system.
+	MaxDescriptors int
+	// MemoryMB is the memory of the VM in MB. 0 means unknown.
+	MemoryMB int
 	// KeyEpoch is the length of an ident.Epoch. A key is valid for two to three epochs.
 	KeyEpoch time.Duration
 }
@@ -78,12 +87,21 @@
 	// defaultMaxBodyMemory is half of the 64 MB that a daemon may use.
 	defaultMaxBodyMemory = 32 << 20
 	maxMaxBodyMemory     = 4 << 30
-	defaultMaxHeader     = 64 << 10
-	minMaxHeader         = 1 << 10
-	maxMaxHeader         = 1 << 20
-	defaultKeyEpoch      = 5 * time.Minute
-	minKeyEpoch          = time.Second
-	maxKeyEpoch          = 24 * time.Hour
+	minMaxConnections    = 16
+	maxMaxConnections    = 1 << 20
+	minMaxDescriptors    = 128
+	maxMaxDescriptors    = 1 << 20
+	// defaultMinBytesPerSecond lets a header of 16 KiB take 16 s.
+	defaultMinBytesPerSecond = 1 << 10
+	maxMinBytesPerSecond     = 1 << 20
+	minMemoryMB              = 64
+	maxMemoryMB              = 1 << 20
+	defaultMaxHeader         = 64 << 10
+	minMaxHeader             = 1 << 10
+	maxMaxHeader             = 1 << 20
+	defaultKeyEpoch          = 5 * time.Minute
+	minKeyEpoch              = time.Second
+	maxKeyEpoch              = 24 * time.Hour
 	// maxNameLength limits names in settings. Release notes have the same limit.
 	maxNameLength = 128
 )
@@ -115,21 +133,25 @@
 func readSettings(t *form.Table) *Settings {
 	listen, platform, limits := t.Table("Listen"), t.Table("Platform"), t.Table("Limits")
 	s := &Settings{
-		VM:            ident.VM(readName(t, "VM", true)),
-		DataCentre:    ident.DataCentre(readName(t, "DataCentre", true)),
-		Region:        ident.Region(readName(t, "Region", false)),
-		Profile:       readProfile(t),
-		Callers:       listen.RequiredAddress("Callers"),
-		Peers:         listen.RequiredAddress("Peers"),
-		Admin:         listen.RequiredAddress("Admin"),
-		Ready:         optionalAddress(listen, "Ready"),
-		Service:       ident.Service(readName(t, "Service", false)),
-		Target:        optionalAddress(t, "Target"),
-		Source:        readSource(platform),
-		MaxBody:       int(limits.Int("MaxBody", minMaxBody, maxMaxBody, defaultMaxBody)),
-		MaxHeader:     int(limits.Int("MaxHeader", minMaxHeader, maxMaxHeader, defaultMaxHeader)),
-		MaxBodyMemory: int(limits.Int("MaxBodyMemory", minMaxBody, maxMaxBodyMemory, defaultMaxBodyMemory)),
-		KeyEpoch:      limits.Duration("KeyEpoch", defaultKeyEpoch),
+		VM:                ident.VM(readName(t, "VM", true)),
+		DataCentre:        ident.DataCentre(readName(t, "DataCentre", true)),
+		Region:            ident.Region(readName(t, "Region", false)),
+		Profile:           readProfile(t),
+		Callers:           listen.RequiredAddress("Callers"),
+		Peers:             listen.RequiredAddress("Peers"),
+		Admin:             listen.RequiredAddress("Admin"),
+		Ready:             optionalAddress(listen, "Ready"),
+		Service:           ident.Service(readName(t, "Service", false)),
+		Target:            optionalAddress(t, "Target"),
+		Source:            readSource(platform),
+		MaxBody:           int(limits.Int("MaxBody", minMaxBody, maxMaxBody, defaultMaxBody)),
+		MaxHeader:         int(limits.Int("MaxHeader", minMaxHeader, maxMaxHeader, defaultMaxHeader)),
+		MaxBodyMemory:     int(limits.Int("MaxBodyMemory", minMaxBody, maxMaxBodyMemory, defaultMaxBodyMemory)),
+		MaxConnections:    int(limits.Int("MaxConnections", minMaxConnections, maxMaxConnections, 0)),
+		MinBytesPerSecond: int(limits.Int("MinBytesPerSecond", 1, maxMinBytesPerSecond, defaultMinBytesPerSecond)),
+		MaxDescriptors:    int(limits.IntText("MaxDescriptors", minMaxDescriptors, maxMaxDescriptors, 0)),
+		MemoryMB:          int(limits.IntText("MemoryMB", minMemoryMB, maxMemoryMB, 0)),
+		KeyEpoch:          limits.Duration("KeyEpoch", defaultKeyEpoch),
 	}
 	if s.KeyEpoch < minKeyEpoch || s.KeyEpoch > maxKeyEpoch {
 		limits.AddMistake("KeyEpoch", "is %s, want %s to %s", s.KeyEpoch, minKeyEpoch, maxKeyEpoch)
--- a/internal/cli/conf/conf_test.go
+++ b/internal/cli/conf/conf_test.go
@@ -49,6 +49,10 @@
 		{"https", "Config = \"http:", "Config = \"https:", []string{"line 12: Platform.Config: is \"https:"}},
 		{"seed", "10.0.0.2:7000", "10.0.0.2", []string{"line 14: Platform.Seeds: \"10.0.0.2\""}},
 		{"epoch", "\"1m\"", "\"1ms\"", []string{"line 17: Limits.KeyEpoch: is 1ms"}},
+		{"numbers as text", "KeyEpoch", "MaxDescriptors = \"4100\"\nMemoryMB = \"\"\nKeyEpoch", nil},
+		{"no number as text", "KeyEpoch", "MaxDescriptors = \"many\"\nMemoryMB = \"1\"\nKeyEpoch", []string{
+			"line 17: Limits.MaxDescriptors: is \"many\"", "line 18: Limits.MemoryMB: is 1,",
+		}},
 		{"several", "KeyEpoch = \"1m\"", "MaxBody = 1\nMaxHeader = \"x\"\nColour = 1", []string{
 			"line 17: Limits.MaxBody: is 1,", "line 18: Limits.MaxHeader: want an integer", "line 19: Limits.Colour: is unknown",
 		}},
--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -92,6 +92,7 @@
 		return nil, errors.Trace(err)
 	}
 	event.RedirectLibraryLogs()
+	limitHeap(settings)
 	event.SetCounter(m.RecordEvent)
 	ctx, cancel := context.WithCancel(context.Background())
 	d := &Daemon{
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthcross/internal/base/event"
+	"jacinthcross/internal/base/limit"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/meter"
 	"jacinthcross/internal/base/quota"
@@ -91,9 +92,11 @@
 // newTree builds the supervisors and their children.
 func newTree(s *conf.Settings, p Platform, version string, st *sharedState, m *meter.Meter) supervisors {
 	hook := tree.WithFailureHook(func(name string, err error) { event.TaskFailed.Log("task", name, "error", err.Error()) })
-	limit := tree.WithFailureLimit(&tree.FailureLimit{})
+	failureLimit := tree.WithFailureLimit(&tree.FailureLimit{})
 	hello := func() codec.Hello { return st.hello(s) }
 	bodyQuota := quota.New(s.MaxBodyMemory)
+	connections, reporter := newConnectionLimits(s, descriptorLimit(s)), limit.NewReporter(func(name limit.Name, n int) { m.RecordLimit(string(name), n) })
+	forOperators := []httpd.Option{httpd.WithMaxConnections(connections.operators), httpd.WithLimitReporter(reporter)}
 	server := listen.NewServer(st.local, st.gossip, s.MaxBody+messageOverhead, listen.WithHelloFunc(hello), listen.WithReportFunc(st.onPeerReport), listen.WithArrivalTimeFunc(st.arrivalFunc(p)), listen.WithQuota(bodyQuota), listen.WithFeed(st.feed))
 	control := tree.NewSupervisor("control", append(sourceTasks(s, p, st, m), []tree.Child{
 		{Name: "tick", Start: func() (tree.Task, error) {
@@ -103,7 +106,7 @@
 			st.withRelease(func(r *note.Release) { st.member.TryPut(member.ReleaseChanged{Release: r}) })
 			return member.New(st.member, st.onPeersChanged), nil
 		}},
-	}...), limit, hook)
+	}...), failureLimit, hook)
 	data := tree.NewSupervisor("data", []tree.Child{
 		{Name: "local", Start: func() (tree.Task, error) { return startLocal(s, p, st, m) }},
 		// The log field keeps the former name of the package, so that log queries still match.
@@ -114,18 +117,22 @@
 			)), nil
 		}},
 		{Name: "router", Start: func() (tree.Task, error) { return startRouter(s, p, st, m), nil }},
-	}, limit, hook)
+	}, failureLimit, hook)
 	edge := tree.NewSupervisor("edge", []tree.Child{
-		{Name: "listen", Start: func() (tree.Task, error) { return listen.New(s.Peers, server, st.listen) }},
-		{Name: "front", Start: func() (tree.Task, error) { return startFront(s, p, st, bodyQuota) }},
-		{Name: "admin", Start: func() (tree.Task, error) { return startAdmin(s, version, st, m) }},
-	}, limit, hook)
+		{Name: "listen", Start: func() (tree.Task, error) {
+			return listen.New(s.Peers, server, st.listen, listen.WithMaxSessions(connections.peers), listen.WithLimitReporter(reporter))
+		}},
+		{Name: "front", Start: func() (tree.Task, error) {
+			return startFront(s, p, st, front.WithQuota(bodyQuota), front.WithMaxConnections(connections.callers), front.WithLimitReporter(reporter))
+		}},
+		{Name: "admin", Start: func() (tree.Task, error) { return startAdmin(s, version, st, m, forOperators) }},
+	}, failureLimit, hook)
 	if s.Ready.IsValid() {
 		edge.Add(tree.Child{Name: "ready", Start: func() (tree.Task, error) {
-			return httpd.New("readiness", s.Ready, httpd.ReadyHandler(p.ReadyPath, st.ready))
+			return httpd.New("readiness", s.Ready, httpd.ReadyHandler(p.ReadyPath, st.ready), forOperators...)
 		}})
 	}
-	root := tree.NewSupervisor("root", nil, limit, hook)
+	root := tree.NewSupervisor("root", nil, failureLimit, hook)
 	root.AddSupervisor(control)
 	root.AddSupervisor(data)
 	root.AddSupervisor(edge)
@@ -189,11 +196,11 @@
 	})
 }
 
-func startFront(s *conf.Settings, p Platform, st *sharedState, bodyQuota *quota.Quota) (tree.Task, error) {
-	options := []front.Option{
-		front.WithMaxBody(s.MaxBody), front.WithQuota(bodyQuota), front.WithMaxHeader(s.MaxHeader), front.WithArrivalTimeFunc(st.arrivalFunc(p)),
+func startFront(s *conf.Settings, p Platform, st *sharedState, limits ...front.Option) (tree.Task, error) {
+	options := append([]front.Option{
+		front.WithMaxBody(s.MaxBody), front.WithMinBytesPerSecond(s.MinBytesPerSecond), front.WithMaxHeader(s.MaxHeader), front.WithArrivalTimeFunc(st.arrivalFunc(p)),
 		front.WithDialect(p.Dialect),
-	}
+	}, limits...)
 	if p.AcceptWhileDraining > 0 {
 		options = append(options, front.WithAcceptWhileDraining())
 	}
@@ -207,7 +214,7 @@
 	return f, nil
 }
 
-func startAdmin(s *conf.Settings, version string, st *sharedState, m *meter.Meter) (tree.Task, error) {
+func startAdmin(s *conf.Settings, version string, st *sharedState, m *meter.Meter, options []httpd.Option) (tree.Task, error) {
 	config := admin.Config{
 		VM: s.VM, DataCentre: s.DataCentre, Version: version, Router: st.router, Local: st.local, Member: st.member,
 		Metrics: m.Handler(),
@@ -218,7 +225,7 @@
 	case conf.StoreSource:
 		config.Feed = st.feed
 	}
-	return admin.New(s.Admin, config)
+	return admin.New(s.Admin, config, options...)
 }
 
 func startRouter(s *conf.Settings, p Platform, st *sharedState, m *meter.Meter) tree.Task {
--- a/internal/task/admin/admin.go
+++ b/internal/task/admin/admin.go
@@ -127,14 +127,14 @@
 }
 
 // New starts the task, which listens at an address.
-func New(at netip.AddrPort, config Config) (*httpd.Task, error) {
+func New(at netip.AddrPort, config Config, options ...httpd.Option) (*httpd.Task, error) {
 	h := &handler{config: config}
 	mux := http.NewServeMux()
 	mux.HandleFunc("/status", h.status)
 	if config.Metrics != nil {
 		mux.Handle("/metrics", config.Metrics)
 	}
-	return httpd.New("operators", at, mux)
+	return httpd.New("operators", at, mux, options...)
 }
 
 // statusTimeout limits the wait for the states of the tasks.
--- a/internal/task/front/check.go
+++ b/internal/task/front/check.go
@@ -1,7 +1,7 @@
 package front
 
 import (
-	"bytes"
+	"net/http"
 	"strconv"
 	"strings"
 
@@ -17,6 +17,10 @@
 	contentLength   int
 	chunked         bool
 	expectsContinue bool
+	uri             string
+	header          http.Header
+	// fields is the number of fields, repeated ones included.
+	fields int
 }
 
 // checkHeader checks a header block including the empty line at its end. It rejects everything that two HTTP
@@ -25,17 +29,20 @@
 //
 // NotValidf appends " not valid" to the text of an error.
 func checkHeader(block []byte) (requestHead, error) {
-	lines := bytes.Split(block[:len(block)-len(headerEnd)], []byte("\r\n"))
-	c, err := checkRequestLine(string(lines[0]))
+	lines := strings.Split(string(block[:len(block)-len(headerEnd)]), "\r\n")
+	c, err := checkRequestLine(lines[0])
 	if err != nil {
 		return c, err
 	}
+	c.fields, c.header = len(lines)-1, make(http.Header, len(lines)-1)
 	hosts, lengths := 0, 0
 	for _, line := range lines[1:] {
-		name, value, err := splitField(string(line))
+		name, value, err := splitField(line)
 		if err != nil {
 			return c, err
 		}
+		key := http.CanonicalHeaderKey(name)
+		c.header[key] = append(c.header[key], value)
 		switch strings.ToLower(name) {
 		case "host":
 			hosts++
@@ -75,7 +82,7 @@
 	if len(parts) != 3 {
 		return requestHead{}, errors.NotValidf("a request line with %d parts is", len(parts))
 	}
-	c := requestHead{method: parts[0]}
+	c := requestHead{method: parts[0], uri: parts[1]}
 	for _, r := range []byte(parts[0]) {
 		if r < 'A' || r > 'Z' {
 			return c, errors.NotValidf("method %q is", parts[0])
--- a/internal/task/front/connection.go
+++ b/internal/task/front/connection.go
@@ -14,7 +14,7 @@
 )
 
 // A connection is a connection of a caller. The task owns all fields except reader, which belongs to the poller of the
-// connection, and the two atomic counters, which both use.
+// connection, and the atomic fields, which both use.
 type connection struct {
 	// task is the Task that accepted the connection. After a restart, a new Task reads the same mailbox, so a message
 	// may concern a connection of an earlier Task. The new Task drops a request in such a message and releases its
@@ -27,6 +27,18 @@
 	unsentBytes atomic.Int64
 	// reservedBytes is the number of bytes that are reserved for the body of an incomplete request.
 	reservedBytes atomic.Int64
+	// heads is the memory counted for the headers of requests that have no response yet, and incompleteHead the part of it
+	// for the incomplete request.
+	heads          atomic.Int64
+	incompleteHead atomic.Int64
+	// progressAt is when bytes were last received or sent. receiving is true from the first byte of a request to its last,
+	// which arrived received bytes after receivingSince. Times are in nanoseconds of Unix time.
+	progressAt     atomic.Int64
+	receiving      atomic.Bool
+	receivingSince atomic.Int64
+	received       atomic.Int64
+	// stopReading makes the poller drop what it receives.
+	stopReading atomic.Bool
 	// responseBytes is the memory reserved for the last response body until the kernel has accepted all of it.
 	responseBytes int
 	// queue holds the requests that have not been started, and exchanges those that have, in the order of the requests.
@@ -48,9 +60,6 @@
 	return !c.closing && len(c.exchanges) == 0 && len(c.queue) == 0 && c.pendingRefusal == nil && !c.closeAt.IsZero()
 }
 
-// releaseReserved releases the memory reserved by an incomplete request.
-func (c *connection) releaseReserved() { c.task.memory.Release(int(c.reservedBytes.Swap(0))) }
-
 // releaseResponse releases the memory counted for the last response.
 func (t *Task) releaseResponse(c *connection) {
 	t.memory.Release(c.responseBytes)
@@ -61,10 +70,11 @@
 	c := m.connection
 	switch {
 	case c.task != t || c.closed || c.closing || c.pendingRefusal != nil:
-		c.task.memory.Release(m.request.reservedBytes)
+		c.releaseRequest(m.request)
 		return
 	case len(c.queue) >= maxPipelined:
-		c.task.memory.Release(m.request.reservedBytes)
+		c.releaseRequest(m.request)
+		c.stopReading.Store(true)
 		c.pendingRefusal = &requestRefused{connection: c, kind: errs.Busy, detail: "more than " + strconv.Itoa(maxPipelined) + " pipelined requests are waiting on the connection"}
 	default:
 		c.queue = append(c.queue, m.request)
@@ -176,14 +186,16 @@
 		return
 	}
 	c.closed = true
+	delete(t.connections, c)
 	t.timers.Remove(c)
 	t.releaseResponse(c)
 	for _, r := range c.queue {
-		t.memory.Release(r.reservedBytes)
+		c.releaseRequest(r)
 	}
 	c.queue = nil
 	for _, e := range c.exchanges {
-		t.memory.Release(e.request.reservedBytes + e.heldBytes)
+		c.releaseRequest(e.request)
+		t.memory.Release(e.heldBytes)
 		if e.outcome == nil {
 			// The router never waits for another task, so this does not block for long.
 			t.router.Put(router.Cancel{ID: e.callID}, t.Stopping())
--- a/internal/task/front/exchange.go
+++ b/internal/task/front/exchange.go
@@ -7,7 +7,9 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/base/ident"
+	"jacinthcross/internal/base/limit"
 	"jacinthcross/internal/base/mail"
+	"jacinthcross/internal/policy/evict"
 	"jacinthcross/internal/task/router"
 )
 
@@ -27,9 +29,13 @@
 func (t *Task) finish(e *exchange, o call.Outcome) {
 	o = call.Checked(o)
 	e.outcome = o
+	e.connection.progressAt.Store(time.Now().UnixNano())
 	if answered, ok := o.(call.Answered); ok {
 		e.heldBytes = len(answered.Body)
 		t.memory.AcquireOverLimit(e.heldBytes)
+		if over := t.quota.Used() - t.quota.Limit(); over > 0 {
+			t.makeRoom(evict.Need{Bytes: over})
+		}
 	}
 }
 
@@ -40,6 +46,12 @@
 	case len(t.calls) >= maxCalls:
 		t.refuse(e, errs.Busy, strconv.Itoa(maxCalls)+" calls are already in flight")
 		return
+	case t.quota.Used() > t.quota.Limit():
+		// Responses that callers have not read hold the memory. The response to this call would take more.
+		t.limitReporter.Refused(limit.BodyMemory)
+		t.makeRoom(evict.Need{Bytes: t.quota.Used() - t.quota.Limit()})
+		t.refuse(e, errs.Busy, memoryDetail)
+		return
 	case t.drainComplete, t.acceptWhileDraining && t.drained != nil:
 		t.refuse(e, errs.Draining, "the daemon is stopping")
 		return
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -11,24 +11,27 @@
 
 	"github.com/juju/errors"
 	"github.com/lesismal/nbio"
-	"github.com/lesismal/nbio/nbhttp"
 
 	"jacinthcross/internal/base/alarm"
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/clock"
 	"jacinthcross/internal/base/guard"
+	"jacinthcross/internal/base/limit"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/base/quota"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/evict"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/router"
 	"jacinthcross/internal/wire/header"
 )
 
 const (
-	// maxConnections is far above the 520 connections of two large services with 260 connections each, to leave room for
-	// short-lived ones.
-	maxConnections = 10_000
+	// defaultMaxConnections is far above the 520 connections of two large services with 260 connections each, to leave
+	// room for short-lived ones.
+	defaultMaxConnections = 10_000
+	// defaultMinBytesPerSecond lets a request of 16 KiB, the largest header, take 16 s.
+	defaultMinBytesPerSecond = 1 << 10
 	// maxCalls limits the calls in flight. It equals the capacity of the router's mailbox.
 	maxCalls = 4096
 	// maxPipelined limits the requests that wait on one connection to be started.
@@ -64,14 +67,13 @@
 // A Task owns the listening socket for callers and their connections.
 type Task struct {
 	*tree.Loop
-	engine       *nbio.Engine
-	listener     *listener
-	parserEngine *nbhttp.Engine
-	inbox        *mail.Box[Message]
-	answers      *mail.Box[router.Answer]
-	router       *mail.Box[router.Message]
-	clock        clock.Clock
-	arrivalTime  func(time.Time) (arrived time.Time, exact bool)
+	engine      *nbio.Engine
+	listener    *listener
+	inbox       *mail.Box[Message]
+	answers     *mail.Box[router.Answer]
+	router      *mail.Box[router.Message]
+	clock       clock.Clock
+	arrivalTime func(time.Time) (arrived time.Time, exact bool)
 	// configured are the limits from the settings. limits are the limits in force, which pollers read.
 	configured          limits
 	limits              atomic.Pointer[limits]
@@ -80,7 +82,13 @@
 	quota               *quota.Quota
 	memory              *quota.Account
 	openConnections     atomic.Int64
-	timers              *alarm.Queue[*connection]
+	maxConnections      int
+	minBytesPerSecond   int
+	limitReporter       *limit.Reporter
+	// connections holds the open connections. roomMadeAt is when the task last searched them for some to give up.
+	connections map[*connection]struct{}
+	roomMadeAt  time.Time
+	timers      *alarm.Queue[*connection]
 	// release tells which requests are idempotent.
 	release *note.Release
 	calls   map[call.ID]*exchange
@@ -109,6 +117,16 @@
 // WithQuota sets the memory quota for all bodies, which is shared with other tasks.
 func WithQuota(q *quota.Quota) Option { return func(t *Task) { t.quota = q } }
 
+// WithMaxConnections limits the open connections.
+func WithMaxConnections(n int) Option { return func(t *Task) { t.maxConnections = n } }
+
+// WithMinBytesPerSecond sets the rate below which a request that is being received may be given up when memory or
+// connections are short.
+func WithMinBytesPerSecond(n int) Option { return func(t *Task) { t.minBytesPerSecond = n } }
+
+// WithLimitReporter sets the Reporter that records when a limit is reached.
+func WithLimitReporter(r *limit.Reporter) Option { return func(t *Task) { t.limitReporter = r } }
+
 // WithRequestTimeout sets the timeout from the first byte of a request to its last, and to the end of its header.
 func WithRequestTimeout(d time.Duration) Option {
 	return func(t *Task) { t.configured.requestTimeout, t.configured.headerTimeout = d, d }
@@ -149,6 +167,10 @@
 		release:     note.NewRelease(),
 		calls:       map[call.ID]*exchange{},
 		answering:   map[*connection]struct{}{},
+		connections: map[*connection]struct{}{},
+
+		maxConnections: defaultMaxConnections, minBytesPerSecond: defaultMinBytesPerSecond,
+		limitReporter: limit.NewReporter(func(limit.Name, int) {}),
 	}
 	for _, o := range options {
 		o(t)
@@ -164,13 +186,8 @@
 	return t, nil
 }
 
-// listen starts the engine. The parser takes its read limit from an engine, so it gets a second engine, which is never
-// started.
+// listen starts the engine.
 func (t *Task) listen(at netip.AddrPort) error {
-	inline := func(f func()) { f() }
-	t.parserEngine = nbhttp.NewEngine(nbhttp.Config{
-		Name: "parser", ReadLimit: t.configured.maxBody + t.configured.maxHeader + readBufferSize, ServerExecutor: inline, ClientExecutor: inline,
-	})
 	t.engine = nbio.NewEngine(nbio.Config{
 		Name: "callers", Network: "tcp", Addrs: []string{at.String()},
 		NPoller: max(1, runtime.GOMAXPROCS(0)/4), ReadBufferSize: readBufferSize,
@@ -200,6 +217,7 @@
 	t.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
 		if conn, ok := c.Session().(*connection); ok {
 			conn.unsentBytes.Add(-int64(n))
+			conn.progressAt.Store(time.Now().UnixNano())
 		}
 	})
 	return t.engine.Start()
@@ -211,17 +229,23 @@
 }
 
 func (t *Task) onOpen(c *nbio.Conn) {
-	if t.openConnections.Add(1) > maxConnections {
-		_ = c.Close()
-		return
+	if open := int(t.openConnections.Add(1)); open > t.maxConnections {
+		t.inbox.TryPut(roomNeeded{evict.Need{Connections: open - t.maxConnections}})
+		if open > t.maxConnections+max(1, t.maxConnections/spareConnections) {
+			t.limitReporter.Refused(limit.Connections)
+			_ = c.Close()
+			return
+		}
 	}
 	conn := &connection{task: t, socket: c}
 	if a, ok := c.RemoteAddr().(*net.TCPAddr); ok {
 		conn.address = a.AddrPort().Addr().Unmap()
 	}
 	conn.reader = &requestReader{task: t, connection: conn, socket: c, awaitedPart: partFirst}
-	conn.reader.parser = nbhttp.NewParser(c, t.parserEngine, conn.reader, false, nil)
+	conn.progressAt.Store(time.Now().UnixNano())
 	c.SetSession(conn)
+	// The task reads no messages once it stops, and the engine waits for this goroutine then.
+	t.inbox.Put(connectionOpened{conn}, t.Stopping())
 	_ = c.SetReadDeadline(time.Now().Add(t.configured.requestTimeout))
 }
 
@@ -288,6 +312,12 @@
 	case continueExpected:
 		m.connection.expectsContinue = true
 		t.advance(m.connection)
+	case connectionOpened:
+		if m.connection.task == t && !m.connection.closed {
+			t.connections[m.connection] = struct{}{}
+		}
+	case roomNeeded:
+		t.makeRoom(m.need)
 	case connectionClosed:
 		t.handleClosed(m.connection)
 	case keyIssued:
--- a/internal/task/front/limits.go
+++ b/internal/task/front/limits.go
@@ -55,6 +55,9 @@
 	case len(rr.headerBlock) > 0:
 		awaited = partHeader
 	}
+	if awaited == partNone {
+		rr.connection.receiving.Store(false)
+	}
 	if awaited == rr.awaitedPart {
 		return
 	}
--- a/internal/task/front/message.go
+++ b/internal/task/front/message.go
@@ -4,6 +4,7 @@
 	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/fleet/note"
+	"jacinthcross/internal/policy/evict"
 	"jacinthcross/internal/task/router"
 )
 
@@ -37,6 +38,12 @@
 // A continueExpected reports that a caller waits for 100 Continue before it sends the body.
 type continueExpected struct{ connection *connection }
 
+// A connectionOpened reports that a connection was accepted.
+type connectionOpened struct{ connection *connection }
+
+// A roomNeeded reports that memory or connections are short.
+type roomNeeded struct{ need evict.Need }
+
 // A connectionClosed reports that a connection was closed.
 type connectionClosed struct{ connection *connection }
 
@@ -51,5 +58,7 @@
 func (requestReceived) message()  {}
 func (requestRefused) message()   {}
 func (continueExpected) message() {}
+func (connectionOpened) message() {}
+func (roomNeeded) message()       {}
 func (connectionClosed) message() {}
 func (keyIssued) message()        {}
--- a/internal/task/front/response.go
+++ b/internal/task/front/response.go
@@ -22,7 +22,7 @@
 	e := c.exchanges[0]
 	c.exchanges = c.exchanges[1:]
 	r := e.request
-	t.memory.Release(r.reservedBytes)
+	c.releaseRequest(r)
 	closeRequested := r.wantsClose()
 	c.closing = c.closing || closeRequested || t.draining && len(c.exchanges) == 0
 	status, fields, body := t.responseOf(r, e.outcome)
@@ -57,9 +57,10 @@
 // sending, and closing at once could reset the connection before the response is read.
 func (t *Task) closeAfterResponse(c *connection, closeRequested bool) {
 	for _, r := range c.queue {
-		t.memory.Release(r.reservedBytes)
+		c.releaseRequest(r)
 	}
 	c.queue = nil
+	c.stopReading.Store(true)
 	now := t.clock.Now()
 	c.closeAt = now
 	if !closeRequested {
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -11,6 +11,7 @@
 
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/guard"
+	"jacinthcross/internal/base/limit"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/link"
@@ -45,6 +46,7 @@
 	sessions          map[*link.Session]*peerSession
 	sessionSlots      chan struct{}
 	sessionGoroutines sync.WaitGroup
+	limitReporter     *limit.Reporter
 }
 
 // A peerSession is the task's state of an accepted session.
@@ -54,8 +56,19 @@
 	pinging bool
 }
 
+// A TaskOption sets a property of a Task.
+type TaskOption func(*Task)
+
+// WithMaxSessions limits the accepted sessions, at most to the default.
+func WithMaxSessions(n int) TaskOption {
+	return func(t *Task) { t.sessionSlots = make(chan struct{}, min(n, maxSessions)) }
+}
+
+// WithLimitReporter sets the Reporter that records when the limit of the sessions is reached.
+func WithLimitReporter(r *limit.Reporter) TaskOption { return func(t *Task) { t.limitReporter = r } }
+
 // New starts a task that listens for peers at an address. It receives messages from inbox.
-func New(at netip.AddrPort, server *Server, inbox *mail.Box[Message]) (*Task, error) {
+func New(at netip.AddrPort, server *Server, inbox *mail.Box[Message], options ...TaskOption) (*Task, error) {
 	l, err := net.Listen("tcp", at.String())
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for peers at %s", at)
@@ -67,6 +80,11 @@
 		inbox:        inbox,
 		sessions:     map[*link.Session]*peerSession{},
 		sessionSlots: make(chan struct{}, maxSessions),
+
+		limitReporter: limit.NewReporter(func(limit.Name, int) {}),
+	}
+	for _, o := range options {
+		o(t)
 	}
 	go func() {
 		t.Run(t.loop)
@@ -189,7 +207,7 @@
 		case t.sessionSlots <- struct{}{}:
 			t.startSession(c)
 		default:
-			event.PeerMessageRefused.Log("peer", c.RemoteAddr(), "error", errors.Errorf("connection refused: the limit of %d sessions is reached", maxSessions).Error())
+			t.limitReporter.Refused(limit.Peers)
 			c.Close()
 		}
 	}
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -100,10 +100,9 @@
 		c.notify(callResult{id: j.id, conn: c, outcome: call.Refused{Kind: errs.BadRequest, Detail: strconv.Quote(j.request.URI) + " is not a path"}})
 		return
 	}
-	request := j.appendTo(nil, c.dialect, time.Now())
 	if mayOmitBody(j.request) {
 		m := c.newResult(j, nil, errPanicked, false)
-		guard.Run("response of a target", func() { m = c.roundTrip(j, request) })
+		guard.Run("response of a target", func() { m = c.roundTrip(j) })
 		c.notify(m)
 		return
 	}
@@ -123,7 +122,7 @@
 		context.AfterFunc(c.ctx, func() { _ = stream.Close() })
 		goroutines.Go(func() { c.readLoop(stream) })
 	}
-	if _, err := c.stream.Write(request); err != nil {
+	if err := j.write(c.stream, c.dialect, time.Now()); err != nil {
 		// The reading goroutine reports the result of the call.
 		_ = c.stream.Close()
 	}
@@ -285,14 +284,14 @@
 }
 
 // roundTrip runs a call on a separate connection.
-func (c *conn) roundTrip(j job, request []byte) callResult {
+func (c *conn) roundTrip(j job) callResult {
 	stream, err := c.dial("tcp", c.target.String())
 	if err != nil {
 		return c.newResult(j, nil, err, false)
 	}
 	defer stream.Close()
 	defer context.AfterFunc(c.ctx, func() { _ = stream.Close() })()
-	if _, err := stream.Write(request); err != nil {
+	if err := j.write(stream, c.dialect, time.Now()); err != nil {
 		return c.newResult(j, nil, err, false)
 	}
 	limited := &io.LimitedReader{R: stream, N: maxResponseHeader}
--- a/internal/task/local/request.go
+++ b/internal/task/local/request.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -8,7 +9,23 @@
 	"jacinthcross/internal/wire/header"
 )
 
-// appendTo appends the HTTP request for the target to b. The time left until the deadline is counted from the time now.
+// maxInlineBody is the size in bytes of the largest body that is appended to its header, so that both are sent in one write.
+const maxInlineBody = 64 << 10
+
+// write writes the HTTP request for the target. A large body is not copied.
+func (j *job) write(w io.Writer, d *header.Dialect, now time.Time) error {
+	b, body := j.appendTo(nil, d, now), j.request.Body
+	if len(body) <= maxInlineBody {
+		b, body = append(b, body...), nil
+	}
+	_, err := w.Write(b)
+	if err == nil && len(body) > 0 {
+		_, err = w.Write(body)
+	}
+	return err
+}
+
+// appendTo appends the header of the HTTP request for the target to b. The time left until the deadline is counted from the time now.
 // appendTo omits fields that would break the framing, since names and values can come from a peer.
 func (j *job) appendTo(b []byte, d *header.Dialect, now time.Time) []byte {
 	r := &j.request
@@ -29,8 +46,7 @@
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b = appendField(b, "Content-Length", strconv.Itoa(len(r.Body)))
 	}
-	b = append(b, "\r\n"...)
-	return append(b, r.Body...)
+	return append(b, "\r\n"...)
 }
 
 func appendField(b []byte, name, value string) []byte {
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -47,14 +47,31 @@
 	if n > limit {
 		return nil, 0, errors.NotValidf("message of %d bytes (limit %d bytes)", n, limit)
 	}
-	b := make([]byte, n)
-	if _, err := io.ReadFull(r, b); err != nil {
+	b, err := readBytes(r, n)
+	if err != nil {
 		return nil, 0, errors.Annotate(err, "read message")
 	}
 	m, err := Decode(b, now())
 	return m, prefixBytes + n, err
 }
 
+// firstRead is the size in bytes up to which memory is allocated for a message before its bytes have arrived.
+const firstRead = 64 << 10
+
+// readBytes reads n bytes. Its memory grows with the bytes received, so that a length that is only announced takes none.
+func readBytes(r io.Reader, n int) ([]byte, error) {
+	b := make([]byte, min(n, firstRead))
+	for read := 0; ; {
+		m, err := io.ReadFull(r, b[read:])
+		if read += m; err != nil || read == n {
+			return b, err
+		}
+		larger := make([]byte, min(n, 2*read))
+		copy(larger, b)
+		b = larger
+	}
+}
+
 // Decode decodes a message without its length prefix.
 func Decode(b []byte, now time.Time) (Message, error) {
 	e := &peerpb.Envelope{}
