Keep clients without a greeting from the sessions of peers

Cause: connections that send nothing could hold all sessions of Listen.Peers for a second each, so that peers could not connect.

Change: connections that wait for a Hello take at most half of the sessions; one more closes the oldest. A body with a length grows to its length after the first megabyte. Garbage is collected before large allocations when the former ones exceed 32 MiB together.

--- a/internal/bench/crowd/crowd_test.go
+++ b/internal/bench/crowd/crowd_test.go
@@ -98,7 +98,9 @@
 				n, err = StartNode(os.Args[0], t.TempDir(), limits)
 				qt.Assert(t, err, qt.IsNil)
 			}
-			if err := observe(n, r); err != nil {
+			u, err := observe(n, r)
+			t.Logf("%d MiB, %d descriptors", u.Bytes>>20, u.Descriptors)
+			if err != nil {
 				t.Error(err)
 				// The next row gets a process that this one has not affected.
 				stop()
@@ -107,8 +109,8 @@
 	}
 }
 
-// observe returns what the daemon did wrong during a row.
-func observe(n *Node, r row) error {
+// observe returns what the daemon used during a row, and what it did wrong.
+func observe(n *Node, r row) (Usage, error) {
 	used := n.Watch()
 	var leave func()
 	if r.crowd != nil {
@@ -127,7 +129,7 @@
 	if err == nil && u.Descriptors > maxDescriptors {
 		err = fmt.Errorf("%d descriptors in use, want at most %d", u.Descriptors, maxDescriptors)
 	}
-	return err
+	return u, err
 }
 
 // Guards against limits that refuse a single request inside the limits of the docs in calm, and against one that takes more
@@ -174,6 +176,7 @@
 			defer r.Body.Close()
 			qt.Check(t, r.StatusCode, qt.Equals, http.StatusOK)
 			bytes := used().Bytes
+			t.Logf("%d MiB", bytes>>20)
 			qt.Check(t, bytes <= maxMemory, qt.IsTrue, qt.Commentf("%d MiB in use", bytes>>20))
 		})
 	}
--- a/internal/task/front/body.go
+++ b/internal/task/front/body.go
@@ -36,8 +36,8 @@
 	line    []byte
 	trailer int
 	body    []byte
-	// reserve reserves memory for a chunked body. The memory for a body with a length has been reserved before.
-	reserve func(n int) error
+	// reader reserves the memory of a chunked body. That of a body with a length has been reserved before.
+	reader *requestReader
 }
 
 // decode processes received bytes. It returns the bytes behind the body if the body is complete.
@@ -68,10 +68,10 @@
 	return nil, false, nil
 }
 
-// The capacity of a body grows by these factors. The memory for a body with a length is reserved, and it may be copied fewer
-// times, with less memory for the copy before.
+// The capacity of a body grows by these factors. All memory for a body with a length is reserved, so a large one grows to
+// its length after the first megabyte or so, and is not copied again.
 const (
-	lengthGrowth = 4
+	lengthGrowth = 64
 	chunkGrowth  = 2
 )
 
@@ -81,7 +81,9 @@
 	if need <= cap(d.body) {
 		return
 	}
-	body := make([]byte, len(d.body), max(need, min(factor*cap(d.body), total)))
+	size := max(need, min(factor*cap(d.body), total))
+	d.reader.task.collectBefore(size)
+	body := make([]byte, len(d.body), size)
 	copy(body, d.body)
 	d.body = body
 }
@@ -90,7 +92,7 @@
 	n := min(len(data), d.remaining)
 	before := cap(d.body)
 	if need := len(d.body) + n; need > before {
-		if err := d.reserve(max(need, min(chunkGrowth*before, d.maxBody)) - before); err != nil {
+		if err := d.reader.reserveChunk(max(need, min(chunkGrowth*before, d.maxBody)) - before); err != nil {
 			return nil, err
 		}
 		d.grow(n, chunkGrowth, d.maxBody)
--- a/internal/task/front/front.go
+++ b/internal/task/front/front.go
@@ -88,7 +88,9 @@
 	// connections holds the open connections. roomMadeAt is when the task last searched them for some to give up.
 	connections map[*connection]struct{}
 	roomMadeAt  time.Time
-	timers      *alarm.Queue[*connection]
+	// largeBytes is the memory allocated for large bodies since the last collection that was started for them.
+	largeBytes atomic.Int64
+	timers     *alarm.Queue[*connection]
 	// release tells which requests are idempotent.
 	release *note.Release
 	calls   map[call.ID]*exchange
--- a/internal/task/front/memory.go
+++ b/internal/task/front/memory.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"runtime"
 	"time"
 
 	"jacinthcross/internal/base/errs"
@@ -26,6 +27,22 @@
 	spareConnections = 16
 )
 
+const (
+	// largeAllocation is the size in bytes from which an allocation counts for collectBefore, and maxUncollected the sum of
+	// them from which garbage is collected.
+	largeAllocation = 8 << 20
+	maxUncollected  = 32 << 20
+)
+
+// collectBefore collects garbage before a large allocation if former ones may not have been collected. A body of 64 MiB
+// and the garbage of another one together exceed the memory of a small VM before the runtime starts a collection.
+func (t *Task) collectBefore(size int) {
+	if size >= largeAllocation && t.largeBytes.Add(int64(size)) > maxUncollected {
+		t.largeBytes.Store(int64(size))
+		runtime.GC()
+	}
+}
+
 func headCost(bytes, fields int) int { return requestCost + bytes + fieldCost*fields }
 
 // overShare returns the part of the memory for headers that counts against the limit for all connections.
--- a/internal/task/front/reader.go
+++ b/internal/task/front/reader.go
@@ -139,7 +139,7 @@
 	if !rr.holdHead(rr.current.headBytes-held) || !rr.reserve(h.contentLength) {
 		return nil
 	}
-	rr.body = bodyDecoder{chunked: h.chunked, remaining: h.contentLength, maxBody: limit.maxBody, part: partSize, reserve: rr.reserveChunk}
+	rr.body = bodyDecoder{chunked: h.chunked, remaining: h.contentLength, maxBody: limit.maxBody, part: partSize, reader: rr}
 	if !h.chunked && h.contentLength == 0 {
 		rr.complete()
 	} else if h.expectsContinue && len(rest) == 0 {
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -47,6 +48,8 @@
 	sessionSlots      chan struct{}
 	sessionGoroutines sync.WaitGroup
 	limitReporter     *limit.Reporter
+	// greetings holds the connections that were accepted last, of which some have not sent their Hello yet.
+	greetings chan *acceptedConn
 }
 
 // A peerSession is the task's state of an accepted session.
@@ -86,6 +89,7 @@
 	for _, o := range options {
 		o(t)
 	}
+	t.greetings = make(chan *acceptedConn, max(1, cap(t.sessionSlots)/2))
 	go func() {
 		t.Run(t.loop)
 	}()
@@ -205,7 +209,9 @@
 		}
 		select {
 		case t.sessionSlots <- struct{}{}:
-			t.startSession(c)
+			a := &acceptedConn{Conn: c}
+			t.awaitGreeting(a)
+			t.startSession(a)
 		default:
 			t.limitReporter.Refused(limit.Peers)
 			c.Close()
@@ -213,8 +219,35 @@
 	}
 }
 
+// An acceptedConn is a connection that was accepted. settled is true once the peer has sent its Hello, or the connection was
+// closed to make room for a newer one.
+type acceptedConn struct {
+	net.Conn
+	settled atomic.Bool
+}
+
+// awaitGreeting adds a connection to those whose Hello is awaited. If they take half of the sessions, it closes the oldest
+// one, so that clients that send none do not keep peers out. A peer sends its Hello at once.
+func (t *Task) awaitGreeting(a *acceptedConn) {
+	for {
+		select {
+		case t.greetings <- a:
+			return
+		default:
+		}
+		select {
+		case oldest := <-t.greetings:
+			if oldest.settled.CompareAndSwap(false, true) {
+				_ = oldest.Close()
+				t.limitReporter.Closed(limit.Peers, 1)
+			}
+		default:
+		}
+	}
+}
+
 // startSession starts a goroutine that serves an accepted connection until it is closed.
-func (t *Task) startSession(c net.Conn) {
+func (t *Task) startSession(c *acceptedConn) {
 	t.sessionGoroutines.Add(1)
 	go func() {
 		defer t.sessionGoroutines.Done()
@@ -224,8 +257,8 @@
 	}()
 }
 
-func (t *Task) serveConnection(c net.Conn) {
-	s, err := link.NewSession(c, false)
+func (t *Task) serveConnection(c *acceptedConn) {
+	s, err := link.NewSession(c.Conn, false)
 	if err != nil {
 		event.PeerMessageRefused.Log("peer", c.RemoteAddr(), "error", err.Error())
 		return
@@ -236,6 +269,9 @@
 		logHelloError(c, err)
 		return
 	}
+	if !c.settled.CompareAndSwap(false, true) {
+		return
+	}
 	if !t.inbox.Put(sessionOpened{s, hello}, t.Stopping()) {
 		return
 	}
