--- a/internal/task/front/check.go
+++ b/internal/task/front/check.go
@@ -83,12 +83,9 @@
 		return requestHead{}, errors.NotValidf("a request line with %d parts is", len(parts))
 	}
 	c := requestHead{method: parts[0], uri: parts[1]}
-	for _, r := range []byte(parts[0]) {
-		if r < 'A' || r > 'Z' {
-			return c, errors.NotValidf("method %q is", parts[0])
-		}
-	}
-	if c.method == "" || c.method == "CONNECT" || c.method == "TRACE" {
+	switch c.method {
+	case http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete, http.MethodOptions:
+	default:
 		return c, errors.NotValidf("method %q is", parts[0])
 	}
 	if parts[1] == "" || parts[1][0] != '/' {
