Test the memory for messages of peers, and copy large ones once

Cause: a message of which only the length had arrived took its whole size, which mended without a test; the buffer then doubled, so that a large message was copied several times.

Change: the buffer grows by a factor of 16.

--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/netip"
 	"reflect"
+	"runtime"
 	"testing"
 	"time"
 
@@ -150,3 +151,22 @@
 		qt.Assert(t, o.Kind, qt.Equals, errs.AnswerCut)
 	}
 }
+
+// Guards against memory for a message of which only the length has arrived.
+func TestAnnouncedLength(t *testing.T) {
+	const limit = 64 << 20
+	for _, sent := range []int{0, 1, 64 << 10, 100 << 10} {
+		whole := append([]byte{limit >> 24, 0, 0, 0}, make([]byte, sent)...)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _, err := codec.Read(bytes.NewReader(whole), limit, time.Now)
+		runtime.ReadMemStats(&after)
+		qt.Assert(t, err, qt.IsNotNil)
+		qt.Assert(t, after.TotalAlloc-before.TotalAlloc < 4<<20, qt.IsTrue, qt.Commentf("%d bytes after %d", after.TotalAlloc-before.TotalAlloc, sent))
+	}
+	whole := append([]byte{0, 0x20, 0, 0}, make([]byte, 2<<20)...)
+	m, n, err := codec.Read(bytes.NewReader(whole), limit, time.Now)
+	qt.Assert(t, m, qt.IsNil)
+	qt.Assert(t, n, qt.Equals, 4+2<<20)
+	qt.Assert(t, err, qt.IsNotNil) // the bytes are no message
+}
--- a/internal/wire/codec/frame.go
+++ b/internal/wire/codec/frame.go
@@ -55,8 +55,12 @@
 	return m, prefixBytes + n, err
 }
 
-// firstRead is the size in bytes up to which memory is allocated for a message before its bytes have arrived.
-const firstRead = 64 << 10
+const (
+	// firstRead is the size in bytes up to which memory is allocated for a message before its bytes have arrived.
+	firstRead = 64 << 10
+	// readGrowth is the factor by which the memory grows. Copies of a large message would take more than the message.
+	readGrowth = 16
+)
 
 // readBytes reads n bytes. Its memory grows with the bytes received, so that a length that is only announced takes none.
 func readBytes(r io.Reader, n int) ([]byte, error) {
@@ -66,7 +70,7 @@
 		if read += m; err != nil || read == n {
 			return b, err
 		}
-		larger := make([]byte, min(n, 2*read))
+		larger := make([]byte, min(n, readGrowth*read))
 		copy(larger, b)
 		b = larger
 	}
