Keep a caller that has just connected when connections are short

Cause: an idle connection was given up first, at any age. While a crowd is in the grace of its requests, the only idle connection may be that of a caller who has connected a moment ago and has not sent yet. An idle connection that is in use was given up before one that never had a request.

Change: connections without a request have a grace of 200 ms, and those that never had one are given up before those that had.

--- a/internal/policy/evict/evict.go
+++ b/internal/policy/evict/evict.go
@@ -11,11 +11,17 @@
 // progress counts as stalled. It is far above a round trip with a lost packet.
 const Grace = time.Second
 
+// idleGrace is the time for which a connection without a request is not given up. A caller that has just connected sends its
+// request within a round trip, and would otherwise be the first to be given up while others are in their Grace.
+const idleGrace = 200 * time.Millisecond
+
 // A Reason is why a connection is given up. The order of the constants is the order in which connections are given up.
 type Reason string
 
 // The reasons.
 const (
+	// Silent connections have never had a request.
+	Silent Reason = "Silent"
 	// Idle connections have no request.
 	Idle Reason = "Idle"
 	// Stalled connections have made no progress for Grace.
@@ -27,13 +33,16 @@
 	Largest Reason = "Largest"
 )
 
-var order = []Reason{Idle, Stalled, Slow, Largest}
+var order = []Reason{Silent, Idle, Stalled, Slow, Largest}
 
 // A Holder is a connection of a caller: Waiting, Receiving, Sending or Running.
 type Holder interface{ holder() }
 
-// Waiting has no request.
-type Waiting struct{ Since time.Time }
+// Waiting has no request. Used is true if it had one before.
+type Waiting struct {
+	Since time.Time
+	Used  bool
+}
 
 // Receiving has received part of a request, and may have requests that have not started.
 type Receiving struct {
@@ -124,7 +133,11 @@
 func judge(h Holder, average, minRate int, now time.Time) (candidate, bool) {
 	switch h := h.(type) {
 	case Waiting:
-		return candidate{Victim: Victim{Reason: Idle}, at: h.Since}, true
+		c := candidate{Victim: Victim{Reason: Silent}, at: h.Since}
+		if h.Used {
+			c.Reason = Idle
+		}
+		return c, now.Sub(h.Since) >= idleGrace
 	case Receiving:
 		c, age := candidate{held: h.Held, at: h.ProgressAt}, now.Sub(h.Since)
 		switch {
--- a/internal/policy/evict/evict_test.go
+++ b/internal/policy/evict/evict_test.go
@@ -17,7 +17,7 @@
 // of them than needed.
 func TestChoose(t *testing.T) {
 	const kb, mb, s = 1 << 10, 1 << 20, time.Second
-	idle := evict.Waiting{Since: ago(s)}
+	idle, silent := evict.Waiting{Since: ago(s), Used: true}, evict.Waiting{Since: ago(s / 2)}
 	stalled := evict.Receiving{Since: ago(3 * s), ProgressAt: ago(2 * s), Received: mb, Held: mb}
 	slow := evict.Receiving{Since: ago(3 * s), ProgressAt: ago(0), Received: kb, Held: mb}
 	fast := evict.Receiving{Since: ago(3 * s), ProgressAt: ago(0), Received: mb, Held: mb}
@@ -36,7 +36,9 @@
 		{"the stated order", []evict.Holder{large, fast, slow, stalled, idle, evict.Running{}}, evict.Need{Connections: 9}, []evict.Victim{
 			{4, evict.Idle}, {3, evict.Stalled}, {2, evict.Slow}, {0, evict.Largest},
 		}},
-		{"the longest idle first", []evict.Holder{idle, evict.Waiting{Since: ago(2 * s)}}, evict.Need{Connections: 1}, []evict.Victim{{1, evict.Idle}}},
+		{"the longest idle first", []evict.Holder{idle, evict.Waiting{Since: ago(2 * s), Used: true}}, evict.Need{Connections: 1}, []evict.Victim{{1, evict.Idle}}},
+		{"those without any request before idle ones", []evict.Holder{idle, silent}, evict.Need{Connections: 1}, []evict.Victim{{1, evict.Silent}}},
+		{"a caller that has just connected", []evict.Holder{evict.Waiting{Since: ago(s / 100)}, fresh}, evict.Need{Connections: 1}, nil},
 		{"idle connections hold no memory", []evict.Holder{idle, stalled}, evict.Need{Bytes: 1}, []evict.Victim{{1, evict.Stalled}}},
 		{"the largest of the stalled first", []evict.Holder{stalled, unread, stalled}, evict.Need{Bytes: 3 * mb}, []evict.Victim{{1, evict.Stalled}, {0, evict.Stalled}}},
 		{"a response that is being read", []evict.Holder{reading, reading}, evict.Need{Bytes: mb}, nil},
--- a/internal/task/front/connection.go
+++ b/internal/task/front/connection.go
@@ -51,6 +51,8 @@
 	// closing is true after the last response of the connection.
 	closing bool
 	closed  bool
+	// used is true after the first complete request.
+	used bool
 	// closeAt is when a closing or idle connection is closed.
 	closeAt time.Time
 }
@@ -68,6 +70,7 @@
 
 func (t *Task) enqueue(m requestReceived) {
 	c := m.connection
+	c.used = true
 	switch {
 	case c.task != t || c.closed || c.closing || c.pendingRefusal != nil:
 		c.releaseRequest(m.request)
--- a/internal/task/front/memory.go
+++ b/internal/task/front/memory.go
@@ -164,7 +164,7 @@
 	case c.receiving.Load() || len(c.queue) > 0 || c.pendingRefusal != nil:
 		return evict.Receiving{Since: time.Unix(0, c.receivingSince.Load()), ProgressAt: progress, Received: int(c.received.Load()), Held: held}
 	}
-	return evict.Waiting{Since: progress}
+	return evict.Waiting{Since: progress, Used: c.used}
 }
 
 // makeRoom closes connections until what is needed is free, or no others may be closed. Their memory is released when
