Bound the stop of the addresses for operators to 50 ms

Cause: the server of the standard library waits at a stop for connections that have not sent a request, up to the bound of 1 s, for each of two addresses. A planned stop has 6 s in all.

Change: the bound is 50 ms. The responses are written at once.

--- a/internal/task/httpd/httpd.go
+++ b/internal/task/httpd/httpd.go
@@ -17,8 +17,9 @@
 )
 
 const (
-	// stopTimeout limits the wait for responses in progress when the task stops.
-	stopTimeout = time.Second
+	// stopTimeout limits the wait for responses in progress when the task stops. The server also waits for connections that
+	// have not sent a request, up to this time, which is part of the time for a planned stop.
+	stopTimeout = 50 * time.Millisecond
 	// Few clients use these addresses, with short requests without a body. Their responses are at most some 100 KiB.
 	headerTimeout   = 3 * time.Second
 	responseTimeout = 10 * time.Second
