--- a/internal/bench/soak/soak_test.go
+++ b/internal/bench/soak/soak_test.go
@@ -171,7 +171,7 @@
 		{soak.ConfigKept, "internal/fleet/roster/era.go", "return c.Version > r.config.Version && c.Revision", "return (c.Version > r.config.Version || r.HasOlderConfig()) && c.Revision", false, true},
 		{soak.ConnectionKept, "internal/super/daemon/daemon.go", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n", "func (d *Daemon) drainCalls(timeout <-chan time.Time) {\n\treturn\n", false, false},
 		{soak.StopsInTime, "platform/platform.go", "const acceptWhileDraining = 3 * time.Second", "const acceptWhileDraining = 7 * time.Second", false, false},
-		{soak.CrashRequestStopped, "internal/task/local/health.go", "if t.crashThrottle.Allow(now) {", "if t.crashThrottle.Allow(now) && false {", true, false},
+		{soak.CrashRequestStopped, "internal/task/local/health.go", "case t.crashThrottle.Allow(now):", "case t.crashThrottle.Allow(now) && false:", true, false},
 		{soak.SoundRequestServed, "internal/task/local/crash.go", "return t.suspects.IsQuarantined(t.target.Service, d, now) || t.crashes.IsLikelyCause(d, now)", "_, crashes := t.crashes.Evidence(d, now)\n\treturn crashes > 0", true, false},
 	} {
 		t.Run(string(test.guarantee), func(t *testing.T) {
--- a/internal/task/front/reader_test.go
+++ b/internal/task/front/reader_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"jacinthcross/internal/base/call"
 	"jacinthcross/internal/base/errs"
 	"jacinthcross/internal/task/front"
 	"jacinthcross/internal/task/router"
@@ -44,6 +46,11 @@
 		{"control byte in the URI", "GET /\x01 HTTP/1.1\r\nHost: a\r\n\r\n", errs.BadRequest},
 		{"bad escape in the URI", "GET /%zz HTTP/1.1\r\nHost: a\r\n\r\n", errs.BadRequest},
 		{"URI of a proxy", "GET http://a/ HTTP/1.1\r\nHost: a\r\n\r\n", errs.BadRequest},
+		{"unknown method", "FETCH / HTTP/1.1\r\nHost: a\r\n\r\n", errs.BadRequest},
+		{"method in lower case", "get / HTTP/1.1\r\nHost: a\r\n\r\n", errs.BadRequest},
+		{"chunk size with a sign", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n+1\r\na\r\n0\r\n\r\n", errs.BadRequest},
+		{"bare line feed behind a chunk size", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\na\r\n0\r\n\r\n", errs.BadRequest},
+		{"endless chunk size", "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("0", 300), errs.BadRequest},
 		{"tunnel", "CONNECT a:80 HTTP/1.1\r\nHost: a\r\n\r\n", errs.BadRequest},
 		{"unknown version", "GET / HTTP/3.0\r\nHost: a\r\n\r\n", errs.BadRequest},
 		{"HTTP/2 preface", "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n", errs.BadRequest},
@@ -114,3 +121,24 @@
 		}
 	}
 }
+
+// Guards against writing a status that is not one of a final response, and against passing on its header or body.
+func TestInvalidStatusIsNotWritten(t *testing.T) {
+	for _, status := range []int{-200, 0, 1, 99, 100, 101, 199, 600, 999, 2000} {
+		t.Run(strconv.Itoa(status), func(t *testing.T) {
+			f := startFixture(t)
+			c := dial(t, f)
+			c.send(getRequest)
+			s := nextMessage[router.Submit](t, f)
+			s.Reply.TryPut(router.Answer{ID: s.ID, Outcome: call.Answered{Status: status, Header: []call.Field{{Name: "Leaked", Value: "x"}}, Body: []byte("leaked")}})
+			r := c.response(http.MethodGet)
+			qt.Assert(t, r.status, qt.Equals, http.StatusBadGateway)
+			qt.Assert(t, r.header.Get("Jacinth-Outcome"), qt.Equals, string(errs.Unknown))
+			qt.Assert(t, r.header.Get("Leaked")+r.body, qt.Not(qt.Contains), "leaked")
+			qt.Assert(t, r.header.Get("Leaked"), qt.Equals, "")
+			c.send(getRequest)
+			reply(nextMessage[router.Submit](t, f), "next")
+			qt.Assert(t, c.response(http.MethodGet).body, qt.Equals, "next")
+		})
+	}
+}
--- a/internal/task/listen/listen.go
+++ b/internal/task/listen/listen.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,6 +13,7 @@
 
 	"jacinthcross/internal/base/event"
 	"jacinthcross/internal/base/guard"
+	"jacinthcross/internal/base/limit"
 	"jacinthcross/internal/base/mail"
 	"jacinthcross/internal/super/tree"
 	"jacinthcross/internal/task/link"
@@ -47,6 +49,9 @@
 	sessions          map[*link.Session]*peerSession
 	sessionSlots      chan struct{}
 	sessionGoroutines sync.WaitGroup
+	limitReporter     *limit.Reporter
+	// greetings holds the connections that were accepted last, of which some have not sent their Hello yet.
+	greetings chan *acceptedConn
 }
 
 // A peerSession is the task's state of an accepted session.
@@ -58,8 +63,19 @@
 	silent bool
 }
 
+// A TaskOption sets a property of a Task.
+type TaskOption func(*Task)
+
+// WithMaxSessions limits the accepted sessions, at most to the default.
+func WithMaxSessions(n int) TaskOption {
+	return func(t *Task) { t.sessionSlots = make(chan struct{}, min(n, maxSessions)) }
+}
+
+// WithLimitReporter sets the Reporter that records when the limit of the sessions is reached.
+func WithLimitReporter(r *limit.Reporter) TaskOption { return func(t *Task) { t.limitReporter = r } }
+
 // New starts a task that listens for peers at an address. It receives messages from inbox.
-func New(at netip.AddrPort, server *Server, inbox *mail.Box[Message]) (*Task, error) {
+func New(at netip.AddrPort, server *Server, inbox *mail.Box[Message], options ...TaskOption) (*Task, error) {
 	l, err := net.Listen("tcp", at.String())
 	if err != nil {
 		return nil, errors.Annotatef(err, "listen for peers at %s", at)
@@ -71,7 +87,13 @@
 		inbox:        inbox,
 		sessions:     map[*link.Session]*peerSession{},
 		sessionSlots: make(chan struct{}, maxSessions),
+
+		limitReporter: limit.NewReporter(func(limit.Name, int) {}),
+	}
+	for _, o := range options {
+		o(t)
 	}
+	t.greetings = make(chan *acceptedConn, max(1, cap(t.sessionSlots)/2))
 	go func() {
 		t.Run(t.loop)
 	}()
@@ -226,16 +248,45 @@
 		}
 		select {
 		case t.sessionSlots <- struct{}{}:
-			t.startSession(c)
+			a := &acceptedConn{Conn: c}
+			t.awaitGreeting(a)
+			t.startSession(a)
 		default:
-			event.PeerMessageRefused.Log("peer", c.RemoteAddr(), "error", errors.Errorf("connection refused: the limit of %d sessions is reached", maxSessions).Error())
+			t.limitReporter.Refused(limit.Peers)
 			c.Close()
 		}
 	}
 }
 
+// An acceptedConn is a connection that was accepted. settled is true once the peer has sent its Hello, or the connection was
+// closed to make room for a newer one.
+type acceptedConn struct {
+	net.Conn
+	settled atomic.Bool
+}
+
+// awaitGreeting adds a connection to those whose Hello is awaited. If they take half of the sessions, it closes the oldest
+// one, so that clients that send none do not keep peers out. A peer sends its Hello at once.
+func (t *Task) awaitGreeting(a *acceptedConn) {
+	for {
+		select {
+		case t.greetings <- a:
+			return
+		default:
+		}
+		select {
+		case oldest := <-t.greetings:
+			if oldest.settled.CompareAndSwap(false, true) {
+				_ = oldest.Close()
+				t.limitReporter.Closed(limit.Peers, 1)
+			}
+		default:
+		}
+	}
+}
+
 // startSession starts a goroutine that serves an accepted connection until it is closed.
-func (t *Task) startSession(c net.Conn) {
+func (t *Task) startSession(c *acceptedConn) {
 	t.sessionGoroutines.Add(1)
 	go func() {
 		defer t.sessionGoroutines.Done()
@@ -245,8 +296,8 @@
 	}()
 }
 
-func (t *Task) serveConnection(c net.Conn) {
-	s, err := link.NewSession(c, false)
+func (t *Task) serveConnection(c *acceptedConn) {
+	s, err := link.NewSession(c.Conn, false)
 	if err != nil {
 		event.PeerMessageRefused.Log("peer", c.RemoteAddr(), "error", err.Error())
 		return
@@ -259,6 +310,9 @@
 		logHelloError(c, err)
 		return
 	}
+	if !c.settled.CompareAndSwap(false, true) {
+		return
+	}
 	if !t.inbox.Put(sessionOpened{s, hello}, t.Stopping()) {
 		return
 	}
--- a/internal/wire/codec/codec_test.go
+++ b/internal/wire/codec/codec_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"net/netip"
 	"reflect"
+	"runtime"
 	"testing"
 	"time"
 
@@ -144,3 +145,39 @@
 	}
 	return "reply"
 }
+
+// Guards against an answer of a peer whose status is not one of a final response. The call may have run, so its outcome is
+// unknown. The message is not an error, which would end all calls of the session.
+func TestInvalidStatusOfAPeer(t *testing.T) {
+	for _, status := range []int{-200, 0, 1, 99, 100, 101, 199, 600, 999, 2000} {
+		var b bytes.Buffer
+		_, err := codec.Write(&b, codec.Reply{Number: 9, Result: call.Result{Sent: true, Outcome: call.Answered{Status: status, Body: []byte("body")}}}, now)
+		qt.Assert(t, err, qt.IsNil)
+		got, _, err := codec.Read(&b, 1<<20, time.Now)
+		qt.Assert(t, err, qt.IsNil)
+		r, ok := got.(codec.Reply)
+		qt.Assert(t, ok, qt.IsTrue)
+		o, ok := r.Result.Outcome.(call.Unknown)
+		qt.Assert(t, ok, qt.IsTrue, qt.Commentf("%d: %#v", status, r.Result.Outcome))
+		qt.Assert(t, o.Kind, qt.Equals, errs.AnswerCut)
+	}
+}
+
+// Guards against memory for a message of which only the length has arrived.
+func TestAnnouncedLength(t *testing.T) {
+	const limit = 64 << 20
+	for _, sent := range []int{0, 1, 64 << 10, 100 << 10} {
+		whole := append([]byte{limit >> 24, 0, 0, 0}, make([]byte, sent)...)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		_, _, err := codec.Read(bytes.NewReader(whole), limit, time.Now)
+		runtime.ReadMemStats(&after)
+		qt.Assert(t, err, qt.IsNotNil)
+		qt.Assert(t, after.TotalAlloc-before.TotalAlloc < 4<<20, qt.IsTrue, qt.Commentf("%d bytes after %d", after.TotalAlloc-before.TotalAlloc, sent))
+	}
+	whole := append([]byte{0, 0x20, 0, 0}, make([]byte, 2<<20)...)
+	m, n, err := codec.Read(bytes.NewReader(whole), limit, time.Now)
+	qt.Assert(t, m, qt.IsNil)
+	qt.Assert(t, n, qt.Equals, 4+2<<20)
+	qt.Assert(t, err, qt.IsNotNil) // the bytes are no message
+}
