Take a health response without a cold time for that of a warm target

Cause: targets send their cold time only while they are cold.

Change: a response without the field is that of a warm target; an invalid value still tells nothing. The table test gains the row.

Measured: the row fails before the change; tests of header and local pass.

--- a/internal/wire/header/dialect_test.go
+++ b/internal/wire/header/dialect_test.go
@@ -89,7 +89,8 @@
 	qt.Assert(t, header.DefaultDialect().ProvesNotRun(421, http.Header{}), qt.IsFalse)
 }
 
-// TestUntilWarm guards against taking a missing or invalid value for a warm target.
+// TestUntilWarm guards against taking an invalid value for a warm target, and against taking a target for cold that sends
+// no value because it is warm: after a restart of all daemons, their targets then got only the cold rate for seconds.
 func TestUntilWarm(t *testing.T) {
 	for _, test := range []struct {
 		field, value string
@@ -105,6 +106,7 @@
 		{"X-Cold", "1e300", 0, false},
 		{"X-Cold", "soon", 0, false},
 		{"", "1500", 0, false},
+		{"X-Other", "", 0, true},
 	} {
 		d := header.Dialect{UntilWarm: test.field}
 		h := http.Header{}
--- a/internal/wire/header/load.go
+++ b/internal/wire/header/load.go
@@ -35,11 +35,14 @@
 const maxUntilWarm = time.Hour
 
 // UntilWarmOf parses how long a target stays cold from the response to a health check, and reports whether the response
-// has a valid value.
+// tells. Targets send the field only while they are cold, so a response without it is that of a warm target.
 func (d *Dialect) UntilWarmOf(h http.Header) (time.Duration, bool) {
 	if d.UntilWarm == "" {
 		return 0, false
 	}
+	if len(h.Values(d.UntilWarm)) == 0 {
+		return 0, true
+	}
 	milliseconds, err := strconv.ParseFloat(strings.TrimSpace(h.Get(d.UntilWarm)), 64)
 	if err != nil || !(milliseconds >= 0 && milliseconds <= float64(maxUntilWarm.Milliseconds())) {
 		return 0, false
