Use the overage that the platform allows for cold targets

Cause: a cold target got at most ColdPerS requests a second, although the platform allows ColdPerS x ColdOverage + ColdSlack. After a loss of power the worst seconds served what that rate allows.

Change: the limit is ColdPerS x ColdOverage; the slack stays as the margin. Crash evidence is dropped above this limit only, as before above the old one.

--- a/internal/policy/warm/warm.go
+++ b/internal/policy/warm/warm.go
@@ -73,7 +73,7 @@
 type Option func(*Limiter)
 
 // WithBound sets the number of requests that a cold target may get in a second: the rate times overage, plus slack. The
-// Limiter stays below it, as it keeps to the rate; it only reports whether the bound was exceeded.
+// Limiter keeps to the rate times overage, and reports whether the bound was exceeded.
 func WithBound(overage, slack float64) Option {
 	return func(l *Limiter) { l.overage, l.slack = overage, slack }
 }
@@ -174,13 +174,17 @@
 // longWindow returns the period over which capacity requests are allowed. It is longer than a second if the rate is below
 // one request per second.
 func (l *Limiter) longWindow() time.Duration {
-	if l.rate >= 1 {
+	if l.allowedRate() >= 1 {
 		return window
 	}
-	return time.Duration(float64(window) / l.rate)
+	return time.Duration(float64(window) / l.allowedRate())
 }
 
-func (l *Limiter) capacity() int { return max(1, int(l.rate)) }
+// allowedRate is the number of requests per second that the limiter allows while the target is cold. Only this daemon sends
+// requests to the target, so the slack of the bound suffices as a margin.
+func (l *Limiter) allowedRate() float64 { return l.rate * l.overage }
+
+func (l *Limiter) capacity() int { return max(1, int(l.allowedRate())) }
 
 // burstWindow returns the period in which maxBurst requests are allowed.
 func (l *Limiter) burstWindow() time.Duration {
@@ -295,10 +299,10 @@
 	return n
 }
 
-// ColdOverload reports whether the target is cold and got more requests than it tolerates in the last second. A crash is
+// ColdOverload reports whether the target is cold and got more requests in the last second than the limiter allows. A crash is
 // then attributed to the rate of the requests and not to any of them.
 func (l *Limiter) ColdOverload(now time.Time) bool {
-	return l.Cold(now) && float64(l.SentInLastSecond(now)) > max(1, l.rate)
+	return l.Cold(now) && l.SentInLastSecond(now) > l.capacity()
 }
 
 // BoundExceeded reports whether the target is cold and got more requests in the last second than the bound allows (see
