Test the crash evidence at the limit with the overage

The limit of cold targets is their rate times the overage (14 x 1.5 = 21), so a crash counts against requests up to 21 and not beyond, where the test had 14 and 15. The rows at and above the bound stay.

--- a/internal/policy/warm/warm_test.go
+++ b/internal/policy/warm/warm_test.go
@@ -141,7 +141,8 @@
 		overload, bound bool
 	}{
 		{"cold, at its rate", 14, time.Second, false, false},
-		{"cold, above its rate", 15, time.Second, true, false},
+		{"cold, at the limit", 21, time.Second, false, false},
+		{"cold, above the limit", 22, time.Second, true, false},
 		{"cold, at the bound", 29, time.Second, true, false},
 		{"cold, above the bound", 30, time.Second, true, true},
 		{"warm", 30, 0, false, false},
