--- a/internal/base/form/form.go
+++ b/internal/base/form/form.go
@@ -180,7 +180,8 @@
 	return t.inRange(key, v, low, high, fallback)
 }
 
-// IntText is like Int for a key whose value may also be a text, as templates write it. An empty text counts as missing.
+// IntText is like Int for a key whose value may also be a text, as templates write it. An empty text counts as missing. A
+// number in a text is rounded down and limited to the range, since it comes from the machine and not from an operator.
 func (t *Table) IntText(key string, low, high, fallback int64) int64 {
 	if _, isText := t.values[key].(string); !isText {
 		return t.Int(key, low, high, fallback)
@@ -189,12 +190,12 @@
 	if text == "" {
 		return fallback
 	}
-	v, err := strconv.ParseInt(text, 10, 64)
-	if err != nil {
+	v, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(v) {
 		t.AddMistake(key, "is %q, want an integer", text)
 		return fallback
 	}
-	return t.inRange(key, v, low, high, fallback)
+	return int64(min(max(v, float64(low)), float64(high)))
 }
 
 // inRange returns an integer from low to high, or fallback.
--- a/internal/fleet/roster/era_test.go
+++ b/internal/fleet/roster/era_test.go
@@ -76,6 +76,13 @@
 		{"an entry that stays missing", []read{
 			snapshotOf(0, 20, registered("a", 1, 20)), snapshotOf(1, 10), changesOf(1, 11).later(roster.LapseGrace),
 		}, nil, 0},
+		{"an entry that is missing in two snapshots of the era, within the grace period", []read{
+			snapshotOf(0, 20, registered("a", 1, 20)), snapshotOf(1, 10), snapshotOf(1, 12).later(time.Second),
+		}, []string{"a"}, 0},
+		{"a target that has left, of which a peer has not heard", []read{
+			snapshotOf(0, 20, registered("a", 1, 20, draining)), changesOf(0, 30, removedA), snapshotOf(1, 10),
+			snapshotOf(1, 10, roster.TargetLapsed{Target: registered("a", 1, 20).Target, DropAt: start.Add(time.Minute), Revision: 10}),
+		}, nil, 0},
 		{"an entry that is written again", []read{
 			snapshotOf(0, 20, registered("a", 1, 20)), snapshotOf(1, 10), changesOf(1, 11, registered("a", 1, 11, sequence(21))).later(time.Second),
 			changesOf(1, 12).later(time.Minute),
--- a/internal/fleet/roster/roster.go
+++ b/internal/fleet/roster/roster.go
@@ -98,6 +98,8 @@
 		case present[name] || e.revision > s.Revision:
 		case newEra && e.inUse():
 			e.lapse(s.Revision, now)
+		case s.Era > 0 && e.dropAt.After(now):
+			// The entry lapsed at the start of the era. DropLapsed ends it.
 		default:
 			changed = r.remove(TargetRemoved{Name: name, Revision: s.Revision}, interrupted, now) || changed
 		}
--- a/internal/fleet/roster/since.go
+++ b/internal/fleet/roster/since.go
@@ -118,6 +118,9 @@
 		if c.Revision <= removed.revision {
 			return false
 		}
+		if _, ended := (&entry{ended: removed.ended}).endedProcess(c.Target.StartedAt); ended {
+			return false
+		}
 		delete(r.removals, c.Target.Name)
 		e = &entry{revision: c.Revision, ended: removed.ended}
 		e.use(TargetRegistered{Target: c.Target, Revision: c.Revision})
--- a/internal/policy/warm/warm.go
+++ b/internal/policy/warm/warm.go
@@ -155,6 +155,9 @@
 	l.sent = append(l.sent, now)
 }
 
+// ForgetSends drops the recorded requests, which were sent to a process of the target that has ended.
+func (l *Limiter) ForgetSends() { l.sent = nil }
+
 // WithdrawSend removes the last recorded request, which was not sent after all.
 func (l *Limiter) WithdrawSend() {
 	if len(l.sent) > 0 {
--- a/internal/task/feed/read.go
+++ b/internal/task/feed/read.go
@@ -144,6 +144,8 @@
 	case newerPeerRead:
 		t.readingFromNewerPeer = false
 		if p, ok := m.result.(peerReply); ok {
+			// Without the full state, the changes of this peer would be ignored again and again.
+			t.needPeerSnapshot = t.needPeerSnapshot || !p.Complete && t.roster.NeedsSnapshot(p.Changes)
 			t.applyPeerReply(p, now)
 		}
 	case storeCheckRead:
@@ -197,7 +199,9 @@
 			t.needPeerSnapshot = true
 			return
 		}
-		t.needPeerSnapshot = false
+		if r.Complete && (r.Era > t.roster.Era() || r.Era == t.roster.Era() && r.Revision >= t.roster.Revision()) {
+			t.needPeerSnapshot = false
+		}
 		if t.applyPeerReply(r, now) {
 			t.needSnapshot = t.roster.Revision() == 0
 			// The reply is at least as old as the time that it did not spend waiting at the peer.
--- a/internal/task/front/connection.go
+++ b/internal/task/front/connection.go
@@ -71,6 +71,8 @@
 func (t *Task) enqueue(m requestReceived) {
 	c := m.connection
 	c.used = true
+	// The whole request is there, so that its caller waits for no interim response.
+	c.expectsContinue = false
 	switch {
 	case c.task != t || c.closed || c.closing || c.pendingRefusal != nil:
 		c.releaseRequest(m.request)
@@ -153,6 +155,8 @@
 	c.exchanges = append(c.exchanges, e)
 	t.answering[c] = struct{}{}
 	t.timers.Remove(c)
+	// Otherwise the connection would count as idle while its next response is being sent.
+	c.closeAt = time.Time{}
 	t.submit(e)
 }
 
@@ -220,6 +224,10 @@
 		t.timers.Set(c, now.Add(unsentPollInterval))
 	case c.closing && now.Before(c.closeAt):
 		t.timers.Set(c, c.closeAt)
+	case c.idle() && c.receiving.Load():
+		// A request is being read, which its own deadline limits.
+		c.closeAt = now.Add(maxTimerDelay)
+		t.timers.Set(c, c.closeAt)
 	case c.idle() && now.Sub(c.closeAt) > maxTimerDelay:
 		// The process was paused. Requests that arrived meanwhile are read before the connection is closed.
 		c.closeAt = now.Add(maxTimerDelay)
--- a/internal/task/front/limits.go
+++ b/internal/task/front/limits.go
@@ -58,7 +58,7 @@
 	if awaited == partNone {
 		rr.connection.receiving.Store(false)
 	}
-	if awaited == rr.awaitedPart {
+	if awaited == rr.awaitedPart && awaited != partNone {
 		return
 	}
 	if rr.awaitedPart == partNone || rr.awaitedPart == partFirst {
--- a/internal/task/front/reader.go
+++ b/internal/task/front/reader.go
@@ -173,6 +173,8 @@
 	r.reservedBytes = int(rr.connection.reservedBytes.Swap(0))
 	rr.connection.incompleteHead.Store(0)
 	rr.current = nil
+	// The deadline of the next request counts from its own first byte.
+	rr.awaitedPart = partNone
 	rr.task.post(requestReceived{rr.connection, r})
 }
 
@@ -187,5 +189,8 @@
 	rr.current, rr.body = nil, bodyDecoder{}
 	rr.stopped = true
 	rr.headerBlock = nil
+	// Calls before this one may still run, and the refusal follows their responses. An error means that the connection is
+	// closed.
+	_ = rr.socket.SetReadDeadline(time.Time{})
 	rr.task.post(requestRefused{rr.connection, kind, detail, method})
 }
--- a/internal/task/link/body.go
+++ b/internal/task/link/body.go
@@ -83,7 +83,7 @@
 	}
 	sent := t.countWaiting(len(p.Request.Body))
 	defer sent()
-	m := codec.Call{Target: p.Target, Request: p.Request, Number: uint64(p.ID), Sent: clock.SinceBoot()}
+	m := codec.Call{Target: p.Target, Request: p.Request, Number: uint64(p.ID)}
 	if len(m.Request.Body) > MaxSmallBody && t.peerHello.RequestsBodies {
 		m.BodySize = len(m.Request.Body)
 		if m.Request.Key != "" {
@@ -93,6 +93,7 @@
 	} else if !p.commit() {
 		return call.Result{}, false, errors.Trace(errAbandoned)
 	}
+	m.Sent = clock.SinceBoot()
 	if _, err := codec.Write(s, m, time.Now()); err != nil {
 		return call.Result{}, false, err
 	}
--- a/internal/task/link/link.go
+++ b/internal/task/link/link.go
@@ -269,6 +269,8 @@
 	case Cancel:
 		if p, ok := t.calls[m.ID]; ok {
 			delete(t.calls, m.ID)
+			// A call that its stream has not sent yet is not sent any more.
+			p.abandon()
 			p.stream.closeSoon()
 		}
 	case Exchange:
--- a/internal/task/listen/body.go
+++ b/internal/task/listen/body.go
@@ -28,6 +28,8 @@
 func (c *callStream) requestBody(id call.ID) bool {
 	p := c.latest.Load()
 	if p.id != id || p.ended.Load() {
+		// The cancellation of the call may have been lost because the mailbox of the local task was full.
+		c.localInbox.TryPut(local.BodyFailed{ID: id, Detail: "the call has ended"})
 		return true
 	}
 	if !c.bodyMemory.TryAcquire(p.bodySize) {
@@ -52,7 +54,13 @@
 	for received := false; ; received = true {
 		awaits := func() bool { return p.bodyRequested.Load() && !received && !p.ended.Load() }
 		next, exact, err = c.readMessage(c.session, c.stream, time.Time{}, func(r *link.ProgressReader) error {
+			if c.abandoned.Load() {
+				return yamux.ErrTimeout
+			}
 			r.SetLimits(func() (time.Duration, time.Time) {
+				if c.abandoned.Load() {
+					return 0, time.Unix(1, 0)
+				}
 				if awaits() {
 					return bodyTimeout, p.deadline
 				}
--- a/internal/task/listen/calls.go
+++ b/internal/task/listen/calls.go
@@ -35,7 +35,9 @@
 	// bodyFailed is closed when a requested body does not arrive, and repliesEnded when no more replies are written.
 	bodyFailed   chan struct{}
 	repliesEnded chan struct{}
-	results      *mail.Box[call.Result]
+	// abandoned is set when the stream is given up because its peer is silent.
+	abandoned atomic.Bool
+	results   *mail.Box[call.Result]
 }
 
 // A currentCall is the call in progress on a stream.
@@ -258,7 +260,9 @@
 	if c.latest.Load().kept.Load() || len(c.current) == 0 {
 		return false
 	}
-	// This ends the read of the next call, which cancels the call in progress.
+	// This ends the read of the next call, which cancels the call in progress. The flag keeps the read from moving its
+	// deadline because of bytes that arrive for other streams.
+	c.abandoned.Store(true)
 	return c.stream.SetReadDeadline(time.Unix(1, 0)) == nil
 }
 
--- a/internal/task/local/cold.go
+++ b/internal/task/local/cold.go
@@ -46,6 +46,13 @@
 	t.noteColdState(now)
 }
 
+// recordStartAfterDown records that a target which refused connections has started. All requests so far went to the process
+// before.
+func (t *Task) recordStartAfterDown(now time.Time) {
+	t.coldLimit.ForgetSends()
+	t.recordStart(now)
+}
+
 // noteColdState logs when the target becomes cold or warm.
 func (t *Task) noteColdState(now time.Time) {
 	untilWarm := t.coldLimit.UntilWarm(now)
--- a/internal/task/local/health.go
+++ b/internal/task/local/health.go
@@ -123,7 +123,7 @@
 		t.markDown(m.err, now)
 	case t.down:
 		t.down, t.crashRecorded = false, false
-		t.recordStart(now)
+		t.recordStartAfterDown(now)
 		event.TargetUp.Log("target", t.target.Name, "address", t.target.Address)
 		t.reportTarget(now)
 	case t.suspectedCrash != nil:
--- a/internal/task/local/pending.go
+++ b/internal/task/local/pending.go
@@ -45,6 +45,7 @@
 func (t *Task) requestBody(r *activeCall, now time.Time) {
 	if !r.Pending.Requests.TryPut(r.ID) {
 		// The stream has not taken the request for an earlier call yet.
+		t.coldLimit.WithdrawSend()
 		r.gate.Done(admit.Failed, admit.FinishedCall{}, now)
 		t.refuse(r, errs.Busy)
 		return
@@ -66,6 +67,13 @@
 	r.Request.Body, r.Pending = m.Body, nil
 	t.timers.Remove(r.ID)
 	now := t.clock.Now()
+	if !t.coldLimit.MayStart(now) {
+		// The target has become cold, or got other calls, while the body was on its way.
+		t.refuseAwaiting(r, call.Refused{Kind: errs.TargetCold, RetryAfter: errs.ResponseFor(errs.TargetCold).RetryAfter})
+		return
+	}
+	// The call was counted when its body was requested, which may be longer ago than the window of the limit.
+	t.coldLimit.RecordSend(now)
 	t.dispatch(r, now)
 	t.advanceGate(now)
 }
@@ -95,6 +103,19 @@
 	t.refuseWithOutcome(r, o)
 }
 
+// refuseAwaitingBodies refuses the calls that wait for their bodies. They were admitted to a target that is gone.
+func (t *Task) refuseAwaitingBodies(kind errs.Kind) {
+	var awaiting []*activeCall
+	for _, r := range t.calls {
+		if r.awaitsBody {
+			awaiting = append(awaiting, r)
+		}
+	}
+	for _, r := range awaiting {
+		t.refuseAwaiting(r, call.Refused{Kind: kind, RetryAfter: errs.ResponseFor(kind).RetryAfter})
+	}
+}
+
 // refuseAwaiting refuses a call that holds a slot while it waits for its body.
 func (t *Task) refuseAwaiting(r *activeCall, o call.Refused) {
 	now := t.clock.Now()
--- a/internal/task/local/pending_test.go
+++ b/internal/task/local/pending_test.go
@@ -41,6 +41,10 @@
 			f.putRelease(note.Target{})
 			f.inbox.Put(BodyReceived{ID: id, Body: []byte(body)}, nil)
 		}, "Refused Withdrawn", "Refused Withdrawn", 0, resultTimeout},
+		{"received after another process of the target has started", func(f *fixture, id call.ID) {
+			f.putRelease(note.Target{Name: "b1", Address: f.address, Slots: 1, StartedAt: time.Now()})
+			f.inbox.Put(BodyReceived{ID: id, Body: []byte(body)}, nil)
+		}, "Refused Withdrawn", "Answered 200 \"0\"", 1, resultTimeout},
 		{"failed", func(f *fixture, id call.ID) { f.inbox.Put(BodyFailed{ID: id}, nil) }, "Refused Busy", "Answered 200 \"0\"", 1, resultTimeout},
 		{"cancelled", func(f *fixture, id call.ID) { f.inbox.Put(Cancel{ID: id}, nil) }, "Refused CallerGone", "Answered 200 \"0\"", 1, resultTimeout},
 		{"received after it was cancelled", func(f *fixture, id call.ID) {
--- a/internal/task/local/release.go
+++ b/internal/task/local/release.go
@@ -104,6 +104,7 @@
 	t.hasTarget = false
 	t.stopMonitoring()
 	t.refuseQueued(errs.Withdrawn)
+	t.refuseAwaitingBodies(errs.Withdrawn)
 	// One nanosecond later than now, so that connections that have just become idle are closed too.
 	t.closeIdle(t.clock.Now().Add(time.Nanosecond))
 }
