Do not take a cold target for full because of a late call

Cause, found in the review: a call that is late waits behind all others at a cold target. Its refusal marked the target as full for calls that are in time, which were then refused without asking. The refusal of a higher rank could also shorten the wait of lower ones.

Change: refusals of late calls are not recorded, and a lower rank keeps the later of two times.

Measured: the tests of route, warm (loss of power) and router pass.

--- a/internal/policy/route/cold.go
+++ b/internal/policy/route/cold.go
@@ -65,8 +65,11 @@
 	if s == nil {
 		return
 	}
-	for i := r.Position(); i < ranks; i++ {
-		s.fullUntil[i] = now.Add(retryAfter)
+	s.fullUntil[r.Position()] = now.Add(retryAfter)
+	for i := r.Position() + 1; i < ranks; i++ {
+		if s.fullUntil[i].Before(now.Add(retryAfter)) {
+			s.fullUntil[i] = now.Add(retryAfter)
+		}
 	}
 }
 
--- a/internal/task/router/attempt.go
+++ b/internal/task/router/attempt.go
@@ -170,7 +170,9 @@
 	p, now := a.call, t.clock.Now()
 	t.settleAttempt(a, r)
 	t.recordAttemptResult(a, attemptResultOf(r, now.Sub(a.started)), now)
-	if refused, ok := r.Outcome.(call.Refused); ok && refused.Kind == errs.TargetCold {
+	// A call that is late already waits behind all others, so its refusal says nothing about the room for those in time.
+	late := !p.Request.SoftDeadline.IsZero() && p.Request.SoftDeadline.Before(now.Add(p.Request.UsualLatency))
+	if refused, ok := r.Outcome.(call.Refused); ok && refused.Kind == errs.TargetCold && !late {
 		t.table(p.Request.Service).RecordColdRefusal(a.target.Name, p.Request.Rank, refused.RetryAfter, now)
 	}
 	// Only the daemon beside the target reports an incarnation.
