Name the limits of cold targets without the platform's words

Cause: the fields of daemon.Platform had the names of the platform's bounds.

Change: ColdRateFactor and ColdMargin; bounds, event fields and messages keep their names.

--- a/internal/super/daemon/daemon.go
+++ b/internal/super/daemon/daemon.go
@@ -55,9 +55,9 @@
 	NoIdempotencyKeys bool
 	// RetryLimit is the platform's limit on retries. If its window is 0, the daemon uses its own retry budgets.
 	RetryLimit retry.PlatformLimit
-	// ColdOverage and ColdSlack limit the requests that a cold target may get in a second, from all daemons together: the
-	// rate that it tolerates (note.Service.ColdRate) times ColdOverage, plus ColdSlack.
-	ColdOverage, ColdSlack float64
+	// ColdRateFactor and ColdMargin limit the requests that a cold target may get in a second, from all daemons together: the
+	// rate that it tolerates (note.Service.ColdRate) times ColdRateFactor, plus ColdMargin.
+	ColdRateFactor, ColdMargin float64
 	// AcceptWhileDraining is how long the daemon accepts calls after a planned stop begins, so that the platform's
 	// readiness check can notice the stop.
 	AcceptWhileDraining time.Duration
@@ -110,7 +110,7 @@
 		}})
 	}
 	if p := d.platform; d.shared.usesStore {
-		event.BoundsInForce.Log("gracePeriod", p.StopTimeout, "retryRatio", p.RetryLimit.Ratio, "retrySlack", p.RetryLimit.Slack, "retryWindow", p.RetryLimit.Window, "coldOverage", p.ColdOverage, "coldSlack", p.ColdSlack)
+		event.BoundsInForce.Log("gracePeriod", p.StopTimeout, "retryRatio", p.RetryLimit.Ratio, "retrySlack", p.RetryLimit.Slack, "retryWindow", p.RetryLimit.Window, "coldOverage", p.ColdRateFactor, "coldSlack", p.ColdMargin)
 	}
 	event.DaemonStarted.Log("vm", settings.VM, "dataCentre", settings.DataCentre, "callers", settings.Callers)
 	go func() {
--- a/internal/super/daemon/tree.go
+++ b/internal/super/daemon/tree.go
@@ -289,7 +289,7 @@
 	}
 	if p.NoIdempotencyKeys {
 		options = append(options, local.WithoutInternalKeys(), local.WithDeclaredSlots(), local.WithMeasurementFunc(m.RecordProbe),
-			local.WithColdBound(p.ColdOverage, p.ColdSlack))
+			local.WithColdBound(p.ColdRateFactor, p.ColdMargin))
 	} else {
 		options = append(options, local.WithUnconfirmedRelease())
 	}
