--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -70,11 +70,15 @@
 	if r.err != nil {
 		return r
 	}
-	written := make(chan error, 1)
-	go func() {
-		_, err := c.Write(append([]byte(q.head()), q.body...))
-		written <- err
-	}()
+	// The answer may come before the daemon has read the body, and an error of the write shows when the answer is read.
+	go func() { _, _ = c.Write(append([]byte(q.head()), q.body...)) }()
+	a := q.readAnswer(c)
+	a.sent = r.sent
+	return a
+}
+
+// readAnswer reads the answer to the only request on a connection.
+func (q request) readAnswer(c net.Conn) (r response) {
 	answer, err := http.ReadResponse(bufio.NewReader(c), &http.Request{Method: q.method})
 	if err != nil {
 		r.err = err
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -28,7 +28,7 @@
 	"memory": playMemory,
 	"drain":  playDrain,
 	"body":   playBody,
-	"id":     playID,
+	"split":  playSplit,
 }
 
 func main() {
