--- a/review/stand2/drain.go
+++ b/review/stand2/drain.go
@@ -21,8 +21,8 @@
 	stay  = drain + 750*time.Millisecond
 	// slowLink is a link of 10 Mbit/s.
 	slowLink = 10_000_000 / 8
-	// drainBody is the size of the body, which takes about 3 s on the link.
-	drainBody  = 3_800_000
+	// drainBody is the size of the body, which takes about 3.3 s on the link.
+	drainBody  = 4_100_000
 	timeBudget = 5 * time.Second
 )
 
--- a/review/stand2/proxy.go
+++ b/review/stand2/proxy.go
@@ -87,6 +87,9 @@
 	return b.total
 }
 
+// maxCredit is how far the bytes that have passed may lag behind the rate of the link without being lost to it.
+const maxCredit = 50 * time.Millisecond
+
 // wait waits until the link has sent n bytes more.
 func (b *bandwidth) wait(n int) {
 	b.mutex.Lock()
@@ -95,9 +98,9 @@
 		b.mutex.Unlock()
 		return
 	}
-	now := time.Now()
-	if b.free.Before(now) {
-		b.free = now
+	// A sleep that took too long is made up for by the next ones.
+	if earliest := time.Now().Add(-maxCredit); b.free.Before(earliest) {
+		b.free = earliest
 	}
 	b.free = b.free.Add(time.Duration(n) * time.Second / time.Duration(b.rate))
 	until := b.free
