Show answers that reach another requester

Cause: the front makes up an id for a request without one, counted from 1 in each process, so that requests of two daemons have the same id. A late second copy of an answer can then not be told from the answer to the next request. Change: review/10 is this case, in place of the bodies above 8 MiB, which is the lesser one.

--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -27,7 +27,7 @@
 	"kept":   playKept,
 	"memory": playMemory,
 	"drain":  playDrain,
-	"body":   playBody,
+	"extra":  playExtra,
 	"split":  playSplit,
 }
 
--- a/review/stand2/upstream.go
+++ b/review/stand2/upstream.go
@@ -29,11 +29,15 @@
 	slots                      int
 	work                       time.Duration
 	answer                     []byte
-	store                      *store
-	record                     *record
-	born                       time.Time
-	server                     *http.Server
-	slotsInUse                 chan struct{}
+	// echo makes the upstream answer with the method and the path of the request. copied holds the paths whose answers it sends
+	// once more, where the answer to the next request of the connection is expected.
+	echo       bool
+	copied     map[string]bool
+	store      *store
+	record     *record
+	born       time.Time
+	server     *http.Server
+	slotsInUse chan struct{}
 
 	mutex    sync.Mutex
 	sequence int
@@ -55,7 +59,7 @@
 	if u.answer == nil {
 		u.answer = []byte("the bytes of upstream " + u.id + "\n")
 	}
-	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
+	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second, ConnContext: withLastAnswer}
 	go func() { _ = u.server.Serve(l) }()
 	u.report("ready")
 	return nil
@@ -149,9 +153,16 @@
 		u.record.log("upstream %s: the run of request %s was cut off", u.id, id)
 		return
 	}
+	answer := u.answer
+	if u.echo {
+		answer = []byte("the answer to " + r.Method + " " + r.URL.Path)
+	}
 	w.Header().Set("X-Jacinthcross-Response-Stamp", "stamp."+id)
-	w.Header().Set("Content-Length", strconv.Itoa(len(u.answer)))
-	_, _ = w.Write(u.answer)
+	w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
+	if len(u.copied) > 0 && u.sendLateCopy(w, r, answer) {
+		return
+	}
+	_, _ = w.Write(answer)
 }
 
 func (u *upstream) count(running, waiting int) {
