Let the review's requesters respect the end of a connection

Cause: the HTTP library removes Connection: close from the header of an answer, so the stand-ins for requesters in cases 6 and 7 went on to use a connection that was about to end. Such requests were not counted. Change: they take the flag of the answer.

--- a/review/stand2/booking.go
+++ b/review/stand2/booking.go
@@ -73,7 +73,7 @@
 		default:
 			b.count("no answer, not run or not on a kept connection")
 		}
-		if a.err != nil || a.header.Get("Connection") == "close" {
+		if a.err != nil || a.closes {
 			return
 		}
 	}
@@ -94,7 +94,7 @@
 		return r
 	}
 	defer answer.Body.Close()
-	r.status, r.header = answer.StatusCode, answer.Header
+	r.status, r.header, r.closes = answer.StatusCode, answer.Header, answer.Close
 	r.body, r.err = io.ReadAll(answer.Body)
 	return r
 }
--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -24,6 +24,8 @@
 type response struct {
 	status int
 	header http.Header
+	// closes is true if the connection ends after the answer.
+	closes bool
 	body   []byte
 	err    error
 	sent   time.Time
