Measure a header that arrives in parts without what follows it

Requests are not repeated after 431, so the bookings were lost.

Cause: the front appends what arrives to the kept part of a header, up to one byte above the limit, and searches the end of the header in the sum. The check of the limit measured the sum, with the body or the requests that follow.

Change: the kept part ends with the header, so that only the header is measured. A longer header is refused as before (TestLongHeaderInPartsIsRefused, which passes on both).

--- a/internal/task/front/reader.go
+++ b/internal/task/front/reader.go
@@ -94,7 +94,9 @@
 		return nil, nil, false
 	}
 	end += from + len(headerEnd)
-	return rr.headerBlock[:end], data[end-before:], true
+	// What arrived behind the header does not count against its limit.
+	rr.headerBlock = rr.headerBlock[:end]
+	return rr.headerBlock, data[end-before:], true
 }
 
 func (rr *requestReader) readHeader(data []byte) []byte {
