Take a response that is reset during its request for cut

Cause: the kernel reports the error of a connection once. The goroutine that writes the request got it, and the one that reads the response got a regular end, which ends a body without a length.

Change: when the reads have found the end of a body without a length, the result of the write is asked for, after a write in progress has been stopped. An error other than EPIPE, which is that of a reset behind an orderly end, means that the response is cut. A failed write no longer closes the connection before a whole response has been read, and the connection carries no further call.

--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -44,8 +44,9 @@
 	refusedIDs []string
 	// echoesIDs is true once a response on the connection had a request ID. It is owned by the reading goroutine.
 	echoesIDs bool
-	// stream is owned by the writing goroutine.
+	// stream and broken are owned by the writing goroutine. broken is true after a failed write.
 	stream net.Conn
+	broken bool
 	// mu guards the fields that both goroutines use.
 	mu          sync.Mutex
 	current     *job // the call that waits for its response
@@ -58,6 +59,7 @@
 	target  ident.Target
 	request call.Request
 	token   string // see CallContext.Token
+	upload  *upload
 }
 
 // newConn starts the goroutine of a connection and adds it to goroutines. The goroutine dials when it gets its first
@@ -106,11 +108,12 @@
 		c.notify(m)
 		return
 	}
-	if !c.setCurrent(&j) {
+	if c.broken {
 		c.notify(callResult{id: j.id, conn: c, unsent: true})
 		return
 	}
-	if c.stream == nil {
+	opened := c.stream == nil
+	if opened {
 		stream, err := c.dial("tcp", c.target.String())
 		if err != nil {
 			c.takeCurrent(true)
@@ -120,12 +123,19 @@
 		c.stream = stream
 		// This also ends a write that is blocked because the target does not read.
 		context.AfterFunc(c.ctx, func() { _ = stream.Close() })
-		goroutines.Go(func() { c.readLoop(stream) })
 	}
-	if err := j.write(c.stream, c.dialect, time.Now()); err != nil {
-		// The reading goroutine reports the result of the call.
-		_ = c.stream.Close()
+	j.upload = newUpload(c.stream)
+	if !c.setCurrent(&j) {
+		c.notify(callResult{id: j.id, conn: c, unsent: true})
+		return
+	}
+	if opened {
+		goroutines.Go(func() { c.readLoop(j.upload.stream) })
 	}
+	// The reading goroutine reports the result of the call. After an error, it may still find a whole response.
+	err := j.write(c.stream, c.dialect, time.Now())
+	c.broken = err != nil
+	j.upload.end(err)
 }
 
 // setCurrent sets the call that waits for a response. It returns false if the connection accepts no more calls.
@@ -234,7 +244,7 @@
 		if c.isFramed(http.MethodGet, r) {
 			limited.N = math.MaxInt64
 			var body []byte
-			body, err = c.bodies.read(c.ctx, r.Body, r.ContentLength)
+			body, err = c.readBody(j, r)
 			// Closing the original body would read the rest of a body that exceeds the limit.
 			if err == errBodyTooLarge {
 				r.Body, err = newReadBody(nil, err), nil
@@ -291,7 +301,10 @@
 	}
 	defer stream.Close()
 	defer context.AfterFunc(c.ctx, func() { _ = stream.Close() })()
-	if err := j.write(stream, c.dialect, time.Now()); err != nil {
+	j.upload = newUpload(stream)
+	err = j.write(stream, c.dialect, time.Now())
+	j.upload.end(err)
+	if err != nil {
 		return c.newResult(j, nil, err, false)
 	}
 	limited := &io.LimitedReader{R: stream, N: maxResponseHeader}
--- a/internal/task/local/response.go
+++ b/internal/task/local/response.go
@@ -48,7 +48,7 @@
 	if c.echoesIDs && c.responseID(r) == "" {
 		return call.Unknown{Kind: errs.AnswerForeign, Detail: fmt.Sprintf("target %s: the response has no request ID, unlike earlier ones on the connection, so it may belong to another call", c.target)}
 	}
-	body, err := c.bodyOf(j.request.Method, r)
+	body, err := c.bodyOf(j, r)
 	switch {
 	case err == errBodyTooLarge:
 		return call.Unknown{Kind: errs.AnswerTooLarge, Detail: fmt.Sprintf("the response body of the target exceeds %d bytes", c.bodies.maxBody)}
@@ -68,14 +68,24 @@
 }
 
 // bodyOf returns the body of a response, which it reads unless that was done before.
-func (c *conn) bodyOf(method string, r *http.Response) ([]byte, error) {
-	if hasNoBody(method, r) || r.Body == nil {
+func (c *conn) bodyOf(j job, r *http.Response) ([]byte, error) {
+	if hasNoBody(j.request.Method, r) || r.Body == nil {
 		return nil, nil
 	}
 	if b, ok := r.Body.(*readBody); ok {
 		return b.body, b.err
 	}
-	return c.bodies.read(c.ctx, r.Body, r.ContentLength)
+	return c.readBody(j, r)
+}
+
+// readBody reads the body of a response. A body that ends with its connection is complete only if the target closed the
+// connection in order.
+func (c *conn) readBody(j job, r *http.Response) ([]byte, error) {
+	body, err := c.bodies.read(c.ctx, r.Body, r.ContentLength)
+	if err == nil && r.ContentLength < 0 && !isChunked(r) {
+		err = j.upload.connectionError()
+	}
+	return body, err
 }
 
 // invalidReason returns why a response does not come from the target itself, or "" if it is valid.
@@ -100,9 +110,12 @@
 
 // isFramed reports whether the response shows where it ends.
 func (c *conn) isFramed(method string, r *http.Response) bool {
+	return hasNoBody(method, r) || r.ContentLength >= 0 || isChunked(r) || c.dialect.AllowBodyUntilClose
+}
+
+func isChunked(r *http.Response) bool {
 	// net/http moves the encoding to TransferEncoding; other HTTP parsers leave it in the header.
-	chunked := slices.Contains(r.TransferEncoding, "chunked") || strings.EqualFold(r.Header.Get("Transfer-Encoding"), "chunked")
-	return hasNoBody(method, r) || r.ContentLength >= 0 || chunked || c.dialect.AllowBodyUntilClose
+	return slices.Contains(r.TransferEncoding, "chunked") || strings.EqualFold(r.Header.Get("Transfer-Encoding"), "chunked")
 }
 
 // hasNoBody reports whether a response has no body even if its header declares one.
