Read the response to a conditional call while its request is written

What callers saw: 502, or 504 at the deadline, for a conditional upload that the target had answered with a whole response before it read the body.

Cause: HEAD and conditional calls have a connection of their own, on which the whole request was written before the response was read. A write that failed or waited hid the response.

Change: the request is written by a goroutine of its own; the end of the call closes the connection and so ends the write.

--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -104,7 +104,7 @@
 	}
 	if mayOmitBody(j.request) {
 		m := c.newResult(j, nil, errPanicked, false)
-		guard.Run("response of a target", func() { m = c.roundTrip(j) })
+		guard.Run("response of a target", func() { m = c.roundTrip(goroutines, j) })
 		c.notify(m)
 		return
 	}
@@ -293,8 +293,8 @@
 	return false
 }
 
-// roundTrip runs a call on a separate connection.
-func (c *conn) roundTrip(j job) callResult {
+// roundTrip runs a call on a separate connection. The response is read while the request is being written.
+func (c *conn) roundTrip(goroutines *sync.WaitGroup, j job) callResult {
 	stream, err := c.dial("tcp", c.target.String())
 	if err != nil {
 		return c.newResult(j, nil, err, false)
@@ -302,11 +302,8 @@
 	defer stream.Close()
 	defer context.AfterFunc(c.ctx, func() { _ = stream.Close() })()
 	j.upload = newUpload(stream)
-	err = j.write(stream, c.dialect, time.Now())
-	j.upload.end(err)
-	if err != nil {
-		return c.newResult(j, nil, err, false)
-	}
+	// The close of the stream at the end ends the write.
+	goroutines.Go(func() { j.upload.end(j.write(stream, c.dialect, time.Now())) })
 	limited := &io.LimitedReader{R: stream, N: maxResponseHeader}
 	response, err := readFinal(bufio.NewReader(limited), &http.Request{Method: j.request.Method})
 	if err != nil {
--- a/internal/task/local/early_response_test.go
+++ b/internal/task/local/early_response_test.go
@@ -79,7 +79,7 @@
 }
 
 // Guards against passing on a part of a response as complete because the connection is reset while the request is still
-// being written, or behind it, and against losing a response that arrived whole.
+// being written, or behind it, and against losing a response that arrived whole, or waiting for its request to be written.
 func TestResponseBeforeEndOfRequest(t *testing.T) {
 	const (
 		length  = "HTTP/1.1 %s\r\nStamp: 3e1b\r\nContent-Length: 5\r\n\r\n"
@@ -109,6 +109,7 @@
 		readsAll bool
 	}{
 		{"on a kept connection", call.Request{Method: http.MethodPost}, false},
+		{"on its own connection", call.Request{Method: http.MethodPut, Header: []call.Field{{Name: "If-None-Match", Value: "*"}}}, false},
 		{"read whole, on a kept connection", call.Request{Method: http.MethodPost}, true},
 		{"read whole, on its own connection", call.Request{Method: http.MethodPut, Header: []call.Field{{Name: "If-None-Match", Value: "*"}}}, true},
 	}
