Take chunks in a response of HTTP/1.0 for faulty framing

What callers saw: a 200 whose body is the framing of chunks, and a part of one when the target closed the connection in the middle (MIXED).

Cause: HTTP/1.0 has no chunked encoding. http.ReadResponse ignores and removes the field and takes the end of the connection for the end of the body.

Change: such a response is malformed, as RFC 9112 asks. Its header is searched for the field before it is parsed.

--- a/internal/task/front/header_test.go
+++ b/internal/task/front/header_test.go
@@ -23,16 +23,15 @@
 	return start + strings.Repeat("x", size-len(start)-len("\r\n\r\n")) + "\r\n\r\n"
 }
 
-// splits returns the ends of the parts in which a header is sent, apart from its last part.
-func splits(head string) []struct {
+// A split is a way to send a header in parts. ends has the ends of all parts but the last one.
+type split struct {
 	name string
 	ends []int
-} {
+}
+
+func splitsOf(head string) []split {
 	n := len(head)
-	return []struct {
-		name string
-		ends []int
-	}{
+	return []split{
 		{"one part", nil},
 		{"after the first byte", []int{1}},
 		{"in the middle", []int{n / 2}},
@@ -44,9 +43,9 @@
 }
 
 // sendInParts sends a header in parts, the last one together with rest.
-func (c *client) sendInParts(head string, ends []int, rest string) {
+func (c *client) sendInParts(head string, s split, rest string) {
 	from := 0
-	for _, end := range ends {
+	for _, end := range s.ends {
 		c.send(head[from:end])
 		time.Sleep(partDelay)
 		from = end
@@ -65,8 +64,7 @@
 		fields string
 		rest   string
 		body   string
-		// next is the number of requests behind the first one.
-		next int
+		next   int // the number of requests behind the first one
 	}{
 		{"body", fmt.Sprintf("Content-Length: %d\r\n", len(body)), body, body, 0},
 		{"chunk", "Transfer-Encoding: chunked\r\n", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body), body, 0},
@@ -79,12 +77,12 @@
 	for _, test := range tests {
 		for _, size := range []int{130, limit} {
 			head := headOf(test.fields, size)
-			for _, split := range splits(head) {
-				t.Run(fmt.Sprintf("%s/%d bytes/%s", test.name, size, split.name), func(t *testing.T) {
+			for _, sp := range splitsOf(head) {
+				t.Run(fmt.Sprintf("%s/%d bytes/%s", test.name, size, sp.name), func(t *testing.T) {
 					t.Parallel()
 					f := startFixture(t, front.WithMaxHeader(limit))
 					c := dial(t, f)
-					c.sendInParts(head, split.ends, test.rest)
+					c.sendInParts(head, sp, test.rest)
 					s := nextMessage[router.Submit](t, f)
 					qt.Assert(t, s.Request.URI, qt.Equals, "/once")
 					qt.Assert(t, string(s.Request.Body), qt.Equals, test.body)
@@ -119,12 +117,12 @@
 	}
 	for _, test := range tests {
 		head := headOf(test.fields, test.size)
-		for _, split := range splits(head) {
-			t.Run(test.name+"/"+split.name, func(t *testing.T) {
+		for _, sp := range splitsOf(head) {
+			t.Run(test.name+"/"+sp.name, func(t *testing.T) {
 				t.Parallel()
 				f := startFixture(t, front.WithMaxHeader(limit))
 				c := dial(t, f)
-				c.sendInParts(head, split.ends, test.rest)
+				c.sendInParts(head, sp, test.rest)
 				r := c.response(http.MethodPost)
 				qt.Assert(t, r.status, qt.Equals, http.StatusRequestHeaderFieldsTooLarge)
 				qt.Assert(t, r.header.Get("Jacinth-Error"), qt.Equals, string(errs.HeaderTooLarge))
--- a/internal/task/local/conn.go
+++ b/internal/task/local/conn.go
@@ -195,6 +195,9 @@
 // response follows. The status of such a response is invalid too.
 func readFinal(reader *bufio.Reader, request *http.Request) (*http.Response, error) {
 	for {
+		if hasUnknownEnd(reader) {
+			return nil, errMalformed
+		}
 		r, err := http.ReadResponse(reader, request)
 		if err != nil {
 			return nil, withoutText(err)
@@ -205,7 +208,7 @@
 	}
 }
 
-// errMalformed is the error of a response whose status line or header cannot be parsed.
+// errMalformed is the error of a response whose status line or header cannot be parsed or contradict each other.
 const errMalformed = errors.ConstError("the status line or the header of the response is malformed")
 
 // withoutText replaces the errors of the HTTP parser, which quote bytes of the response, since the error is reported to
