List the call that waits behind an unfinished upload

Cause: while looking for responses that arrive before the end of their request, a trial showed that their connection is used again while the upload is still being written. If the target reads no more of it, the next call on the connection ends at its deadline.

--- a/internal/task/local/early_response_test.go
+++ b/internal/task/local/early_response_test.go
@@ -33,6 +33,8 @@
 	endOrderly ending = "Orderly"
 	// endOrderlyReset ends the target's direction, and then resets the connection.
 	endOrderlyReset ending = "OrderlyReset"
+	// endOpen leaves the connection open and reads no more.
+	endOpen ending = "Open"
 )
 
 // startEarlyTarget starts a target that answers each connection once. It reads the whole request before, or only its
@@ -63,7 +65,7 @@
 					tcp.CloseWrite()
 				}
 				switch end {
-				case endOrderly:
+				case endOrderly, endOpen:
 					<-stopped
 				case endOrderlyReset:
 					time.Sleep(endDelay)
@@ -145,3 +147,15 @@
 		}
 	}
 }
+
+// Guards against a call that waits, on the connection of an earlier call, until the target has read the rest of a request
+// that it has answered already.
+func TestCallBehindUnfinishedUpload(t *testing.T) {
+	const response = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+	address := startEarlyTarget(t, response, endOpen, false)
+	f := startFixture(t, note.Target{Name: "b1", Address: address})
+	first := f.do(call.Request{Method: http.MethodPost, Body: make([]byte, 16<<20), Deadline: time.Now().Add(4 * time.Second)})
+	qt.Assert(t, summary(first), qt.Equals, `Answered 200 "hello"`)
+	second := f.do(call.Request{Deadline: time.Now().Add(4 * time.Second)})
+	qt.Assert(t, summary(second), qt.Equals, `Answered 200 "hello"`)
+}
