review: shorten the stand-ins of the third review

Cause: parts of the stand-ins served trials only. Change: unused functions are gone, and the count of case 11 is a function.

--- a/review/stand3/crashing.go
+++ b/review/stand3/crashing.go
@@ -73,6 +73,12 @@
 	}
 	wait.Wait()
 
+	return countLate(r, s) > allowedLate, nil
+}
+
+// countLate records the runs of the request that crashes targets, and returns how many of them began later than
+// stabilityWindow after the third crash.
+func countLate(r *record, s *site) int {
 	var runs []fake.Run
 	var crashes []time.Time
 	service := map[string]string{}
@@ -99,5 +105,5 @@
 		r.printf("%s reached target %s of %s at %.3f s%s", run.ID, run.Target, service[run.Target], run.StartedAt.Sub(r.began).Seconds(), text)
 	}
 	r.printf("%d crashes; the request reached targets %d times later than StabilityWindow after the third one, BUDGET allows %d", len(crashes), late, allowedLate)
-	return late > allowedLate, nil
+	return late
 }
--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"maps"
@@ -15,7 +14,6 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -184,37 +182,6 @@
 	return nil
 }
 
-func (v *vm) signal(s syscall.Signal) {
-	v.site.record.printf("daemon %d gets signal %s", v.index, s)
-	_ = v.command.Process.Signal(s)
-}
-
-func (v *vm) running() bool {
-	select {
-	case <-v.exited:
-		return false
-	default:
-		return true
-	}
-}
-
-// memoryPeak returns the peak of the resident memory of the daemon in MB.
-func (v *vm) memoryPeak() float64 { return v.memory("VmHWM:") }
-
-func (v *vm) memory(name string) float64 {
-	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", v.command.Process.Pid))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(b)) {
-		if f := strings.Fields(line); len(f) >= 2 && f[0] == name {
-			kb, _ := strconv.ParseFloat(f[1], 64)
-			return kb * 1024 / 1e6
-		}
-	}
-	return 0
-}
-
 // start starts all targets and daemons and waits until the daemons are ready.
 func (s *site) start() error {
 	for _, v := range s.vms {
@@ -264,7 +231,7 @@
 		return false
 	}
 	_ = r.Body.Close()
-	return r.StatusCode == 200
+	return r.StatusCode == http.StatusOK
 }
 
 // close ends all processes.
@@ -336,8 +303,6 @@
 	close  bool
 }
 
-var errNoAnswer = errors.New("no answer")
-
 // call sends one request on a new connection and reads the answer.
 func call(v *vm, id, method, host, path, body string, deadline time.Duration, extra ...string) reply {
 	c, err := net.DialTimeout("tcp", v.callers(), time.Second)
@@ -370,6 +335,7 @@
 	if err != nil {
 		return reply{id: id, err: err}
 	}
+	defer r.Body.Close()
 	b, err := io.ReadAll(r.Body)
 	return reply{id: id, status: r.StatusCode, stamp: r.Header.Get("X-Jacinthcross-Response-Stamp"), body: string(b), retry: r.Header.Get("Retry-After"), err: err, close: r.Close}
 }
