--- a/review/stand3/site.go
+++ b/review/stand3/site.go
@@ -304,25 +304,22 @@
 }
 
 // call sends one request on a new connection and reads the answer.
-func call(v *vm, id, method, host, path, body string, deadline time.Duration, extra ...string) reply {
+func call(v *vm, id, method, host, path, body string, deadline time.Duration) reply {
 	c, err := net.DialTimeout("tcp", v.callers(), time.Second)
 	if err != nil {
 		return reply{id: id, err: err}
 	}
 	defer c.Close()
 	_ = c.SetDeadline(time.Now().Add(deadline + 2*time.Second))
-	if _, err := io.WriteString(c, requestText(id, method, host, path, body, deadline, extra...)); err != nil {
+	if _, err := io.WriteString(c, requestText(id, method, host, path, body, deadline)); err != nil {
 		return reply{id: id, err: err}
 	}
 	return readReply(id, method, bufio.NewReader(c))
 }
 
-func requestText(id, method, host, path, body string, deadline time.Duration, extra ...string) string {
+func requestText(id, method, host, path, body string, deadline time.Duration) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Jacinthcross-Request-Id: %s\r\nX-Jacinthcross-Deadline-Ms: %d\r\n", method, path, host, id, deadline.Milliseconds())
-	for _, e := range extra {
-		b.WriteString(e + "\r\n")
-	}
 	if body != "" || method == "POST" || method == "PUT" {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
