--- a/review/stand3/giveup.go
+++ b/review/stand3/giveup.go
@@ -1,12 +1,15 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"jacinthcross/platform/fake"
 )
 
 func init() { scenarios["giveup"] = giveUp }
@@ -37,6 +40,12 @@
 	route.timeout, route.aim = reportTimeout.String(), reportAim.String()
 	for i := range 6 {
 		v := s.add(route.service, fmt.Sprintf("z%d", i%3), 9, 100*time.Millisecond)
+		v.target.NestedCall = func(ctx context.Context, run fake.Run) error {
+			if run.URI == crashPath {
+				<-ctx.Done()
+			}
+			return nil
+		}
 		if trouble {
 			v.target.CrashPath, v.target.CrashDelay, v.target.RestartDelay = crashPath, crashAfter, 2*time.Second
 		}
